--- a/modules/toucanstand_core/settings/SettingsReader.cpp
+++ b/modules/toucanstand_core/settings/SettingsReader.cpp
@@ -161,6 +161,22 @@
   return value->get<std::vector<std::string>>();
 }
 
+std::vector<std::uint64_t> SettingsReader::UnsignedList(std::string_view aKey)
+{
+  const auto* value = this->Find(aKey, false);
+  if (value == nullptr) {
+    return {};
+  }
+  const auto isUnsigned = [](const nlohmann::json& aItem) {
+    return aItem.is_number_unsigned();
+  };
+  if (!value->is_array() || !std::ranges::all_of(*value, isUnsigned)) {
+    this->RejectValue(aKey, *value, SettingsRule::IsList, "of unsigned whole numbers");
+    return {};
+  }
+  return value->get<std::vector<std::uint64_t>>();
+}
+
 void SettingsReader::Object(std::string_view aKey,
                             const std::function<void(SettingsReader&)>& aRead)
 {
--- a/modules/toucanstand_core/settings/SettingsReader.h
+++ b/modules/toucanstand_core/settings/SettingsReader.h
@@ -61,6 +61,9 @@
   /// A list of strings; empty when missing.
   std::vector<std::string> TextList(std::string_view aKey);
 
+  /// A list of whole numbers of 64 bits without sign; empty when missing.
+  std::vector<std::uint64_t> UnsignedList(std::string_view aKey);
+
   /// Calls back with a reader of a nested object. Nothing is called when it is missing.
   void Object(std::string_view aKey, const std::function<void(SettingsReader&)>& aRead);
 
--- a/modules/toucanstand_transport/store/EtcdStore.cpp
+++ b/modules/toucanstand_transport/store/EtcdStore.cpp
@@ -346,10 +346,8 @@
                      EtcdStoreSettings aSettings,
                      MetricsRegistry& aMetrics,
                      Random aRandom)
-  : implementation(std::make_shared<Implementation>(aLoop,
-                                                    std::move(aSettings),
-                                                    aMetrics,
-                                                    std::move(aRandom)))
+  : implementation(
+      std::make_shared<Implementation>(aLoop, std::move(aSettings), aMetrics, aRandom))
 {
 }
 
--- a/modules/toucanstand_world/observation/WorldView.h
+++ b/modules/toucanstand_world/observation/WorldView.h
@@ -6,6 +6,7 @@
 
 #include "groups/ReplicaGroup.h"
 #include "machines/BackendServer.h"
+#include "machines/Vm.h"
 #include "observation/Observation.h"
 
 namespace toucanstand {
@@ -45,7 +46,7 @@
   std::vector<Candidate> candidates;
   std::vector<QuarantineEntry> quarantine;
   /// Entry VMs known to be alive, this one included; used to share fleet-wide limits.
-  std::uint32_t liveEntryVms = 1;
+  std::vector<Vm> liveEntryVms;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_world/toucanstand_world.h
+++ b/modules/toucanstand_world/toucanstand_world.h
@@ -10,3 +10,4 @@
 #include "machines/Vm.h"
 #include "observation/Observation.h"
 #include "observation/WorldView.h"
+#include "observation/WorldViewText.h"
