--- /dev/null
+++ b/modules/toucanstand_delivery/attempts/AttemptTracker.cpp
@@ -0,0 +1,114 @@
+#include "attempts/AttemptTracker.h"
+
+#include <array>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace toucanstand {
+
+const char* Name(GiveUpReason aReason)
+{
+  // In the order of the enumeration.
+  constexpr std::array kNames = { "none",
+                                  "may_have_run",
+                                  "deadline_passed",
+                                  "retry_budget_exhausted",
+                                  "too_many_attempts",
+                                  "answer_started",
+                                  "caller_left" };
+  return kNames.at(static_cast<std::size_t>(aReason));
+}
+
+AttemptTracker::AttemptTracker(Repeatability aRepeatability,
+                               AccountId aAccount,
+                               PoolId aPool,
+                               TimePoint aDeadline,
+                               RetryBudget& aBudget)
+  : repeatability(aRepeatability)
+  , account(std::move(aAccount))
+  , pool(std::move(aPool))
+  , deadline(aDeadline)
+  , budget(aBudget)
+{
+}
+
+std::uint32_t AttemptTracker::OnAttemptStarted(const std::string& aCandidateId)
+{
+  if (this->tried.empty()) {
+    this->budget.OnFirstAttempt(this->account, this->pool);
+  }
+  this->tried.push_back(aCandidateId);
+  this->inProgress = true;
+  return static_cast<std::uint32_t>(this->tried.size());
+}
+
+NextStep AttemptTracker::OnFailure(AttemptFailure aFailure,
+                                   const std::string& aCandidateId,
+                                   TimePoint aNow)
+{
+  if (!this->inProgress) {
+    this->OnAttemptStarted(aCandidateId);
+  }
+  this->inProgress = false;
+  this->provenNotRun += ProvesNotRun(aFailure) ? 1 : 0;
+
+  const GiveUpReason reason = this->ReasonToStop(aFailure, aNow);
+  if (reason != GiveUpReason::None) {
+    return this->GiveUp(reason);
+  }
+  const auto cause =
+    IndicatesLostServer(aFailure) ? RetryCause::LostServer : RetryCause::MayBeOverload;
+  if (!this->budget.TrySpend(this->account, this->pool, cause)) {
+    return this->GiveUp(GiveUpReason::BudgetExhausted);
+  }
+  NextStep step;
+  step.kind = this->offset > 0 ? StepKind::Resume : StepKind::Retry;
+  step.resumeOffset = this->offset;
+  return step;
+}
+
+CallOutcome AttemptTracker::Outcome() const
+{
+  if (this->answered) {
+    return CallOutcome::Answered;
+  }
+  return this->provenNotRun == this->tried.size() ? CallOutcome::NotRun
+                                                  : CallOutcome::Unknown;
+}
+
+nlohmann::json AttemptTracker::Describe() const
+{
+  return { { "account", this->account.Value() },
+           { "pool", this->pool.Value() },
+           { "tried", this->tried },
+           { "proven_not_run", this->provenNotRun },
+           { "offset", this->offset },
+           { "outcome", WireName(this->Outcome()) } };
+}
+
+GiveUpReason AttemptTracker::ReasonToStop(AttemptFailure aFailure, TimePoint aNow) const
+{
+  if (aFailure == AttemptFailure::CallerLeft) {
+    return GiveUpReason::CallerLeft;
+  }
+  if (this->repeatability == Repeatability::OnlyOnce &&
+      this->Outcome() != CallOutcome::NotRun) {
+    return GiveUpReason::MayHaveRun;
+  }
+  if (this->bodyForwarded) {
+    return GiveUpReason::AnswerStarted;
+  }
+  if (aNow >= this->deadline) {
+    return GiveUpReason::DeadlinePassed;
+  }
+  return this->tried.size() >= kMaximumAttempts ? GiveUpReason::TooManyAttempts
+                                                : GiveUpReason::None;
+}
+
+NextStep AttemptTracker::GiveUp(GiveUpReason aReason) const
+{
+  return { StepKind::GiveUp, this->Outcome(), aReason, 0 };
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_delivery/attempts/AttemptTracker.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "attempts/AttemptFailure.h"
+#include "attempts/RetryBudget.h"
+#include "contracts/Contract.h"
+#include "identifiers/Identifiers.h"
+#include "outcomes/CallOutcome.h"
+#include "time/BootClock.h"
+
+namespace toucanstand {
+
+/// What to do after a failed attempt.
+enum class StepKind
+{
+  /// Send the whole request again.
+  Retry,
+  /// Send it with `Resume-Offset`: the caller already has the tokens before the offset.
+  Resume,
+  /// Answer the caller now.
+  GiveUp,
+};
+
+/// Why a request is given up.
+enum class GiveUpReason
+{
+  None,
+  /// It may have run, and its contract forbids running it again.
+  MayHaveRun,
+  DeadlinePassed,
+  BudgetExhausted,
+  TooManyAttempts,
+  /// Part of an answer that can't be resumed has reached the caller.
+  AnswerStarted,
+  CallerLeft,
+};
+
+/// Name for metrics and error bodies.
+[[nodiscard]] const char* Name(GiveUpReason aReason);
+
+/// Decision after a failed attempt.
+struct NextStep
+{
+  StepKind kind = StepKind::GiveUp;
+  /// Meaningful for GiveUp.
+  CallOutcome outcome = CallOutcome::Unknown;
+  /// None unless the request is given up.
+  GiveUpReason reason = GiveUpReason::None;
+  /// Index of the first token to ask for; 0 unless kind is Resume.
+  std::uint64_t resumeOffset = 0;
+};
+
+/// Attempts of one request: decides on retries and knows the outcome over all attempts.
+class AttemptTracker
+{
+public:
+  /// Bounds one request's share of the retry budget.
+  static constexpr std::size_t kMaximumAttempts = 4;
+
+  /// @param aBudget must outlive the tracker.
+  AttemptTracker(Repeatability aRepeatability,
+                 AccountId aAccount,
+                 PoolId aPool,
+                 TimePoint aDeadline,
+                 RetryBudget& aBudget);
+
+  /// Call before the connection is opened. Returns the number of the attempt, from 1.
+  std::uint32_t OnAttemptStarted(const std::string& aCandidateId);
+
+  /// Tokens [0, aOffset) have been passed on to the caller or are held for it.
+  void OnTokensReceived(std::uint64_t aOffset) { this->offset = aOffset; }
+
+  /// Bytes of an answer without token offsets have been passed on to the caller.
+  void OnBodyForwarded() { this->bodyForwarded = true; }
+
+  /// The answer is complete by its own framing and has been passed on.
+  void OnAnswered() { this->answered = true; }
+
+  /// Ends the attempt in progress. Excluded from the next one: Tried().
+  [[nodiscard]] NextStep OnFailure(AttemptFailure aFailure,
+                                   const std::string& aCandidateId,
+                                   TimePoint aNow);
+
+  /// Outcome if the caller were answered now. NotRun only when every attempt has ended
+  /// with proof that it was not executed; a request without attempts was not run.
+  [[nodiscard]] CallOutcome Outcome() const;
+
+  /// Candidates that have been used, in order.
+  [[nodiscard]] const std::vector<std::string>& Tried() const { return this->tried; }
+  [[nodiscard]] std::size_t Attempts() const { return this->tried.size(); }
+  [[nodiscard]] TimePoint Deadline() const { return this->deadline; }
+  [[nodiscard]] nlohmann::json Describe() const;
+
+private:
+  [[nodiscard]] GiveUpReason ReasonToStop(AttemptFailure aFailure, TimePoint aNow) const;
+  [[nodiscard]] NextStep GiveUp(GiveUpReason aReason) const;
+
+  Repeatability repeatability;
+  AccountId account;
+  PoolId pool;
+  TimePoint deadline;
+  RetryBudget& budget;
+  std::vector<std::string> tried;
+  std::size_t provenNotRun = 0;
+  std::uint64_t offset = 0;
+  bool inProgress = false;
+  bool bodyForwarded = false;
+  bool answered = false;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_delivery/attempts/RetryBudget.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "identifiers/Identifiers.h"
+
+namespace toucanstand {
+
+/// Why a retry is wanted; decides whether the budget may be overdrawn.
+enum class RetryCause
+{
+  /// The failure also occurs under overload: the retry needs credit.
+  MayBeOverload,
+  /// A server or connection was lost: bounded overdraft is allowed, because the number of
+  /// such retries is limited by what the lost server was running.
+  LostServer,
+};
+
+/// Limits retries to a tenth of the first attempts, per account and per pool.
+///
+/// Both buckets must allow a retry. In any period, retries of one account are at most a
+/// tenth of its first attempts plus the largest credit plus the largest overdraft.
+class RetryBudget
+{
+public:
+  /// Retries earned by one first attempt.
+  static constexpr double kShare = 0.1;
+  /// Lets an account with few requests retry once.
+  static constexpr double kInitialCredit = 1.0;
+  /// Bounds the burst of retries after a long quiet period.
+  static constexpr double kLargestCredit = 20.0;
+  /// About what one entry VM has in flight on a third of a pool of 50 engines.
+  static constexpr double kLargestOverdraft = 64.0;
+  /// Accounts or pools beyond this number share one bucket.
+  static constexpr std::size_t kMaximumBuckets = 4096;
+
+  /// Earns credit; call it for the first attempt of each request.
+  void OnFirstAttempt(const AccountId& aAccount, const PoolId& aPool);
+
+  /// Spends one retry. False, and nothing is spent, when either bucket is exhausted.
+  [[nodiscard]] bool TrySpend(const AccountId& aAccount,
+                              const PoolId& aPool,
+                              RetryCause aCause);
+
+  [[nodiscard]] std::uint64_t Spent() const { return this->spent; }
+  [[nodiscard]] std::uint64_t Denied() const { return this->denied; }
+  [[nodiscard]] nlohmann::json Describe() const;
+
+private:
+  template<typename Id>
+  using Buckets = std::unordered_map<Id, double>;
+
+  template<typename Id>
+  static double& BucketOf(Buckets<Id>& aBuckets, const Id& aId);
+
+  Buckets<AccountId> accounts;
+  Buckets<PoolId> pools;
+  std::uint64_t firstAttempts = 0;
+  std::uint64_t spent = 0;
+  std::uint64_t denied = 0;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -0,0 +1,321 @@
+#include "crashes/CrashQuarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "crashes/HomeServers.h"
+
+namespace toucanstand {
+
+namespace {
+
+SuspectDelta MakeDelta(std::uint64_t aFingerprint,
+                       const std::set<CrashMark>& aMarks,
+                       const std::set<CrashMark>& aCleared,
+                       Duration aRemaining)
+{
+  return { aFingerprint,
+           { aMarks.begin(), aMarks.end() },
+           { aCleared.begin(), aCleared.end() },
+           aRemaining };
+}
+
+void InsertBounded(std::set<CrashMark>& aSet, const std::vector<CrashMark>& aMarks)
+{
+  for (const auto& mark : aMarks) {
+    if (aSet.size() < CrashQuarantine::kMaximumMarks) {
+      aSet.insert(mark);
+    }
+  }
+}
+
+} // namespace
+
+void CrashQuarantine::OnSent(const RequestId& aRequest,
+                             std::uint64_t aFingerprint,
+                             const ServerId& aServer)
+{
+  if (const auto earlier = this->runs.find(aRequest); earlier != this->runs.end()) {
+    this->runsOfServer[earlier->second.server].erase(aRequest);
+    this->runs.erase(earlier);
+  }
+  const Record* record = this->Find(aFingerprint);
+  const std::size_t prior = record == nullptr ? 0 : record->marks.size();
+  this->runs.emplace(aRequest,
+                     Run{ aFingerprint, aServer, static_cast<std::uint32_t>(prior), {} });
+  this->runsOfServer[aServer].insert(aRequest);
+}
+
+void CrashQuarantine::OnEnded(const RequestId& aRequest, RunEnd aEnd, TimePoint aNow)
+{
+  const auto found = this->runs.find(aRequest);
+  if (found == this->runs.end()) {
+    return;
+  }
+  if (aEnd == RunEnd::Abandoned) {
+    found->second.forgetAt = aNow + kAbandonedTail;
+    return;
+  }
+  const auto record = this->records.find(found->second.fingerprint);
+  // A run that was sent before the crash says nothing about a later state of the server.
+  if (record != this->records.end() &&
+      found->second.priorMarks >= record->second.marks.size() &&
+      LevelOf(record->second) == SuspicionLevel::RunAlone) {
+    record->second.cleared = record->second.marks;
+    this->changed.insert(found->second.fingerprint);
+  }
+  this->runsOfServer[found->second.server].erase(aRequest);
+  this->runs.erase(found);
+}
+
+std::vector<Suspect> CrashQuarantine::OnServerCrashed(const ServerId& aServer,
+                                                      TimePoint aNow)
+{
+  this->lostAt.insert_or_assign(aServer, aNow);
+  const auto found = this->runsOfServer.find(aServer);
+  if (found == this->runsOfServer.end()) {
+    return {};
+  }
+  const std::unordered_set<RequestId> requests = std::move(found->second);
+  this->runsOfServer.erase(found);
+  std::vector<Suspect> suspects;
+  for (const auto& request : requests) {
+    const Run run = this->runs.at(request);
+    this->runs.erase(request);
+    if (run.forgetAt && *run.forgetAt < aNow) {
+      continue;
+    }
+    this->Mark(run, aNow);
+    if (!run.forgetAt) {
+      suspects.push_back({ request, run.fingerprint, SuspicionLevel::RunAlone });
+    }
+  }
+  for (auto& suspect : suspects) {
+    suspect.level = this->Level(suspect.fingerprint, aNow);
+  }
+  std::ranges::sort(suspects, {}, &Suspect::request);
+  return suspects;
+}
+
+void CrashQuarantine::OnServerLost(const ServerId& aServer, TimePoint aNow)
+{
+  // Requests that meet the same dead server later must not extend the wait of others.
+  this->lostAt.try_emplace(aServer, aNow);
+}
+
+TimePoint CrashQuarantine::HoldUntil(const std::vector<ServerId>& aHomes) const
+{
+  TimePoint until{};
+  for (const auto& home : aHomes) {
+    const auto lost = this->lostAt.find(home);
+    if (lost != this->lostAt.end()) {
+      until = std::max(until, lost->second + kReportDelay);
+    }
+  }
+  return until;
+}
+
+SuspicionLevel CrashQuarantine::Level(std::uint64_t aFingerprint, TimePoint aNow) const
+{
+  const Record* record = this->Find(aFingerprint);
+  return record == nullptr || record->until <= aNow ? SuspicionLevel::Clear
+                                                    : LevelOf(*record);
+}
+
+bool CrashQuarantine::MayRunOn(std::uint64_t aFingerprint,
+                               const ServerId& aServer,
+                               TimePoint aNow) const
+{
+  const SuspicionLevel level = this->Level(aFingerprint, aNow);
+  if (level != SuspicionLevel::RunAlone) {
+    return level == SuspicionLevel::Clear;
+  }
+  return std::ranges::none_of(this->runs, [&](const auto& aEntry) {
+    const Run& run = aEntry.second;
+    const bool ended = run.forgetAt && *run.forgetAt < aNow;
+    const bool otherSuspectHere =
+      run.server == aServer &&
+      this->Level(run.fingerprint, aNow) != SuspicionLevel::Clear;
+    return !ended && (run.fingerprint == aFingerprint || otherSuspectHere);
+  });
+}
+
+std::optional<ServerId> CrashQuarantine::TrialServer(
+  std::uint64_t aFingerprint,
+  const std::vector<ServerId>& aServers) const
+{
+  const Record* record = this->Find(aFingerprint);
+  const auto crashedHere = [record](const ServerId& aServer) {
+    return record != nullptr &&
+           std::ranges::any_of(record->marks, [&aServer](const CrashMark& aMark) {
+             return aMark.server == aServer;
+           });
+  };
+  const auto homes = HomeServers(aFingerprint, aServers);
+  const auto found = std::ranges::find_if_not(homes, crashedHere);
+  return found == homes.end() ? std::nullopt : std::optional(*found);
+}
+
+bool CrashQuarantine::Merge(const SuspectDelta& aDelta, TimePoint aNow)
+{
+  if (aDelta.marks.empty() || aDelta.remaining <= Duration::zero()) {
+    return false;
+  }
+  Record& record = this->FindOrInsert(aDelta.fingerprint, aNow);
+  const std::size_t before = record.marks.size() + record.cleared.size();
+  const std::size_t marksBefore = record.marks.size();
+  InsertBounded(record.marks, aDelta.marks);
+  InsertBounded(record.cleared, aDelta.cleared);
+  if (record.marks.size() > marksBefore) {
+    record.until = std::max(record.until, aNow + std::min(aDelta.remaining, kLifetime));
+  }
+  const bool isNew = record.marks.size() + record.cleared.size() > before;
+  if (isNew) {
+    this->changed.insert(aDelta.fingerprint);
+  }
+  return isNew;
+}
+
+void CrashQuarantine::Merge(const QuarantineEntry& aEntry, TimePoint aNow)
+{
+  if (aEntry.until <= aNow) {
+    return;
+  }
+  Record& record = this->FindOrInsert(aEntry.fingerprint, aNow);
+  record.quarantinedByNode = true;
+  record.until = std::max(record.until, std::min(aEntry.until, aNow + kLifetime));
+}
+
+SuspectDelta CrashQuarantine::DeltaFor(std::uint64_t aFingerprint, TimePoint aNow) const
+{
+  const Record* record = this->Find(aFingerprint);
+  if (record == nullptr || record->until <= aNow) {
+    return { aFingerprint, {}, {}, Duration::zero() };
+  }
+  return MakeDelta(aFingerprint, record->marks, record->cleared, record->until - aNow);
+}
+
+std::vector<SuspectDelta> CrashQuarantine::TakeDeltas(TimePoint aNow)
+{
+  std::vector<SuspectDelta> deltas;
+  for (const std::uint64_t fingerprint : std::exchange(this->changed, {})) {
+    auto delta = this->DeltaFor(fingerprint, aNow);
+    if (delta.remaining >= kShortestPassedOn) {
+      deltas.push_back(std::move(delta));
+    }
+  }
+  return deltas;
+}
+
+std::vector<SuspectDelta> CrashQuarantine::AllDeltas(TimePoint aNow) const
+{
+  std::vector<SuspectDelta> deltas;
+  for (const auto& [fingerprint, record] : this->records) {
+    if (!record.marks.empty() && record.until - aNow >= kShortestPassedOn) {
+      deltas.push_back(
+        MakeDelta(fingerprint, record.marks, record.cleared, record.until - aNow));
+    }
+  }
+  return deltas;
+}
+
+std::vector<QuarantineEntry> CrashQuarantine::Quarantined(TimePoint aNow) const
+{
+  std::vector<QuarantineEntry> entries;
+  for (const auto& [fingerprint, record] : this->records) {
+    if (record.until > aNow && LevelOf(record) == SuspicionLevel::Quarantined) {
+      entries.push_back({ fingerprint, record.until });
+    }
+  }
+  return entries;
+}
+
+void CrashQuarantine::OnTime(TimePoint aNow)
+{
+  std::erase_if(this->records,
+                [aNow](const auto& aEntry) { return aEntry.second.until <= aNow; });
+  std::erase_if(this->lostAt, [aNow](const auto& aEntry) {
+    return aEntry.second + kLostMemory <= aNow;
+  });
+  std::erase_if(this->runs, [this, aNow](const auto& aEntry) {
+    const bool ended = aEntry.second.forgetAt && *aEntry.second.forgetAt <= aNow;
+    if (ended) {
+      this->runsOfServer[aEntry.second.server].erase(aEntry.first);
+    }
+    return ended;
+  });
+  std::erase_if(this->runsOfServer,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+nlohmann::json CrashQuarantine::Describe(TimePoint aNow) const
+{
+  auto document = nlohmann::json::object();
+  document["in_flight"] = this->runs.size();
+  document["fingerprints"] = nlohmann::json::array();
+  for (const auto& [fingerprint, record] : this->records) {
+    document["fingerprints"].push_back(
+      { { "fingerprint", std::to_string(fingerprint) },
+        { "marks", record.marks.size() },
+        { "cleared", record.cleared.size() },
+        { "quarantined", LevelOf(record) == SuspicionLevel::Quarantined },
+        { "remaining_seconds", ToSeconds(record.until - aNow) } });
+  }
+  return document;
+}
+
+SuspicionLevel CrashQuarantine::LevelOf(const Record& aRecord)
+{
+  const auto held = std::ranges::count_if(aRecord.marks, [&](const CrashMark& aMark) {
+    return !aRecord.cleared.contains(aMark);
+  });
+  const bool full = aRecord.marks.size() >= kMaximumMarks;
+  if (aRecord.quarantinedByNode || held >= 2 || full) {
+    return SuspicionLevel::Quarantined;
+  }
+  return held == 1 ? SuspicionLevel::RunAlone : SuspicionLevel::Clear;
+}
+
+const CrashQuarantine::Record* CrashQuarantine::Find(std::uint64_t aFingerprint) const
+{
+  const auto found = this->records.find(aFingerprint);
+  return found == this->records.end() ? nullptr : &found->second;
+}
+
+CrashQuarantine::Record& CrashQuarantine::FindOrInsert(std::uint64_t aFingerprint,
+                                                       TimePoint aNow)
+{
+  if (const auto found = this->records.find(aFingerprint); found != this->records.end()) {
+    if (found->second.until <= aNow) {
+      found->second = {};
+    }
+    return found->second;
+  }
+  if (this->records.size() >= kMaximumFingerprints) {
+    this->EvictOne();
+  }
+  return this->records[aFingerprint];
+}
+
+void CrashQuarantine::Mark(const Run& aRun, TimePoint aNow)
+{
+  Record& record = this->FindOrInsert(aRun.fingerprint, aNow);
+  InsertBounded(record.marks, { { aRun.server, aRun.priorMarks } });
+  record.until = aNow + kLifetime;
+  this->changed.insert(aRun.fingerprint);
+}
+
+void CrashQuarantine::EvictOne()
+{
+  // Quarantined fingerprints stay longest: forgetting one costs servers.
+  const auto evicted =
+    std::ranges::min_element(this->records, {}, [](const auto& aEntry) {
+      return std::pair(LevelOf(aEntry.second), aEntry.second.until);
+    });
+  this->changed.erase(evicted->first);
+  this->records.erase(evicted);
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_delivery/toucanstand_delivery.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/// Attempts, outcomes, stream resumption, crash quarantine, progress deadlines and
+/// joining of identical requests.
+#include "answers/StreamAssembler.h"
+#include "attempts/AttemptFailure.h"
+#include "attempts/AttemptTracker.h"
+#include "attempts/RetryBudget.h"
+#include "crashes/CrashQuarantine.h"
+#include "crashes/HomeServers.h"
+#include "crashes/SuspectArbiter.h"
+#include "joins/IdenticalRequests.h"
+#include "outcomes/CallOutcome.h"
+#include "progress/ProgressWatch.h"
