Route by two choices with aged reports, affinity, zones and ejection

Cause: the first version chose by own outstanding requests alone. Change: round robin, least outstanding and two random choices as strategy objects. A load estimate takes over plausible reports in order of their sequence, lets them fade to the pool's median over 3 s and lets a load fall by at most about half per report. Prefix affinity by rendezvous hashing under a bounded load, preference of the own availability zone within a tolerance, ejection of failing and slow candidates up to a share of the pool, return through probation. A refused connection holds until a report received later.

--- /dev/null
+++ b/modules/toucanstand_routing/routing/Ejection.cpp
@@ -0,0 +1,138 @@
+#include "routing/Ejection.h"
+
+#include <algorithm>
+
+namespace toucanstand {
+
+namespace {
+
+/// Doublings of the ejection period that are counted; keeps the shift in range.
+constexpr std::size_t kMostDoublings = 16;
+
+/// A sample counts as at most this multiple of the slow limit. A single outlier, however
+/// long, then cannot eject a candidate by itself.
+constexpr double kSampleBound = 2.0;
+
+} // namespace
+
+const char* Name(EjectionEffect aEffect)
+{
+  switch (aEffect) {
+    case EjectionEffect::None:
+      return "none";
+    case EjectionEffect::EjectedAsFailing:
+      return "ejected-failing";
+    case EjectionEffect::EjectedAsSlow:
+      return "ejected-slow";
+    case EjectionEffect::KeptByShare:
+      return "kept-by-share";
+    case EjectionEffect::Returned:
+      return "returned";
+  }
+  return "unknown";
+}
+
+Ejection::Ejection(const EjectionSettings& aSettings)
+  : settings(aSettings)
+{
+}
+
+EjectionEffect Ejection::OnFailure(CandidateState& aCandidate,
+                                   const RoutingPool& aPool,
+                                   TimePoint aNow) const
+{
+  auto& health = aCandidate.health;
+  ++health.failuresInARow;
+  const auto phase = health.Phase(aNow);
+  const bool due = phase == HealthPhase::Probation ||
+                   (phase == HealthPhase::Active &&
+                    health.failuresInARow >= this->settings.consecutiveFailures);
+  return due ? this->Eject(aCandidate, aPool, EjectionEffect::EjectedAsFailing, aNow)
+             : EjectionEffect::None;
+}
+
+EjectionEffect Ejection::OnSuccess(CandidateState& aCandidate, TimePoint aNow) const
+{
+  auto& health = aCandidate.health;
+  health.failuresInARow = 0;
+  if (health.Phase(aNow) != HealthPhase::Probation) {
+    return EjectionEffect::None;
+  }
+  if (++health.probationSuccesses < this->settings.probationSuccesses) {
+    return EjectionEffect::None;
+  }
+  health.ejected = false;
+  health.activeSince = aNow;
+  return EjectionEffect::Returned;
+}
+
+EjectionEffect Ejection::OnLatency(CandidateState& aCandidate,
+                                   RoutingPool& aPool,
+                                   std::size_t aSeries,
+                                   Duration aLatency,
+                                   TimePoint aNow) const
+{
+  auto& health = aCandidate.health;
+  const std::size_t needed = this->settings.latencySamples;
+  const auto median = aPool.MedianLatency(aSeries, needed, aNow);
+  double seconds = std::max(ToSeconds(aLatency), 0.0);
+  if (median) {
+    const double floor = ToSeconds(this->settings.slowFloor);
+    const double limit = std::max(this->settings.slowFactor * *median, *median + floor);
+    seconds = std::min(seconds, kSampleBound * limit);
+  }
+  health.latencies.Record(aSeries, seconds);
+  const auto phase = health.Phase(aNow);
+  if (!median || phase == HealthPhase::Ejected) {
+    return EjectionEffect::None;
+  }
+  const auto average =
+    health.latencies.Average(aSeries, phase == HealthPhase::Probation ? 1 : needed);
+  return average && this->IsSlow(*average, *median)
+           ? this->Eject(aCandidate, aPool, EjectionEffect::EjectedAsSlow, aNow)
+           : EjectionEffect::None;
+}
+
+EjectionEffect Ejection::Eject(CandidateState& aCandidate,
+                               const RoutingPool& aPool,
+                               EjectionEffect aEffect,
+                               TimePoint aNow) const
+{
+  auto& health = aCandidate.health;
+  if (!this->HasRoom(aPool, aNow)) {
+    return EjectionEffect::KeptByShare;
+  }
+  // A candidate that held out for long starts with the shortest period again.
+  if (!health.ejected && aNow - health.activeSince > this->settings.longestPeriod) {
+    health.ejections = 0;
+  }
+  const std::size_t doublings = std::min(health.ejections, kMostDoublings);
+  health.ejectedUntil = aNow + std::min(this->settings.period * (1U << doublings),
+                                        this->settings.longestPeriod);
+  health.ejected = true;
+  ++health.ejections;
+  health.failuresInARow = 0;
+  health.probationSuccesses = 0;
+  health.latencies.Clear();
+  return aEffect;
+}
+
+bool Ejection::HasRoom(const RoutingPool& aPool, TimePoint aNow) const
+{
+  const auto ejected =
+    std::ranges::count_if(aPool.Candidates(), [aNow](const auto* aCandidate) {
+      return aCandidate->health.Phase(aNow) == HealthPhase::Ejected;
+    });
+  // The small addition keeps a third of three at one in spite of rounding.
+  const double allowed =
+    this->settings.share * static_cast<double>(aPool.Candidates().size()) + 1e-9;
+  return static_cast<double>(ejected + 1) <= allowed;
+}
+
+bool Ejection::IsSlow(double aSeconds, double aMedian) const
+{
+  return aSeconds > this->settings.slowFactor * aMedian &&
+         aSeconds - aMedian > ToSeconds(this->settings.slowFloor);
+}
+
+} // namespace toucanstand
--- a/modules/toucanstand_routing/routing/Router.cpp
+++ b/modules/toucanstand_routing/routing/Router.cpp
@@ -1,27 +1,218 @@
 #include "routing/Router.h"
 
 #include <algorithm>
+#include <array>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
+#include "routing/Ejection.h"
+#include "routing/PrefixAffinity.h"
+#include "routing/SelectionStrategy.h"
+#include "routing/SubsetAssignment.h"
+
 namespace toucanstand {
 
+namespace {
+
+/// Candidates of one view that are used; further ones are counted and ignored.
+constexpr std::size_t kMaximumCandidates = 20'000;
+
+/// Pools without candidates that are remembered by name.
+constexpr std::size_t kMaximumPools = 1'000;
+
+/// Time for which an unlisted candidate is remembered, so that one that comes and goes
+/// does not lose its record of failures.
+constexpr Duration kMemory = std::chrono::seconds(60);
+
+struct Pool
+{
+  RoutingPool routing;
+  /// Ids of the last view in ascending order, and those of them that this node uses.
+  std::vector<std::string> ids;
+  std::vector<std::string> subset;
+};
+
+} // namespace
+
 struct Router::State
 {
+  State(RouterSettings aSettings, Random aRandom)
+    : settings(std::move(aSettings))
+    , random(aRandom)
+    , strategy(MakeStrategy(this->settings.strategy))
+    , ejection(this->settings.ejection)
+  {
+  }
+
+  CandidateState* Find(const std::string& aId);
+  void Renew(const WorldView& aView, TimePoint aNow);
+  void RenewOne(const Candidate& aCandidate, TimePoint aNow);
+  void FillPools(TimePoint aNow);
+  void Forget(TimePoint aNow);
+  CandidateState* Select(const Selection& aSelection, RoutingPool& aPool);
+  void OnEnd(CandidateState& aCandidate, AttemptEnd aEnd, TimePoint aNow);
+  void OnLatency(CandidateState& aCandidate,
+                 LatencyKind aKind,
+                 WorkClass aClass,
+                 Duration aLatency,
+                 TimePoint aNow);
+  void Count(EjectionEffect aEffect)
+  {
+    ++this->effects[static_cast<std::size_t>(aEffect)];
+  }
+
   RouterSettings settings;
   Random random;
-  WorldView view;
-  std::unordered_set<PoolId> pools;
-  std::unordered_map<std::string, std::int64_t> outstanding;
-  std::unordered_map<std::string, TimePoint> refusedUntil;
+  std::unique_ptr<SelectionStrategy> strategy;
+  Ejection ejection;
+  bool mayServe = false;
+  /// Settings changed since the subsets were chosen.
+  bool subsetsOutdated = false;
+  TimePoint lastView{};
+  std::unordered_map<std::string, std::unique_ptr<CandidateState>> candidates;
+  std::unordered_map<PoolId, Pool> pools;
+  std::array<std::uint64_t, 5> verdicts{};
+  std::array<std::uint64_t, 5> effects{};
+  std::uint64_t viewsIgnored = 0;
+  std::uint64_t candidatesIgnored = 0;
+  std::uint64_t unknownIds = 0;
+  std::uint64_t lastResorts = 0;
 };
 
+CandidateState* Router::State::Find(const std::string& aId)
+{
+  const auto found = this->candidates.find(aId);
+  if (found == this->candidates.end()) {
+    ++this->unknownIds;
+    return nullptr;
+  }
+  return found->second.get();
+}
+
+void Router::State::Renew(const WorldView& aView, TimePoint aNow)
+{
+  for (auto& [id, candidate] : this->candidates) {
+    candidate->listed = false;
+  }
+  const std::size_t used = std::min(aView.candidates.size(), kMaximumCandidates);
+  this->candidatesIgnored += aView.candidates.size() - used;
+  for (std::size_t index = 0; index < used; ++index) {
+    this->RenewOne(aView.candidates[index], aNow);
+  }
+}
+
+void Router::State::RenewOne(const Candidate& aCandidate, TimePoint aNow)
+{
+  auto& candidate = this->candidates[aCandidate.id];
+  if (candidate == nullptr) {
+    candidate = std::make_unique<CandidateState>(aCandidate, false);
+  } else if (candidate->listed) {
+    ++this->candidatesIgnored; // Named twice in one view.
+    return;
+  }
+  const auto verdict = candidate->Renew(aCandidate, this->settings.staleness, aNow);
+  ++this->verdicts[static_cast<std::size_t>(verdict)];
+  candidate->inOwnZone =
+    !this->settings.ownZone.IsEmpty() && aCandidate.zone == this->settings.ownZone;
+  candidate->listed = true;
+  candidate->lastListed = aNow;
+}
+
+void Router::State::FillPools(TimePoint aNow)
+{
+  std::unordered_map<PoolId, std::vector<std::string>> named;
+  for (const auto& [id, candidate] : this->candidates) {
+    if (candidate->listed) {
+      named[candidate->candidate.pool].push_back(id);
+      this->pools[candidate->candidate.pool];
+      candidate->listed = false;
+    }
+  }
+  if (this->pools.size() > kMaximumPools) {
+    std::erase_if(this->pools,
+                  [&named](const auto& aPool) { return !named.contains(aPool.first); });
+  }
+  const SubsetAssignment assignment(this->settings.subsetSize);
+  for (auto& [name, pool] : this->pools) {
+    auto& ids = named[name];
+    std::ranges::sort(ids);
+    if (this->subsetsOutdated || ids != pool.ids) {
+      pool.ids = std::move(ids);
+      pool.subset =
+        assignment.Assign(this->settings.self, this->settings.peers, pool.ids);
+    }
+    pool.routing.Clear();
+    for (const auto& id : pool.subset) {
+      auto& candidate = *this->candidates.at(id);
+      candidate.listed = true;
+      pool.routing.Add(candidate);
+    }
+    pool.routing.Summarize(this->settings, aNow);
+  }
+  this->subsetsOutdated = false;
+}
+
+void Router::State::Forget(TimePoint aNow)
+{
+  std::erase_if(this->candidates, [aNow](const auto& aEntry) {
+    const auto& candidate = *aEntry.second;
+    return !candidate.listed && candidate.own.Outstanding() == 0 &&
+           aNow - candidate.lastListed > kMemory;
+  });
+}
+
+CandidateState* Router::State::Select(const Selection& aSelection, RoutingPool& aPool)
+{
+  if (aSelection.query.prefix) {
+    if (auto* home = PrefixAffinity::Choose(aSelection, *aSelection.query.prefix)) {
+      return home;
+    }
+  }
+  return this->strategy->Choose(aSelection, aPool, this->random);
+}
+
+void Router::State::OnEnd(CandidateState& aCandidate, AttemptEnd aEnd, TimePoint aNow)
+{
+  const auto& pool = this->pools[aCandidate.candidate.pool].routing;
+  switch (aEnd) {
+    case AttemptEnd::Answered:
+      aCandidate.OnAnswered();
+      this->Count(this->ejection.OnSuccess(aCandidate, aNow));
+      break;
+    case AttemptEnd::Refused:
+      aCandidate.OnRejected(this->settings.overloadPause, aNow);
+      break;
+    case AttemptEnd::ConnectFailed:
+      aCandidate.OnConnectionRefused(aNow);
+      this->Count(this->ejection.OnFailure(aCandidate, pool, aNow));
+      break;
+    case AttemptEnd::Broken:
+    case AttemptEnd::Slow:
+      this->Count(this->ejection.OnFailure(aCandidate, pool, aNow));
+      break;
+    case AttemptEnd::Abandoned:
+      break;
+  }
+}
+
+void Router::State::OnLatency(CandidateState& aCandidate,
+                              LatencyKind aKind,
+                              WorkClass aClass,
+                              Duration aLatency,
+                              TimePoint aNow)
+{
+  this->Count(this->ejection.OnLatency(aCandidate,
+                                       this->pools[aCandidate.candidate.pool].routing,
+                                       LatencyAverages::SeriesOf(aKind, aClass),
+                                       aLatency,
+                                       aNow));
+}
+
 Router::Router(RouterSettings aSettings, Random aRandom)
-  : state(std::make_unique<State>(State{ std::move(aSettings), aRandom, {}, {}, {}, {} }))
+  : state(std::make_unique<State>(std::move(aSettings), aRandom))
 {
 }
 
@@ -31,82 +222,127 @@
 
 void Router::Configure(RouterSettings aSettings)
 {
-  this->state->settings = std::move(aSettings);
+  auto& own = *this->state;
+  own.settings = std::move(aSettings);
+  own.strategy = MakeStrategy(own.settings.strategy);
+  own.ejection = Ejection(own.settings.ejection);
+  own.subsetsOutdated = true;
 }
 
-void Router::Update(const WorldView& aView, TimePoint /*aNow*/)
+void Router::Update(const WorldView& aView, TimePoint aNow)
 {
-  this->state->view = aView;
-  for (const auto& candidate : aView.candidates) {
-    this->state->pools.insert(candidate.pool);
+  auto& own = *this->state;
+  if (aView.receivedAt < own.lastView) {
+    ++own.viewsIgnored;
+    return;
   }
+  own.lastView = aView.receivedAt;
+  own.mayServe = aView.mayServe;
+  own.Renew(aView, aNow);
+  own.FillPools(aNow);
+  own.Forget(aNow);
 }
 
 Result<Candidate, RouteRefusal> Router::Choose(const RouteQuery& aQuery, TimePoint aNow)
 {
   auto& own = *this->state;
-  if (!own.view.mayServe) {
+  if (!own.mayServe) {
     return RouteRefusal::Isolated;
   }
-  if (!own.pools.contains(aQuery.pool)) {
+  const auto found = own.pools.find(aQuery.pool);
+  if (found == own.pools.end()) {
     return RouteRefusal::UnknownPool;
   }
-  const Candidate* best = nullptr;
-  bool anyUsable = false;
-  for (const auto& candidate : own.view.candidates) {
-    const auto refused = own.refusedUntil.find(candidate.id);
-    const bool usable =
-      candidate.pool == aQuery.pool && candidate.usableUntil > aNow &&
-      (refused == own.refusedUntil.end() || refused->second < candidate.usableUntil);
-    anyUsable = anyUsable || usable;
-    if (!usable ||
-        std::ranges::find(aQuery.excluded, candidate.id) != aQuery.excluded.end()) {
-      continue;
-    }
-    if (best == nullptr || own.outstanding[candidate.id] < own.outstanding[best->id]) {
-      best = &candidate;
-    }
+  auto& pool = found->second.routing;
+  Selection selection{ pool, aQuery, own.settings, aNow };
+  auto* chosen = own.Select(selection, pool);
+  if (chosen == nullptr) {
+    // Ejected and paused candidates may still work; refusing the request surely fails.
+    selection.lastResort = true;
+    chosen = own.Select(selection, pool);
+    own.lastResorts += chosen != nullptr ? 1 : 0;
   }
-  if (best == nullptr) {
-    return anyUsable ? RouteRefusal::AllExcluded : RouteRefusal::NoCandidate;
+  if (chosen != nullptr) {
+    return chosen->candidate;
   }
-  return *best;
+  const bool anyUsable =
+    std::ranges::any_of(pool.Candidates(), [aNow](const auto* aCandidate) {
+      return aCandidate->IsUsable(aNow);
+    });
+  return anyUsable ? RouteRefusal::AllExcluded : RouteRefusal::NoCandidate;
 }
 
-void Router::OnSent(const std::string& aCandidateId, TimePoint /*aNow*/)
+void Router::OnSent(const std::string& aCandidateId, TimePoint aNow)
 {
-  ++this->state->outstanding[aCandidateId];
+  if (auto* candidate = this->state->Find(aCandidateId)) {
+    candidate->own.OnSent(aNow);
+  }
 }
 
-void Router::OnFirstByte(const std::string& /*aCandidateId*/,
-                         Duration /*aLatency*/,
-                         TimePoint /*aNow*/,
-                         WorkClass /*aClass*/)
+void Router::OnFirstByte(const std::string& aCandidateId,
+                         Duration aLatency,
+                         TimePoint aNow,
+                         WorkClass aClass)
 {
+  if (auto* candidate = this->state->Find(aCandidateId)) {
+    this->state->OnLatency(*candidate, LatencyKind::FirstByte, aClass, aLatency, aNow);
+  }
 }
 
 void Router::OnFinished(const std::string& aCandidateId,
                         AttemptEnd aEnd,
-                        Duration /*aLatency*/,
-                        TimePoint /*aNow*/,
-                        WorkClass /*aClass*/)
+                        Duration aLatency,
+                        TimePoint aNow,
+                        WorkClass aClass)
 {
   auto& own = *this->state;
-  --own.outstanding[aCandidateId];
-  if (aEnd != AttemptEnd::ConnectFailed) {
+  auto* candidate = own.Find(aCandidateId);
+  if (candidate == nullptr) {
     return;
   }
-  for (const auto& candidate : own.view.candidates) {
-    if (candidate.id == aCandidateId) {
-      own.refusedUntil[aCandidateId] = candidate.usableUntil;
-    }
+  candidate->own.OnFinished(aNow);
+  own.OnEnd(*candidate, aEnd, aNow);
+  if (aEnd == AttemptEnd::Answered) {
+    own.OnLatency(*candidate, LatencyKind::WholeAnswer, aClass, aLatency, aNow);
   }
 }
 
-nlohmann::json Router::Describe(TimePoint /*aNow*/) const
+nlohmann::json Router::Describe(TimePoint aNow) const
 {
-  return { { "may_serve", this->state->view.mayServe },
-           { "candidates", this->state->view.candidates.size() } };
+  const auto& own = *this->state;
+  nlohmann::json pools = nlohmann::json::object();
+  for (const auto& [name, pool] : own.pools) {
+    auto& described = pools[name.Value()] = nlohmann::json::object();
+    for (const auto* candidate : pool.routing.Candidates()) {
+      described[candidate->candidate.id] = {
+        { "outstanding", candidate->own.Outstanding() },
+        { "load", pool.routing.Load(*candidate, aNow) },
+        { "capacity", candidate->capacity },
+        { "report_known", candidate->load.IsKnown(own.settings.staleness, aNow) },
+        { "usable", candidate->IsUsable(aNow) },
+        { "phase", Name(candidate->health.Phase(aNow)) },
+        { "ejections", candidate->health.ejections },
+        { "in_own_zone", candidate->inOwnZone },
+      };
+    }
+  }
+  nlohmann::json reports = nlohmann::json::object();
+  for (std::size_t index = 0; index < own.verdicts.size(); ++index) {
+    reports[Name(static_cast<ReportVerdict>(index))] = own.verdicts[index];
+  }
+  nlohmann::json ejections = nlohmann::json::object();
+  for (std::size_t index = 1; index < own.effects.size(); ++index) {
+    ejections[Name(static_cast<EjectionEffect>(index))] = own.effects[index];
+  }
+  return { { "strategy", Name(own.settings.strategy) },
+           { "may_serve", own.mayServe },
+           { "pools", pools },
+           { "reports", reports },
+           { "ejections", ejections },
+           { "views_ignored", own.viewsIgnored },
+           { "candidates_ignored", own.candidatesIgnored },
+           { "unknown_ids", own.unknownIds },
+           { "last_resorts", own.lastResorts } };
 }
 
 } // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_routing/routing/RoutingPool.cpp
@@ -0,0 +1,102 @@
+#include "routing/RoutingPool.h"
+
+#include <algorithm>
+
+namespace toucanstand {
+
+namespace {
+
+/// A reported capacity counts as at most this multiple, and at least this fraction, of
+/// the pool's median: one absurd report must not make a candidate look empty.
+constexpr double kCapacitySpread = 4.0;
+
+/// Age up to which a median of latencies is reused.
+constexpr Duration kMedianValidity = std::chrono::milliseconds(250);
+
+/// Candidates that a median needs: with fewer, one absurd value would be the median.
+constexpr std::size_t kMedianCandidates = 3;
+
+std::optional<double> Median(std::vector<double> aValues)
+{
+  if (aValues.empty()) {
+    return std::nullopt;
+  }
+  const auto middle = aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+  std::ranges::nth_element(aValues, middle);
+  return *middle;
+}
+
+} // namespace
+
+void RoutingPool::Clear()
+{
+  this->candidates.clear();
+  this->inOwnZone.clear();
+}
+
+void RoutingPool::Add(CandidateState& aCandidate)
+{
+  this->candidates.push_back(&aCandidate);
+  if (aCandidate.inOwnZone) {
+    this->inOwnZone.push_back(&aCandidate);
+  }
+}
+
+void RoutingPool::Summarize(const RouterSettings& aSettings, TimePoint aNow)
+{
+  this->staleness = aSettings.staleness;
+  std::vector<double> capacities;
+  for (const auto* candidate : this->candidates) {
+    if (candidate->load.IsKnown(this->staleness, aNow)) {
+      capacities.push_back(candidate->load.ReportedCapacity());
+    }
+  }
+  const double usual = Median(std::move(capacities)).value_or(1.0);
+  std::vector<double> loads;
+  for (auto* candidate : this->candidates) {
+    candidate->capacity = usual;
+    if (!candidate->load.IsKnown(this->staleness, aNow)) {
+      continue;
+    }
+    candidate->capacity = std::clamp(candidate->load.ReportedCapacity(),
+                                     usual / kCapacitySpread,
+                                     usual * kCapacitySpread);
+    loads.push_back(candidate->load.ReportedExternal() / candidate->capacity);
+  }
+  const bool enough = loads.size() >= kMedianCandidates;
+  this->expectedLoad = enough ? Median(std::move(loads)).value_or(0.0) : 0.0;
+}
+
+double RoutingPool::Load(const CandidateState& aCandidate, TimePoint aNow) const
+{
+  return this->Requests(aCandidate, aNow) / aCandidate.capacity;
+}
+
+double RoutingPool::Requests(const CandidateState& aCandidate, TimePoint aNow) const
+{
+  return aCandidate.own.Outstanding() +
+         aCandidate.load.External(
+           this->expectedLoad * aCandidate.capacity, this->staleness, aNow);
+}
+
+std::optional<double> RoutingPool::MedianLatency(std::size_t aSeries,
+                                                 std::size_t aSamples,
+                                                 TimePoint aNow)
+{
+  auto& cached = this->medians[aSeries];
+  if (aNow < cached.validUntil) {
+    return cached.value;
+  }
+  std::vector<double> averages;
+  for (const auto* candidate : this->candidates) {
+    if (const auto average = candidate->health.latencies.Average(aSeries, aSamples)) {
+      averages.push_back(*average);
+    }
+  }
+  const bool enough = averages.size() >= kMedianCandidates;
+  cached.value = enough ? Median(std::move(averages)) : std::nullopt;
+  cached.validUntil = aNow + kMedianValidity;
+  return cached.value;
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_routing/routing/SelectionStrategy.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <memory>
+
+#include "random/Random.h"
+#include "routing/Selection.h"
+
+namespace toucanstand {
+
+/// A way to choose one of the admitted candidates of a pool.
+class SelectionStrategy
+{
+public:
+  SelectionStrategy() = default;
+  SelectionStrategy(const SelectionStrategy&) = delete;
+  SelectionStrategy& operator=(const SelectionStrategy&) = delete;
+  virtual ~SelectionStrategy() = default;
+
+  /// @return null when no candidate is admitted.
+  [[nodiscard]] virtual CandidateState* Choose(const Selection& aSelection,
+                                               RoutingPool& aPool,
+                                               Random& aRandom) const = 0;
+};
+
+/// The strategy of that name.
+[[nodiscard]] std::unique_ptr<SelectionStrategy> MakeStrategy(RoutingStrategy aStrategy);
+
+} // namespace toucanstand
