--- a/modules/toucanstand_core/toucanstand_core.h
+++ b/modules/toucanstand_core/toucanstand_core.h
@@ -3,6 +3,7 @@
 /// Time, identifiers, results, random numbers, hashing, metrics, logging, settings and
 /// command lines: what every other module builds on.
 #include "commandline/CommandLine.h"
+#include "commandline/ProgramStart.h"
 #include "errors/Result.h"
 #include "hashing/Fingerprint.h"
 #include "identifiers/Identifiers.h"
@@ -11,5 +12,6 @@
 #include "network/Endpoint.h"
 #include "random/Random.h"
 #include "serialization/BoundedJson.h"
+#include "settings/EndpointSetting.h"
 #include "settings/SettingsReader.h"
 #include "time/BootClock.h"
--- a/modules/toucanstand_routing/routing/RouteQuery.cpp
+++ b/modules/toucanstand_routing/routing/RouteQuery.cpp
@@ -4,19 +4,6 @@
 
 namespace toucanstand {
 
-const char* Name(RoutingStrategy aStrategy)
-{
-  switch (aStrategy) {
-    case RoutingStrategy::RoundRobin:
-      return "round-robin";
-    case RoutingStrategy::LeastOutstanding:
-      return "least-outstanding";
-    case RoutingStrategy::TwoChoices:
-      return "two-choices";
-  }
-  return "unknown";
-}
-
 const char* Name(RouteRefusal aRefusal)
 {
   switch (aRefusal) {
--- a/modules/toucanstand_routing/routing/RouterSettings.h
+++ b/modules/toucanstand_routing/routing/RouterSettings.h
@@ -4,24 +4,12 @@
 #include <cstddef>
 #include <vector>
 
+#include "contracts/RoutingStrategy.h"
 #include "identifiers/Identifiers.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
 
-/// How a router compares the candidates of a pool.
-enum class RoutingStrategy
-{
-  RoundRobin,
-  /// Fewest requests of this process outstanding.
-  LeastOutstanding,
-  /// The less loaded of two random candidates.
-  TwoChoices,
-};
-
-/// Name of a strategy in settings and state dumps.
-[[nodiscard]] const char* Name(RoutingStrategy aStrategy);
-
 /// When candidates are ejected and how they return.
 struct EjectionSettings
 {
--- /dev/null
+++ b/modules/toucanstand_world/contracts/RoutingStrategy.cpp
@@ -0,0 +1,18 @@
+#include "contracts/RoutingStrategy.h"
+
+namespace toucanstand {
+
+const char* Name(RoutingStrategy aStrategy)
+{
+  switch (aStrategy) {
+    case RoutingStrategy::RoundRobin:
+      return "round-robin";
+    case RoutingStrategy::LeastOutstanding:
+      return "least-outstanding";
+    case RoutingStrategy::TwoChoices:
+      return "two-choices";
+  }
+  return "unknown";
+}
+
+} // namespace toucanstand
--- a/modules/toucanstand_world/machines/PlatformList.cpp
+++ b/modules/toucanstand_world/machines/PlatformList.cpp
@@ -2,22 +2,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include "settings/SettingsReader.h"
+#include "settings/EndpointSetting.h"
 
 namespace toucanstand {
 
 namespace {
 
-Endpoint ReadEndpoint(SettingsReader& aReader, std::string_view aKey)
-{
-  const auto endpoint = Endpoint::Parse(aReader.Text(aKey));
-  if (!endpoint) {
-    aReader.Reject(aKey, SettingsRule::InRange, "address:port");
-    return {};
-  }
-  return *endpoint;
-}
-
 Vm ReadVm(SettingsReader& aReader)
 {
   Vm vm;
--- a/modules/toucanstand_world/observation/WorldViewText.cpp
+++ b/modules/toucanstand_world/observation/WorldViewText.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "settings/SettingsReader.h"
+#include "settings/EndpointSetting.h"
 
 namespace toucanstand {
 
@@ -57,15 +57,6 @@
   return load;
 }
 
-Endpoint ReadEndpoint(SettingsReader& aReader, std::string_view aKey)
-{
-  const auto endpoint = Endpoint::Parse(aReader.Text(aKey));
-  if (!endpoint) {
-    aReader.Reject(aKey, SettingsRule::InRange, "address:port");
-  }
-  return endpoint.value_or(Endpoint{});
-}
-
 std::vector<ServerId> ReadServerIds(SettingsReader& aReader, std::string_view aKey)
 {
   std::vector<ServerId> ids;
--- a/modules/toucanstand_world/toucanstand_world.h
+++ b/modules/toucanstand_world/toucanstand_world.h
@@ -4,6 +4,7 @@
 /// that knowledge is.
 #include "contracts/ClientAccount.h"
 #include "contracts/Contract.h"
+#include "contracts/RoutingStrategy.h"
 #include "groups/ReplicaGroup.h"
 #include "machines/BackendServer.h"
 #include "machines/PlatformList.h"
