Admit by worth and account share under adaptive limits

Change: a queue per class and account ordered by worth per cost; slots are given out in turn by account share (start-time fair queueing) and by value; the least valuable work of accounts over their share is refused while a queue is longer than can be run soon; what cannot finish by its deadline is refused when that becomes certain. Long work keeps to its share, also when it was announced as short. The concurrency limit follows the latency per cost, and Retry-After places returning callers at the measured drain rate. Ruled out: the mean of seconds per cost as the predictor, since small requests with a fixed overhead dominate it; time and cost are averaged separately.

--- /dev/null
+++ b/modules/toucanstand_admission/admission/AdmissionPool.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "admission/AccountState.h"
+#include "admission/AdmissionSettings.h"
+#include "admission/Arrival.h"
+#include "admission/ConcurrencyLimit.h"
+#include "admission/ReturnSchedule.h"
+#include "random/Random.h"
+
+namespace toucanstand {
+
+/// Queues and slots of one pool. @see AdmissionController
+class AdmissionPool
+{
+public:
+  /// @param aSettings and aRandom must outlive the pool.
+  AdmissionPool(const AdmissionSettings& aSettings, Random& aRandom);
+
+  /// Takes over changed settings.
+  void Configure();
+
+  void SetSlots(double aSlots);
+  [[nodiscard]] bool HasSlots() const { return this->limit.Slots() > 0; }
+
+  /// Queues a well-formed request, and admits or refuses what follows from it.
+  void Offer(Arrival aArrival, TimePoint aNow, std::vector<AdmissionAction>& aActions);
+
+  /// Ends a running request. @param aOutcome nothing when its caller gave up.
+  void Finish(const RequestId& aId,
+              std::optional<AttemptOutcome> aOutcome,
+              Duration aService,
+              TimePoint aNow);
+
+  /// Removes a waiting request. @return false when it does not wait here.
+  bool Withdraw(const RequestId& aId);
+
+  /// Refuses what cannot finish in time, accounts long runs as such, and admits what
+  /// fits.
+  void Advance(TimePoint aNow, std::vector<AdmissionAction>& aActions);
+
+  [[nodiscard]] std::optional<TimePoint> NextWake() const;
+
+  /// Time after which one more refused caller is to return.
+  [[nodiscard]] Duration RetryAfter(TimePoint aNow);
+
+  [[nodiscard]] nlohmann::json Describe(TimePoint aNow) const;
+
+private:
+  struct Running
+  {
+    AccountState* account = nullptr;
+    WorkClass announcedAs = WorkClass::Short;
+    WorkClass accountedAs = WorkClass::Short;
+    double announcedCost = 1;
+    double chargedCost = 1;
+    std::uint64_t sequence = 0;
+    /// When it counts as long work; nothing when it already does.
+    std::optional<TimePoint> longFrom;
+  };
+  /// All queues of one class together.
+  struct QueueTotals
+  {
+    double service = 0;
+    double count = 0;
+    /// Sum over the accounts with waiting requests.
+    double shares = 0;
+
+    /// What an account has queued, relative to its share among the waiting accounts.
+    [[nodiscard]] double ShareUsedBy(const AccountState& aAccount,
+                                     WorkClass aClass) const;
+  };
+  using Schedule = std::map<std::pair<TimePoint, std::uint64_t>, RequestId>;
+  using Actions = std::vector<AdmissionAction>;
+
+  AccountState& AccountOf(const AccountId& aId);
+  [[nodiscard]] ClientAccount GrantedTo(const AccountId& aId) const;
+  void ForgetIdleAccounts();
+  Waiting Prepare(Arrival aArrival);
+  const Waiting& Enqueue(Waiting aWaiting);
+  Waiting Take(const Waiting& aWaiting);
+  void Refuse(const Waiting& aWaiting,
+              RefusalReason aReason,
+              TimePoint aNow,
+              Actions& aActions);
+
+  /// Refuses the least valuable waiting requests while a queue is longer than allowed.
+  void Trim(WorkClass aClass, TimePoint aNow, Actions& aActions);
+  [[nodiscard]] bool IsQueueTooLong(WorkClass aClass) const;
+  [[nodiscard]] const Waiting* LeastValuable(WorkClass aClass) const;
+  [[nodiscard]] QueueTotals TotalsOf(WorkClass aClass) const;
+
+  void RefuseLate(TimePoint aNow, Actions& aActions);
+  void AccountLongRuns(TimePoint aNow);
+  void Dispatch(TimePoint aNow, Actions& aActions);
+  void Start(const Waiting& aWaiting, TimePoint aNow, Actions& aActions);
+  /// The next request to run; null when none may.
+  const Waiting* Next();
+  [[nodiscard]] const Waiting* MostValuable(const AccountState& aAccount) const;
+  [[nodiscard]] const Waiting* NextByShare();
+  [[nodiscard]] const Waiting* NextByValue() const;
+  [[nodiscard]] bool MayRun(WorkClass aClass) const;
+  [[nodiscard]] std::size_t SlotsOf(WorkClass aClass) const;
+  [[nodiscard]] Duration LongRunAfter() const;
+  void Learn(const Running& aRunning, Duration aService, TimePoint aNow);
+
+  const AdmissionSettings& settings;
+  Random& random;
+  ConcurrencyLimit limit;
+  ServiceModel model;
+  ReturnSchedule returns;
+  std::unordered_map<AccountId, std::unique_ptr<AccountState>> accounts;
+  std::unordered_map<RequestId, Waiting> waiting;
+  std::unordered_map<RequestId, Running> running;
+  std::array<std::size_t, 2> runningByClass{};
+  Schedule giveUps;
+  Schedule longRuns;
+  std::uint64_t nextSequence = 0;
+  /// Virtual time of the last account that was served by share.
+  double virtualTime = 0;
+  /// Slots that are to be given out by share; grows by the fair share per slot.
+  double fairCredit = 0;
+  std::uint64_t admitted = 0;
+  std::uint64_t longRunsFound = 0;
+  std::array<std::uint64_t, 6> refusals{};
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_admission/admission/ConcurrencyLimit.cpp
@@ -0,0 +1,96 @@
+#include "admission/ConcurrencyLimit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace toucanstand {
+
+namespace {
+
+/// Strongest reduction of one window, before smoothing.
+constexpr double kLowestGradient = 0.5;
+
+/// Share of the distance to the new limit that one window covers.
+constexpr double kSmoothing = 0.3;
+
+/// Part of a slot below which a fraction is rounded down.
+constexpr double kNegligible = 0.05;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(const LimitSettings& aSettings)
+  : settings(aSettings)
+{
+}
+
+void ConcurrencyLimit::SetSlots(double aSlots)
+{
+  this->limit = this->slots > 0 ? this->limit / this->slots * aSlots : aSlots;
+  this->slots = aSlots;
+}
+
+void ConcurrencyLimit::Record(WorkClass aClass,
+                              double aCost,
+                              double aSeconds,
+                              TimePoint aNow)
+{
+  auto& window = this->windows[IndexOf(aClass)];
+  window.seconds += aSeconds;
+  window.cost += aCost;
+  ++window.samples;
+  if (aNow < this->windowEnd) {
+    return;
+  }
+  this->windowEnd = aNow + this->settings.window;
+  const double ratio = this->CloseWindow();
+  if (ratio > 0 && this->settings.adaptive) {
+    this->Follow(ratio);
+  }
+}
+
+std::size_t ConcurrencyLimit::Whole() const
+{
+  if (this->slots <= 0) {
+    return 0;
+  }
+  const double value = this->settings.adaptive ? this->limit : this->slots;
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(value - kNegligible)));
+}
+
+double ConcurrencyLimit::CloseWindow()
+{
+  double weighted = 0;
+  double samples = 0;
+  for (std::size_t index = 0; index < this->windows.size(); ++index) {
+    auto& window = this->windows[index];
+    auto& baseline = this->baselines[index];
+    // A class with too few samples goes on collecting.
+    if (window.samples < this->settings.windowSamples || window.cost <= 0) {
+      continue;
+    }
+    const double latency = window.seconds / window.cost;
+    baseline = baseline > 0
+                 ? std::min(baseline * (1.0 + this->settings.baselineRise), latency)
+                 : latency;
+    if (baseline > 0) {
+      weighted += latency / baseline * static_cast<double>(window.samples);
+      samples += static_cast<double>(window.samples);
+    }
+    window = {};
+  }
+  return samples > 0 ? weighted / samples : 0.0;
+}
+
+void ConcurrencyLimit::Follow(double aRatio)
+{
+  const double gradient =
+    std::clamp(this->settings.tolerance / aRatio, kLowestGradient, 1.0);
+  // The square root is the room for a short queue at the servers; it lets the limit grow
+  // back, and keeps it from falling when latency is only slightly too high.
+  const double target = this->limit * gradient + std::sqrt(this->limit);
+  this->limit += kSmoothing * (target - this->limit);
+  this->limit =
+    std::clamp(this->limit, this->slots * this->settings.lowestShare, this->slots);
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_admission/admission/ServiceModel.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+
+#include "contracts/Contract.h"
+
+namespace toucanstand {
+
+/// Expected service time of a pool, learned from answered requests of each work class.
+class ServiceModel
+{
+public:
+  /// Adds an answered request. @param aSeconds its service time.
+  void Record(WorkClass aClass, double aCost, double aSeconds);
+
+  /// Expected seconds for a cost; zero before the first sample of the class.
+  [[nodiscard]] double Predict(WorkClass aClass, double aCost) const;
+
+  /// Cost that normally takes the given time; zero before the first sample.
+  [[nodiscard]] double CostOf(WorkClass aClass, double aSeconds) const;
+
+  /// Mean service time in seconds; zero before the first sample.
+  [[nodiscard]] double Mean(WorkClass aClass) const;
+
+private:
+  struct Averages
+  {
+    double seconds = 0;
+    double cost = 0;
+    std::size_t samples = 0;
+  };
+  std::array<Averages, 2> averages{};
+};
+
+/// Position of a class in arrays that hold one entry per class.
+[[nodiscard]] constexpr std::size_t IndexOf(WorkClass aClass)
+{
+  return aClass == WorkClass::Short ? 0 : 1;
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/tests/unit/toucanstand_admission/TestAdmissionController.cpp
@@ -0,0 +1,341 @@
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <limits>
+#include <map>
+#include <queue>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "admission/AdmissionController.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+const PoolId kPool("assistant");
+
+/// A controller with the requests that it admitted and refused.
+struct Desk
+{
+  explicit Desk(double aSlots, AdmissionSettings aSettings = {}, std::uint64_t aSeed = 1)
+    : controller(std::move(aSettings), Random(aSeed))
+  {
+    this->controller.OnSlots(kPool, aSlots, this->now);
+  }
+
+  Arrival Request(const std::string& aId, WorkClass aClass = WorkClass::Short) const
+  {
+    return {
+      RequestId(aId), kPool, AccountId("kelani"), aClass, 1, 100, this->now + 30s
+    };
+  }
+
+  void Take(const std::vector<AdmissionAction>& aActions)
+  {
+    for (const auto& action : aActions) {
+      if (const auto* admit = std::get_if<Admit>(&action)) {
+        CHECK(this->running.insert(admit->id.Value()).second);
+        this->order.push_back(admit->id.Value());
+      } else {
+        const auto& refuse = std::get<Refuse>(action);
+        CHECK(this->refused.emplace(refuse.id.Value(), refuse.refusal).second);
+      }
+    }
+  }
+
+  void Offer(Arrival aArrival)
+  {
+    this->Take(this->controller.Offer(std::move(aArrival), this->now));
+  }
+
+  void Finish(const std::string& aId, Duration aService)
+  {
+    this->running.erase(aId);
+    this->Take(this->controller.OnFinished(
+      RequestId(aId), AttemptOutcome::Answered, aService, this->now));
+  }
+
+  /// Runs requests of one account and class that take the given time.
+  void Teach(Duration aService,
+             WorkClass aClass = WorkClass::Short,
+             int aRequests = 20,
+             const std::string& aAccount = "teacher")
+  {
+    for (int request = 0; request < aRequests; ++request) {
+      const auto id = aAccount + std::to_string(this->lessons++);
+      Arrival arrival = this->Request(id, aClass);
+      arrival.account = AccountId(aAccount);
+      this->Offer(arrival);
+      this->now += aService;
+      this->Finish(id, aService);
+    }
+    this->order.clear();
+  }
+
+  [[nodiscard]] RefusalReason ReasonOf(const std::string& aId) const
+  {
+    REQUIRE(this->refused.contains(aId));
+    return this->refused.at(aId).reason;
+  }
+
+  TimePoint now{ 100s };
+  AdmissionController controller;
+  std::set<std::string> running;
+  std::vector<std::string> order;
+  std::map<std::string, Refusal> refused;
+  int lessons = 0;
+};
+
+} // namespace
+
+TEST_CASE("The most valuable work runs first, the least valuable is refused",
+          "[admission]")
+{
+  // Guards against an overload that is spent on work of little worth.
+  AdmissionSettings settings;
+  settings.maximumQueued = 3;
+  Desk desk(1, settings);
+  desk.Offer(desk.Request("first"));
+  for (const auto& [id, worth, cost] : { std::tuple{ "low", 1.0, 100.0 },
+                                         std::tuple{ "middle", 5.0, 100.0 },
+                                         std::tuple{ "costly", 10.0, 1000.0 },
+                                         std::tuple{ "high", 9.0, 100.0 } }) {
+    Arrival arrival = desk.Request(id);
+    arrival.worth = worth;
+    arrival.cost = cost;
+    desk.Offer(arrival);
+  }
+  CHECK(desk.ReasonOf("costly") == RefusalReason::QueueFull);
+  for (const char* id : { "first", "high", "middle" }) {
+    desk.now += 100ms;
+    desk.Finish(id, 100ms);
+  }
+  CHECK(desk.order == std::vector<std::string>{ "first", "high", "middle", "low" });
+}
+
+TEST_CASE("A request that cannot finish in time is refused as soon as that is certain",
+          "[admission]")
+{
+  // Guards against callers that wait for an answer that cannot come, and against slots
+  // spent on answers that come too late.
+  Desk desk(1);
+  desk.Teach(1s);
+  Arrival hopeless = desk.Request("hopeless");
+  hopeless.deadline = desk.now + 900ms;
+  desk.Offer(hopeless);
+  CHECK(desk.ReasonOf("hopeless") == RefusalReason::DeadlineTooClose);
+
+  desk.Offer(desk.Request("running"));
+  Arrival waiting = desk.Request("waiting");
+  waiting.deadline = desk.now + 1500ms;
+  desk.Offer(waiting);
+  const auto wake = desk.controller.NextWake();
+  REQUIRE(wake);
+  CHECK(*wake - desk.now <= 501ms);
+  desk.now = *wake;
+  desk.Take(desk.controller.Advance(desk.now));
+  CHECK(desk.ReasonOf("waiting") == RefusalReason::DeadlineTooClose);
+}
+
+TEST_CASE("Long work leaves slots for short work, also when it is announced as short",
+          "[admission]")
+{
+  // Guards against short work that waits for a supplier letter to be written.
+  Desk desk(8);
+  desk.Teach(100ms);
+  for (int number = 0; number < 6; ++number) {
+    desk.Offer(desk.Request("long" + std::to_string(number), WorkClass::Long));
+  }
+  CHECK(desk.running.size() == 4);
+  for (int number = 0; number < 4; ++number) {
+    desk.Offer(desk.Request("short" + std::to_string(number)));
+  }
+  CHECK(desk.running.size() == 8);
+
+  // The short ones run long: they count as long, so that no slot is left for long work.
+  desk.now += 3s;
+  desk.Take(desk.controller.Advance(desk.now));
+  desk.Finish("long0", 3s);
+  desk.Finish("long1", 3s);
+  CHECK_FALSE(desk.running.contains("long4"));
+  desk.Offer(desk.Request("honest"));
+  CHECK(desk.running.contains("honest"));
+
+  Desk other(8);
+  other.Teach(100ms);
+  other.Teach(5s, WorkClass::Short, 4, "liar");
+  for (int number = 0; number < 6; ++number) {
+    Arrival arrival = other.Request("lie" + std::to_string(number));
+    arrival.account = AccountId("liar");
+    other.Offer(arrival);
+  }
+  CHECK(other.running.size() == 4);
+}
+
+TEST_CASE("An account cannot displace the others", "[admission]")
+{
+  // Guards against one large account that fills the queue and takes all slots.
+  AdmissionSettings settings;
+  settings.maximumQueued = 40;
+  ClientAccount granted;
+  granted.id = AccountId("tsagaan");
+  granted.share = 2;
+  settings.accounts = { granted };
+  Desk desk(1, settings);
+  desk.Offer(desk.Request("first"));
+  for (int number = 0; number < 200; ++number) {
+    Arrival arrival = desk.Request("a" + std::to_string(number));
+    arrival.worth = 2;
+    desk.Offer(arrival);
+  }
+  for (int number = 0; number < 20; ++number) {
+    Arrival arrival = desk.Request("b" + std::to_string(number));
+    arrival.account = AccountId("tsagaan");
+    desk.Offer(arrival);
+  }
+  CHECK_FALSE(desk.refused.contains("b0"));
+  CHECK(desk.ReasonOf("a39") == RefusalReason::AccountOverShare);
+  std::map<char, int> served;
+  for (int number = 0; number < 30; ++number) {
+    desk.now += 100ms;
+    const auto id = *desk.running.begin();
+    desk.Finish(id, 100ms);
+    ++served[id.front()];
+  }
+  // Half of the slots go by share; the rest goes to the account with more worth per cost.
+  CHECK(served['b'] >= 12);
+  CHECK(served['a'] >= 12);
+}
+
+TEST_CASE("The limit follows latency down and back up", "[admission]")
+{
+  // Guards against reports that claim free capacity while the servers are overloaded.
+  Desk desk(40);
+  const auto limit = [&desk] {
+    return desk.controller.Describe(desk.now)["pools"][kPool.Value()]["limit"]
+      .get<double>();
+  };
+  desk.Teach(100ms, WorkClass::Short, 50);
+  CHECK(limit() == Approx(40));
+  desk.Teach(1s, WorkClass::Short, 100);
+  CHECK(limit() < 20);
+  CHECK(limit() >= 8);
+  desk.Teach(100ms, WorkClass::Short, 300);
+  CHECK(limit() > 35);
+}
+
+TEST_CASE("Refused callers are spread over the time that the pool needs", "[admission]")
+{
+  // Guards against callers that all return at once and are refused again.
+  AdmissionSettings settings;
+  settings.maximumQueued = 10;
+  Desk desk(1, settings);
+  desk.Teach(100ms, WorkClass::Short, 100);
+  for (int number = 0; number < 111; ++number) {
+    desk.Offer(desk.Request(std::to_string(number)));
+  }
+  REQUIRE(desk.refused.size() >= 100);
+  std::map<std::int64_t, int> perSecond;
+  for (const auto& [id, refusal] : desk.refused) {
+    ++perSecond[refusal.retryAfter / 1s];
+  }
+  // The pool finishes 10 per second; jitter moves callers by up to half of their time.
+  for (const auto& [second, count] : perSecond) {
+    INFO(second);
+    CHECK(count <= 20);
+  }
+  CHECK(perSecond.rbegin()->first >= 9);
+}
+
+TEST_CASE("Malformed input and requests without capacity change nothing", "[admission]")
+{
+  Desk desk(1);
+  constexpr double kNotANumber = std::numeric_limits<double>::quiet_NaN();
+  for (const double number : { kNotANumber, HUGE_VAL, -1.0, 1e30 }) {
+    INFO(number);
+    Arrival arrival = desk.Request("cost" + std::to_string(number));
+    arrival.cost = number;
+    desk.Offer(arrival);
+    CHECK(desk.ReasonOf(arrival.id.Value()) == RefusalReason::Malformed);
+    arrival = desk.Request("worth" + std::to_string(number));
+    arrival.worth = number;
+    desk.Offer(arrival);
+    CHECK(desk.ReasonOf(arrival.id.Value()) == RefusalReason::Malformed);
+    desk.controller.OnSlots(kPool, number, desk.now);
+  }
+  Arrival other = desk.Request("other");
+  other.pool = PoolId("unknown");
+  desk.Offer(other);
+  CHECK(desk.ReasonOf("other") == RefusalReason::NoCapacity);
+  desk.Offer(desk.Request("good"));
+  CHECK(desk.running.contains("good"));
+  desk.Offer(desk.Request("good"));
+  CHECK(desk.ReasonOf("good") == RefusalReason::Malformed);
+  desk.controller.StartDrain();
+  desk.Offer(desk.Request("late"));
+  CHECK(desk.ReasonOf("late") == RefusalReason::Draining);
+}
+
+TEST_CASE("Every request is decided once and slots are never exceeded", "[admission]")
+{
+  // Guards against lost, doubled or leaked requests in rare orders of events.
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    INFO("seed " << seed);
+    Random random(seed);
+    AdmissionSettings settings;
+    settings.maximumQueued = 20;
+    Desk desk(6, settings, seed);
+    std::map<std::string, WorkClass> classes;
+    std::set<std::string> abandoned;
+    for (int step = 0; step < 500; ++step) {
+      desk.now += std::chrono::milliseconds(random.Below(60));
+      const auto choice = random.Below(10);
+      if (choice < 5) {
+        Arrival arrival =
+          desk.Request("r" + std::to_string(step),
+                       random.Below(3) == 0 ? WorkClass::Long : WorkClass::Short);
+        arrival.account = AccountId("account" + std::to_string(random.Below(4)));
+        arrival.worth = static_cast<double>(random.Below(10));
+        arrival.cost = static_cast<double>(1 + random.Below(1000));
+        arrival.deadline = desk.now + std::chrono::milliseconds(random.Below(3000));
+        classes[arrival.id.Value()] = arrival.workClass;
+        desk.Offer(arrival);
+      } else if (choice < 8 && !desk.running.empty()) {
+        desk.Finish(
+          *std::next(desk.running.begin(),
+                     static_cast<std::ptrdiff_t>(random.Below(desk.running.size()))),
+          std::chrono::milliseconds(random.Below(400)));
+      } else if (choice == 8 && !classes.empty()) {
+        const auto id =
+          std::next(classes.begin(),
+                    static_cast<std::ptrdiff_t>(random.Below(classes.size())))
+            ->first;
+        desk.running.erase(id);
+        abandoned.insert(id);
+        desk.Take(desk.controller.OnAbandoned(RequestId(id), desk.now));
+      } else {
+        desk.Take(desk.controller.Advance(desk.now));
+      }
+      REQUIRE(desk.running.size() <= 6);
+      const auto longRunning = std::ranges::count_if(desk.running, [&](const auto& aId) {
+        return classes.at(aId) == WorkClass::Long;
+      });
+      REQUIRE(longRunning <= 3);
+    }
+    while (!desk.running.empty()) {
+      desk.Finish(*desk.running.begin(), 10ms);
+    }
+    desk.now += 10s;
+    desk.Take(desk.controller.Advance(desk.now));
+    CHECK(desk.controller.Describe(desk.now)["in_progress"] == 0);
+    for (const auto& [id, accountedAs] : classes) {
+      const bool admitted = std::ranges::find(desk.order, id) != desk.order.end();
+      const bool refused = desk.refused.contains(id);
+      CHECK_FALSE((admitted && refused));
+      CHECK((admitted || refused || abandoned.contains(id)));
+    }
+  }
+}
