--- /dev/null
+++ b/tests/unit/toucanstand_groups/DomainSimulation.cpp
@@ -0,0 +1,371 @@
+#include "DomainSimulation.h"
+
+#include <algorithm>
+#include <set>
+
+#include "planning/GroupPlanner.h"
+
+namespace toucanstand {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kServers = 9;
+constexpr std::size_t kGroupSize = 4;
+constexpr std::size_t kWantedGroups = 2;
+constexpr Duration kFaultsEnd = 20s;
+constexpr Duration kEnd = 55s;
+
+} // namespace
+
+DomainSimulation::DomainSimulation(std::uint64_t aSeed)
+  : random(aSeed)
+{
+  for (std::size_t index = 0; index < kServers; ++index) {
+    BackendServer server;
+    server.id = ServerId("e" + std::to_string(index));
+    server.pool = PoolId("p");
+    server.domain = DomainId("d");
+    server.fencing =
+      this->Happens(0.5) ? FencingSupport::Checked : FencingSupport::Ignored;
+    this->list.servers.push_back(server);
+    this->engines[server.id];
+  }
+  const auto controllers = 2 + this->random.Below(2);
+  for (std::size_t index = 0; index < controllers; ++index) {
+    GroupControllerSettings settings;
+    settings.domain = DomainId("d");
+    settings.pools = { { PoolId("p"), kGroupSize, kWantedGroups, 0 } };
+    this->participants.push_back(
+      { std::make_unique<GroupController>(settings,
+                                          std::make_unique<GroupPlanner>(),
+                                          "controller-" + std::to_string(index)),
+        {},
+        false });
+    this->Every(200ms, [this, index] { this->Deliver(index, Tick{}); });
+    this->Every(500ms, [this, index] { this->KeepLease(index); });
+    this->Every(300ms, [this, index] { this->Poll(index); });
+  }
+  this->Every(400ms, [this] { this->CauseFault(); });
+  this->Every(250ms, [this] { this->Evaluate(); });
+}
+
+std::string DomainSimulation::Run()
+{
+  this->now = TimePoint(1000s);
+  const auto start = this->now;
+  while (this->violation.empty() && this->now - start < kEnd) {
+    auto event = this->events.top();
+    this->events.pop();
+    this->now = std::max(this->now, start + event.at.time_since_epoch());
+    this->faults = this->now - start < kFaultsEnd;
+    event.run();
+  }
+  this->CheckConvergence();
+  return this->violation;
+}
+
+bool DomainSimulation::Later::operator()(const Event& aLeft, const Event& aRight) const
+{
+  return std::pair(aLeft.at, aLeft.number) > std::pair(aRight.at, aRight.number);
+}
+
+void DomainSimulation::After(Duration aDelay, std::function<void()> aRun)
+{
+  const auto elapsed = this->now < TimePoint(1000s) ? 0ns : this->now - TimePoint(1000s);
+  this->events.push({ TimePoint(elapsed + aDelay), ++this->eventCount, std::move(aRun) });
+}
+
+void DomainSimulation::Every(Duration aPeriod, const std::function<void()>& aRun)
+{
+  this->After(aPeriod, [this, aPeriod, aRun] {
+    aRun();
+    this->Every(aPeriod, aRun);
+  });
+}
+
+bool DomainSimulation::Happens(double aChance)
+{
+  return this->random.Fraction() < aChance;
+}
+
+Duration DomainSimulation::Delay()
+{
+  const bool slow = this->faults && this->Happens(0.1);
+  return std::chrono::milliseconds(1 + this->random.Below(slow ? 4000 : 30));
+}
+
+void DomainSimulation::Deliver(std::size_t aIndex, const ControllerEvent& aEvent)
+{
+  auto& participant = this->participants[aIndex];
+  if (this->now < participant.pausedUntil) {
+    // A thawed process finds what arrived during the pause, ticks aside.
+    if (!std::holds_alternative<Tick>(aEvent)) {
+      this->After(participant.pausedUntil - this->now,
+                  [this, aIndex, aEvent] { this->Deliver(aIndex, aEvent); });
+    }
+    return;
+  }
+  for (const auto& action : participant.controller->Handle(aEvent, this->now)) {
+    // A pause between the decision and the call: the call is made late.
+    if (this->faults && this->Happens(0.02)) {
+      const auto pause = std::chrono::milliseconds(this->random.Below(8000));
+      participant.pausedUntil = std::max(participant.pausedUntil, this->now + pause);
+      this->After(pause, [this, aIndex, action] { this->Perform(aIndex, action); });
+      continue;
+    }
+    this->Perform(aIndex, action);
+  }
+}
+
+void DomainSimulation::Perform(std::size_t aIndex, const ControllerAction& aAction)
+{
+  if (const auto* read = std::get_if<ReadRecord>(&aAction)) {
+    this->Read(aIndex, read->ticket);
+  } else if (const auto* write = std::get_if<WriteRecord>(&aAction)) {
+    this->Write(aIndex, *write);
+  } else if (const auto* order = std::get_if<SendOrder>(&aAction)) {
+    this->Order(aIndex, *order);
+  } else {
+    this->participants[aIndex].believesLease = false;
+    if (this->leaseHolder == aIndex) {
+      this->leaseHolder.reset();
+    }
+  }
+}
+
+void DomainSimulation::Read(std::size_t aIndex, std::uint64_t aTicket)
+{
+  const bool answered = !(this->faults && this->Happens(0.1));
+  this->After(this->Delay(), [this, aIndex, aTicket, answered] {
+    RecordRead reply{ aTicket, answered, 0, "" };
+    if (answered && !this->committed.empty()) {
+      reply.revision = this->revision;
+      reply.text = this->committed.back();
+    }
+    this->After(this->Delay(), [this, aIndex, reply] { this->Deliver(aIndex, reply); });
+  });
+}
+
+void DomainSimulation::Write(std::size_t aIndex, const WriteRecord& aAction)
+{
+  const bool lost = this->faults && this->Happens(0.1);
+  this->After(this->Delay(), [this, aIndex, aAction, lost] {
+    WriteReply reply{ aAction.ticket, WriteOutcome::Conflict, 0 };
+    if (aAction.expectedRevision == this->revision) {
+      this->Commit(aAction.text);
+      reply = { aAction.ticket, WriteOutcome::Committed, this->revision };
+    }
+    if (lost) {
+      reply.outcome = WriteOutcome::Unknown;
+    }
+    this->After(this->Delay(), [this, aIndex, reply] { this->Deliver(aIndex, reply); });
+  });
+}
+
+void DomainSimulation::Order(std::size_t aIndex, const SendOrder& aAction)
+{
+  const std::size_t copies = this->faults && this->Happens(0.1) ? 2 : 1;
+  for (std::size_t copy = 0; copy < copies; ++copy) {
+    this->After(this->Delay(), [this, aIndex, aAction] {
+      // The program gives the exchange up in time, but for a pause in the middle of it.
+      if (this->now >= aAction.expiresAt && !(this->faults && this->Happens(0.1))) {
+        return;
+      }
+      const OrderReply reply{ aAction.server, aAction.fence, this->TakeOrder(aAction) };
+      if (!(this->faults && this->Happens(0.1))) {
+        this->After(this->Delay(),
+                    [this, aIndex, reply] { this->Deliver(aIndex, reply); });
+      }
+    });
+  }
+}
+
+OrderOutcome DomainSimulation::TakeOrder(const SendOrder& aAction)
+{
+  auto& engine = this->engines.at(aAction.server);
+  if (!engine.alive) {
+    return OrderOutcome::Unknown;
+  }
+  const GroupKey key{ aAction.group.id, aAction.group.generation };
+  if (this->formations[key] != aAction.group.members) {
+    this->Fail("an order is not in any record");
+  }
+  const auto server =
+    std::ranges::find(this->list.servers, aAction.server, &BackendServer::id);
+  if (server->fencing == FencingSupport::Checked && aAction.fence < engine.fence) {
+    return OrderOutcome::Stale;
+  }
+  engine.lastIn[engine.group] = this->now;
+  engine.group = key;
+  engine.fence = aAction.fence;
+  return OrderOutcome::Accepted;
+}
+
+void DomainSimulation::KeepLease(std::size_t aIndex)
+{
+  auto& participant = this->participants[aIndex];
+  const bool storeDown = this->faults && this->Happens(0.1);
+  if (this->now < participant.pausedUntil || storeDown) {
+    return;
+  }
+  const bool expired = !this->leaseHolder || this->now >= this->leaseUntil;
+  if (this->leaseHolder == aIndex && !expired && participant.believesLease) {
+    this->leaseUntil = this->now + 3s;
+    return;
+  }
+  if (participant.believesLease) {
+    participant.believesLease = false;
+    this->Deliver(aIndex, LeaseLost{});
+    return;
+  }
+  if (expired) {
+    this->leaseHolder = aIndex;
+    this->leaseUntil = this->now + 3s;
+    participant.believesLease = true;
+    this->Deliver(aIndex, LeaseGained{});
+  }
+}
+
+Observation DomainSimulation::Observe(const ServerId& aServer)
+{
+  auto& engine = this->engines.at(aServer);
+  Observation observation;
+  observation.server = aServer;
+  observation.reachable = engine.alive && !(this->faults && this->Happens(0.05));
+  observation.group = engine.group.first;
+  observation.generation = engine.group.second;
+  observation.fence = engine.fence;
+  observation.observedAt = this->now;
+  engine.lastIn[engine.group] = this->now;
+  return observation;
+}
+
+void DomainSimulation::Poll(std::size_t aIndex)
+{
+  if (!this->participants[aIndex].controller->HoldsLease()) {
+    return;
+  }
+  ObservationsChanged event{ this->list.servers, {} };
+  for (const auto& server : this->list.servers) {
+    event.observations.push_back(this->Observe(server.id));
+  }
+  this->After(this->Delay(), [this, aIndex, event] { this->Deliver(aIndex, event); });
+}
+
+void DomainSimulation::CauseFault()
+{
+  if (!this->faults) {
+    for (auto& [id, engine] : this->engines) {
+      engine.alive = true;
+    }
+    return;
+  }
+  const bool wholeDomain = this->Happens(0.02);
+  for (auto& [id, engine] : this->engines) {
+    const bool fails = engine.alive && (wholeDomain || this->Happens(0.02));
+    if (fails) {
+      engine.alive = false;
+    } else if (!engine.alive && this->Happens(0.15)) {
+      engine.alive = true;
+      if (this->Happens(0.5)) {
+        // It was restarted, not only paused.
+        engine.lastIn[engine.group] = this->now;
+        engine.group = {};
+        engine.fence = 0;
+      }
+    }
+  }
+  for (auto& participant : this->participants) {
+    if (this->Happens(0.03)) {
+      participant.pausedUntil =
+        std::max(participant.pausedUntil,
+                 this->now + std::chrono::milliseconds(this->random.Below(9000)));
+    }
+  }
+}
+
+void DomainSimulation::Commit(const std::string& aText)
+{
+  this->revision += 1 + static_cast<std::int64_t>(this->random.Below(3));
+  this->committed.push_back(aText);
+  const auto record = ParseDomainRecord(aText, this->revision);
+  if (!record) {
+    this->Fail(std::string("committed record: ") + Name(record.LastReason()));
+    return;
+  }
+  this->lastGroups = GroupsOpenForWork(*record);
+  std::set<ServerId> members;
+  for (const auto& entry : record->groups) {
+    for (const auto& member : entry.group.members) {
+      if (!members.insert(member).second) {
+        this->Fail("a server is in two groups of the record");
+      }
+    }
+    const GroupKey key{ entry.group.id, entry.group.generation };
+    const auto [known, isNew] = this->formations.emplace(key, entry.group.members);
+    if (!isNew && known->second != entry.group.members) {
+      this->Fail("a generation has two lists of members");
+    }
+  }
+}
+
+void DomainSimulation::Evaluate()
+{
+  // The evaluator's record and observations are brought up to date irregularly.
+  if (!this->committed.empty() && this->Happens(0.3)) {
+    this->evaluatorGroups = this->lastGroups;
+  }
+  for (const auto& server : this->list.servers) {
+    if (!this->faults || this->Happens(0.5)) {
+      this->evaluatorObservations[server.id] = this->Observe(server.id);
+    }
+  }
+  auto groups =
+    DeriveGroups(this->evaluatorGroups, this->evaluatorObservations, this->list);
+  std::set<ServerId> members;
+  for (const auto& candidate : toucanstand::Evaluate(
+         groups, this->evaluatorObservations, this->list, this->now)) {
+    const GroupKey key{ GroupId(candidate.id), candidate.generation };
+    if (this->formations[key] != candidate.members) {
+      this->Fail("a group with permission was never in the record");
+    }
+    for (const auto& member : candidate.members) {
+      const auto& lastIn = this->engines.at(member).lastIn;
+      if (!lastIn.contains(key) || this->now - lastIn.at(key) >= kPermissionValidity) {
+        this->Fail("a group has permission without a member's report");
+      }
+      if (!members.insert(member).second) {
+        this->Fail("a server is in two groups with permission");
+      }
+    }
+  }
+}
+
+void DomainSimulation::CheckConvergence()
+{
+  if (!this->violation.empty() || this->committed.empty()) {
+    this->Fail("no record was written");
+    return;
+  }
+  const auto record = ParseDomainRecord(this->committed.back(), this->revision);
+  std::map<ServerId, Observation> observations;
+  for (const auto& server : this->list.servers) {
+    observations[server.id] = this->Observe(server.id);
+  }
+  const auto candidates = toucanstand::Evaluate(
+    GroupsOpenForWork(*record), observations, this->list, this->now);
+  if (candidates.size() != kWantedGroups || !record->orders.empty()) {
+    this->Fail("did not converge: " + this->committed.back());
+  }
+}
+
+void DomainSimulation::Fail(const std::string& aRule)
+{
+  if (this->violation.empty()) {
+    this->violation = aRule;
+  }
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/tests/unit/toucanstand_groups/DomainSimulation.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control/GroupController.h"
+#include "permission/ServingPermission.h"
+#include "random/Random.h"
+
+namespace toucanstand {
+
+/// One fabric domain with several controllers, a store, and engines, under seeded faults
+/// in simulated time. Checks the invariants at each commit and each evaluation.
+class DomainSimulation
+{
+public:
+  explicit DomainSimulation(std::uint64_t aSeed);
+
+  /// Runs with faults, then without. @returns the first violated rule; empty when none.
+  std::string Run();
+
+private:
+  using GroupKey = std::pair<GroupId, Generation>;
+  struct Engine
+  {
+    bool alive = true;
+    GroupKey group;
+    std::int64_t fence = 0;
+    /// When it was last in each group.
+    std::map<GroupKey, TimePoint> lastIn;
+  };
+  struct Participant
+  {
+    std::unique_ptr<GroupController> controller;
+    TimePoint pausedUntil{};
+    bool believesLease = false;
+  };
+  struct Event
+  {
+    TimePoint at{};
+    std::uint64_t number = 0;
+    std::function<void()> run;
+  };
+  struct Later
+  {
+    bool operator()(const Event& aLeft, const Event& aRight) const;
+  };
+
+  void After(Duration aDelay, std::function<void()> aRun);
+  void Every(Duration aPeriod, const std::function<void()>& aRun);
+  bool Happens(double aChance);
+  Duration Delay();
+  void Deliver(std::size_t aIndex, const ControllerEvent& aEvent);
+  void Perform(std::size_t aIndex, const ControllerAction& aAction);
+  void Read(std::size_t aIndex, std::uint64_t aTicket);
+  void Write(std::size_t aIndex, const WriteRecord& aAction);
+  void Order(std::size_t aIndex, const SendOrder& aAction);
+  OrderOutcome TakeOrder(const SendOrder& aAction);
+  void KeepLease(std::size_t aIndex);
+  void Poll(std::size_t aIndex);
+  void CauseFault();
+  void Commit(const std::string& aText);
+  void Evaluate();
+  void CheckConvergence();
+  void Fail(const std::string& aRule);
+  Observation Observe(const ServerId& aServer);
+
+  Random random;
+  TimePoint now{};
+  bool faults = true;
+  std::uint64_t eventCount = 0;
+  std::priority_queue<Event, std::vector<Event>, Later> events;
+  std::vector<Participant> participants;
+  std::map<ServerId, Engine> engines;
+  PlatformList list;
+  std::vector<std::string> committed;
+  std::vector<ReplicaGroup> lastGroups;
+  std::int64_t revision = 0;
+  std::map<GroupKey, std::vector<ServerId>> formations;
+  std::optional<std::size_t> leaseHolder;
+  TimePoint leaseUntil{};
+  std::vector<ReplicaGroup> evaluatorGroups;
+  std::map<ServerId, Observation> evaluatorObservations;
+  std::string violation;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/tests/unit/toucanstand_groups/TestServingPermission.cpp
@@ -0,0 +1,128 @@
+#include <catch2/catch.hpp>
+
+#include "permission/ServingPermission.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Situation
+{
+  Situation()
+  {
+    for (const std::string id : { "a", "b", "s" }) {
+      BackendServer server;
+      server.id = ServerId(id);
+      server.pool = PoolId("p");
+      server.domain = DomainId("d");
+      server.kind = id == "s" ? ServerKind::Service : ServerKind::Engine;
+      this->list.servers.push_back(server);
+      Observation observation;
+      observation.server = server.id;
+      observation.reachable = true;
+      observation.group = GroupId(id == "s" ? "" : "g");
+      observation.generation = id == "s" ? 0 : 1;
+      observation.observedAt = this->now;
+      this->observations[server.id] = observation;
+    }
+  }
+
+  /// Ids of the candidates.
+  [[nodiscard]] std::vector<std::string> Ids() const
+  {
+    std::vector<std::string> ids;
+    for (const auto& candidate :
+         Evaluate(this->groups, this->observations, this->list, this->now)) {
+      ids.push_back(candidate.id);
+    }
+    return ids;
+  }
+
+  TimePoint now{ 100s };
+  std::vector<ReplicaGroup> groups = {
+    { GroupId("g"), 1, PoolId("p"), DomainId("d"), { ServerId("a"), ServerId("b") } }
+  };
+  PlatformList list;
+  std::map<ServerId, Observation> observations;
+};
+
+using Ids = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("A group serves only while every member reports it", "[groups]")
+{
+  // Guards against a group that serves with a member missing (R1) or leaving (R6).
+  Situation situation;
+  auto& member = situation.observations.at(ServerId("b"));
+  CHECK(situation.Ids() == Ids{ "g", "s" });
+  SECTION("other generation")
+  {
+    member.generation = 2;
+  }
+  SECTION("other group")
+  {
+    member.group = GroupId("h");
+  }
+  SECTION("unreachable")
+  {
+    member.reachable = false;
+  }
+  SECTION("leaving by its own report")
+  {
+    member.leaving = true;
+  }
+  SECTION("leaving by the list")
+  {
+    situation.list.servers[1].leaving = true;
+  }
+  SECTION("report too old")
+  {
+    member.observedAt -= 2s;
+  }
+  SECTION("never observed")
+  {
+    situation.observations.erase(ServerId("b"));
+  }
+  CHECK(situation.Ids() == Ids{ "s" });
+}
+
+TEST_CASE("Permission ends with the oldest report, that of a service later", "[groups]")
+{
+  Situation situation;
+  situation.observations.at(ServerId("b")).observedAt -= 1500ms;
+  auto candidates =
+    Evaluate(situation.groups, situation.observations, situation.list, situation.now);
+  REQUIRE(candidates.size() == 2);
+  CHECK(candidates[0].usableUntil == situation.now + 500ms);
+  CHECK(candidates[0].server == ServerId("a"));
+  CHECK(candidates[1].usableUntil == situation.now + 30s);
+  situation.now += 29s;
+  CHECK(situation.Ids() == Ids{ "s" });
+  situation.now += 1s;
+  CHECK(situation.Ids().empty());
+}
+
+TEST_CASE("Without the store a newer generation is taken from its members' reports",
+          "[groups]")
+{
+  // Guards against an outage of the store that takes a repaired group out of service, and
+  // against forming one from an incomplete set of reports.
+  Situation situation;
+  auto added = situation.list.servers[0];
+  added.id = ServerId("c");
+  situation.list.servers.push_back(added);
+  auto& second = situation.observations[ServerId("c")];
+  second = situation.observations.at(ServerId("a"));
+  second.server = ServerId("c");
+  second.generation = 2;
+  const auto derive = [&situation] {
+    return DeriveGroups(situation.groups, situation.observations, situation.list);
+  };
+  CHECK(derive() == situation.groups);
+  situation.observations.at(ServerId("b")).generation = 2;
+  CHECK(derive()[0].members == std::vector{ ServerId("b"), ServerId("c") });
+  situation.groups = derive();
+  CHECK(situation.Ids() == Ids{ "g", "s" });
+}
