Add the configuration module

Operators change one value with defaults and exceptions, and rely on an accepted change never being missed by a node that serves.

ConfigurationChange repeats the same conditional write after a lost reply, because at most one write for a mod revision takes effect; a change that was superseded while its reply was lost is reported as undetermined instead of as a conflict. Acceptance counts only confirmations of the last 8 s: a VM that restarts forgets what it confirmed and takes part in quorums again only after that time. Ruled out: confirmations without an age, which together with a restart leave an accepted change on a minority.

--- /dev/null
+++ b/modules/toucanstand_configuration/document/ConfigurationText.cpp
@@ -0,0 +1,370 @@
+#include "document/ConfigurationText.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "settings/BoundedJson.h"
+#include "settings/SettingsReader.h"
+
+namespace toucanstand {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Numbers above this lose precision in tools that read JSON numbers as doubles.
+constexpr std::int64_t kMaximumRevision = 1LL << 53U;
+constexpr double kMaximumFactor = 1e6;
+constexpr std::int64_t kMaximumQueue = 1'000'000;
+constexpr std::int64_t kMaximumGroupSize = 256;
+constexpr Duration kShortestTimeout = 1ms;
+constexpr Duration kLongestTimeout = 24h;
+
+constexpr std::array kStrategyNames = { "round-robin",
+                                        "least-outstanding",
+                                        "power-of-two" };
+constexpr std::array<const char*, kScopeKinds> kScopeNames = { "account",
+                                                               "pool",
+                                                               "contract",
+                                                               "vm",
+                                                               "zone" };
+
+template<typename Enum, std::size_t Count>
+Enum ReadEnum(SettingsReader& aReader,
+              std::string_view aKey,
+              const std::array<const char*, Count>& aNames,
+              std::optional<std::string> aDefault = {})
+{
+  const auto text =
+    aReader.Choice(aKey, { aNames.begin(), aNames.end() }, std::move(aDefault));
+  const auto found =
+    std::ranges::find_if(aNames, [&text](const char* aName) { return text == aName; });
+  return static_cast<Enum>(found == aNames.end() ? 0 : found - aNames.begin());
+}
+
+bool IsBlank(std::string_view aText)
+{
+  return aText.find_first_not_of(" \t\r\n") == std::string_view::npos;
+}
+
+std::string ReadNote(SettingsReader& aReader, std::string_view aKey)
+{
+  auto text = aReader.Text(aKey);
+  if (aReader.Has(aKey) && (IsBlank(text) || text.size() > kMaximumNoteBytes)) {
+    aReader.Reject(aKey,
+                   SettingsRule::InRange,
+                   "not blank, at most " + std::to_string(kMaximumNoteBytes) + " bytes");
+  }
+  return text;
+}
+
+/// Factors are above zero: a share or worth of zero would starve its requests silently.
+double ReadFactor(SettingsReader& aReader, std::string_view aKey, double aDefault)
+{
+  constexpr double kSmallest = 0.001;
+  return aReader.Number(aKey, kSmallest, kMaximumFactor, aDefault);
+}
+
+void RequireUnique(SettingsReader& aReader,
+                   std::string_view aKey,
+                   const std::vector<std::string>& aNames,
+                   const std::string& aField)
+{
+  std::set<std::string> seen;
+  for (const auto& name : aNames) {
+    if (!seen.insert(name).second) {
+      auto expectation = aField;
+      expectation.append(" '").append(name).append("' occurs twice");
+      aReader.Reject(aKey, SettingsRule::Consistent, std::move(expectation));
+    }
+  }
+}
+
+template<typename Item, typename Projection>
+std::vector<std::string> NamesOf(const std::vector<Item>& aItems, Projection aProjection)
+{
+  std::vector<std::string> names;
+  names.reserve(aItems.size());
+  for (const auto& item : aItems) {
+    names.push_back(std::invoke(aProjection, item));
+  }
+  return names;
+}
+
+Contract ReadContract(SettingsReader& aReader)
+{
+  Contract contract;
+  contract.name = ReadNote(aReader, "name");
+  contract.pathPrefix = aReader.Text("pathPrefix");
+  if (aReader.Has("pathPrefix") && !contract.pathPrefix.starts_with('/')) {
+    aReader.Reject("pathPrefix", SettingsRule::Consistent, "must start with /");
+  }
+  contract.pool = PoolId(ReadNote(aReader, "pool"));
+  contract.repeatability = ReadEnum<Repeatability>(
+    aReader, "repeatability", std::array{ "idempotent", "only-once" }, "only-once");
+  contract.workClass =
+    ReadEnum<WorkClass>(aReader, "workClass", std::array{ "short", "long" }, "short");
+  contract.timeout = aReader.Milliseconds(
+    "timeoutMs", kShortestTimeout, kLongestTimeout, contract.timeout);
+  contract.worth = ReadFactor(aReader, "worth", contract.worth);
+  for (const auto status : aReader.WholeList("notRunStatuses", 400, 599)) {
+    contract.notRunStatuses.push_back(static_cast<int>(status));
+  }
+  return contract;
+}
+
+ClientAccount ReadAccount(SettingsReader& aReader)
+{
+  ClientAccount account;
+  account.id = AccountId(ReadNote(aReader, "id"));
+  account.share = ReadFactor(aReader, "share", account.share);
+  account.worth = ReadFactor(aReader, "worth", account.worth);
+  return account;
+}
+
+GroupPolicy ReadGroup(SettingsReader& aReader)
+{
+  GroupPolicy group;
+  group.pool = PoolId(ReadNote(aReader, "pool"));
+  group.size = aReader.Whole("size", 1, kMaximumGroupSize);
+  group.model = ReadNote(aReader, "model");
+  return group;
+}
+
+void ReadClass(SettingsReader& aReader, std::string_view aKey, ClassPolicy& aPolicy)
+{
+  aReader.Object(aKey, [&aPolicy](SettingsReader& aClass) {
+    aPolicy.share = aClass.Number("share", 0.01, 1.0, aPolicy.share);
+    aPolicy.queueLimit = aClass.Whole("queueLimit", 0, kMaximumQueue, aPolicy.queueLimit);
+  });
+}
+
+void ReadDefaults(SettingsReader& aReader, ConfigurationDefaults& aDefaults)
+{
+  aReader.ObjectList("contracts", [&](SettingsReader& aContract) {
+    aDefaults.contracts.push_back(ReadContract(aContract));
+  });
+  aReader.ObjectList("accounts", [&](SettingsReader& aAccount) {
+    aDefaults.accounts.push_back(ReadAccount(aAccount));
+  });
+  aReader.ObjectList("groups", [&](SettingsReader& aGroup) {
+    aDefaults.groups.push_back(ReadGroup(aGroup));
+  });
+  aReader.Object("admission", [&](SettingsReader& aAdmission) {
+    ReadClass(aAdmission, "short", aDefaults.admission.shortWork);
+    ReadClass(aAdmission, "long", aDefaults.admission.longWork);
+  });
+  aReader.Object("routing", [&](SettingsReader& aRouting) {
+    aDefaults.strategy = ReadEnum<RoutingStrategy>(
+      aRouting, "strategy", kStrategyNames, Name(aDefaults.strategy));
+  });
+  const auto policy = ReadEnum<IsolatedServing>(
+    aReader, "isolatedServing", std::array{ "refuse", "continue" }, "refuse");
+  if (policy == IsolatedServing::Continue) {
+    aReader.Reject("isolatedServing",
+                   SettingsRule::Consistent,
+                   "'continue' needs an exception with a reason");
+  }
+  const auto contractName = [](const Contract& aItem) { return aItem.name; };
+  const auto prefix = [](const Contract& aItem) { return aItem.pathPrefix; };
+  const auto account = [](const ClientAccount& aItem) { return aItem.id.Value(); };
+  const auto pool = [](const GroupPolicy& aItem) { return aItem.pool.Value(); };
+  RequireUnique(aReader, "contracts", NamesOf(aDefaults.contracts, contractName), "name");
+  RequireUnique(aReader, "contracts", NamesOf(aDefaults.contracts, prefix), "pathPrefix");
+  RequireUnique(aReader, "accounts", NamesOf(aDefaults.accounts, account), "id");
+  RequireUnique(aReader, "groups", NamesOf(aDefaults.groups, pool), "pool");
+}
+
+using ReadOverride = void (*)(SettingsReader&, Overrides&);
+
+void ReadShare(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.share = ReadFactor(aReader, "share", 1.0);
+}
+
+void ReadWorth(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.worth = ReadFactor(aReader, "worth", 1.0);
+}
+
+void ReadTimeout(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.timeout =
+    aReader.Milliseconds("timeoutMs", kShortestTimeout, kLongestTimeout);
+}
+
+void ReadStrategy(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.strategy = ReadEnum<RoutingStrategy>(aReader, "strategy", kStrategyNames);
+}
+
+void ReadSize(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.size = aReader.Whole("size", 1, kMaximumGroupSize);
+}
+
+void ReadModel(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.model = ReadNote(aReader, "model");
+}
+
+void ReadIsolatedServing(SettingsReader& aReader, Overrides& aOverrides)
+{
+  aOverrides.isolatedServing = ReadEnum<IsolatedServing>(
+    aReader, "isolatedServing", std::array{ "refuse", "continue" });
+}
+
+struct OverrideRule
+{
+  const char* key;
+  ReadOverride read;
+  std::vector<ScopeKind> scopes;
+};
+
+const std::vector<OverrideRule>& OverrideRules()
+{
+  static const std::vector<OverrideRule> kRules = {
+    { "share", &ReadShare, { ScopeKind::Account } },
+    { "worth", &ReadWorth, { ScopeKind::Account, ScopeKind::Contract } },
+    { "timeoutMs", &ReadTimeout, { ScopeKind::Contract } },
+    { "strategy", &ReadStrategy, { ScopeKind::Pool, ScopeKind::Vm, ScopeKind::Zone } },
+    { "size", &ReadSize, { ScopeKind::Pool } },
+    { "model", &ReadModel, { ScopeKind::Pool } },
+    { "isolatedServing", &ReadIsolatedServing, { ScopeKind::Vm, ScopeKind::Zone } },
+  };
+  return kRules;
+}
+
+ConfigurationException ReadException(SettingsReader& aReader)
+{
+  ConfigurationException exception;
+  exception.reason = ReadNote(aReader, "reason");
+  if (!aReader.Has("scope")) {
+    aReader.Reject("scope", SettingsRule::Required, "");
+  }
+  aReader.Object("scope", [&exception](SettingsReader& aScope) {
+    exception.scope.kind = ReadEnum<ScopeKind>(aScope, "kind", kScopeNames);
+    exception.scope.name = ReadNote(aScope, "name");
+  });
+  bool setsValue = false;
+  aReader.Object("set", [&](SettingsReader& aSet) {
+    for (const auto& rule : OverrideRules()) {
+      // A key that does not belong to the scope stays unread, so Finish() rejects it.
+      const bool allowed =
+        std::ranges::find(rule.scopes, exception.scope.kind) != rule.scopes.end();
+      if (allowed && aSet.Has(rule.key)) {
+        rule.read(aSet, exception.overrides);
+        setsValue = true;
+      }
+    }
+  });
+  if (!setsValue) {
+    aReader.Reject("set",
+                   SettingsRule::Required,
+                   std::string("at least one value that can be set for ") +
+                     Name(exception.scope.kind));
+  }
+  return exception;
+}
+
+/// An exception for a contract or pool that does not exist is a typing error.
+void RequireKnownScopes(SettingsReader& aReader, const ConfigurationDocument& aDocument)
+{
+  std::set<Scope> known;
+  for (const auto& contract : aDocument.defaults.contracts) {
+    known.insert({ ScopeKind::Contract, contract.name });
+    known.insert({ ScopeKind::Pool, contract.pool.Value() });
+  }
+  for (const auto& group : aDocument.defaults.groups) {
+    known.insert({ ScopeKind::Pool, group.pool.Value() });
+  }
+  for (const auto& exception : aDocument.exceptions) {
+    const auto kind = exception.scope.kind;
+    const bool checked = kind == ScopeKind::Contract || kind == ScopeKind::Pool;
+    if (checked && !known.contains(exception.scope)) {
+      aReader.Reject("exceptions",
+                     SettingsRule::Consistent,
+                     Describe(exception.scope) + " does not exist");
+    }
+  }
+}
+
+void ReadDocument(SettingsReader& aReader, ConfigurationDocument& aDocument)
+{
+  aDocument.revision = aReader.Whole("revision", 1, kMaximumRevision);
+  aDocument.author = ReadNote(aReader, "author");
+  aDocument.nonce = ReadNote(aReader, "nonce");
+  aDocument.reason = aReader.Text("reason", "");
+  if (aDocument.reason.size() > kMaximumNoteBytes) {
+    aReader.Reject("reason", SettingsRule::InRange, "at most 1024 bytes");
+  }
+  if (!aReader.Has("defaults")) {
+    aReader.Reject("defaults", SettingsRule::Required, "");
+  }
+  aReader.Object("defaults", [&aDocument](SettingsReader& aDefaults) {
+    ReadDefaults(aDefaults, aDocument.defaults);
+  });
+  aReader.ObjectList("exceptions", [&aDocument](SettingsReader& aException) {
+    aDocument.exceptions.push_back(ReadException(aException));
+  });
+  if (aDocument.exceptions.size() > kMaximumExceptions) {
+    aReader.Reject("exceptions", SettingsRule::InRange, "at most 256 exceptions");
+  }
+  const auto scope = [](const ConfigurationException& aItem) {
+    return Describe(aItem.scope);
+  };
+  RequireUnique(aReader, "exceptions", NamesOf(aDocument.exceptions, scope), "scope");
+  RequireKnownScopes(aReader, aDocument);
+}
+
+} // namespace
+
+const char* Name(RoutingStrategy aStrategy)
+{
+  return kStrategyNames.at(static_cast<std::size_t>(aStrategy));
+}
+
+const char* Name(ScopeKind aKind)
+{
+  return kScopeNames.at(static_cast<std::size_t>(aKind));
+}
+
+std::string Describe(const Scope& aScope)
+{
+  return std::string(Name(aScope.kind)) + "/" + aScope.name;
+}
+
+Result<ConfigurationDocument, std::vector<SettingsError>> ParseConfiguration(
+  std::string_view aText)
+{
+  const auto parsed = ParseBoundedJson(aText, kMaximumConfigurationBytes);
+  if (!parsed) {
+    return std::vector<SettingsError>{ parsed.LastReason() };
+  }
+  ConfigurationDocument document;
+  SettingsReader reader(*parsed);
+  ReadDocument(reader, document);
+  reader.Finish();
+  if (!reader.Errors().empty()) {
+    return reader.Errors();
+  }
+  document.text = std::string(aText);
+  return document;
+}
+
+std::vector<Scope> UncoveredScopes(const ConfigurationDocument& aDocument)
+{
+  std::vector<Scope> scopes;
+  for (const auto& exception : aDocument.exceptions) {
+    if (exception.overrides.isolatedServing == IsolatedServing::Continue) {
+      scopes.push_back(exception.scope);
+    }
+  }
+  return scopes;
+}
+
+} // namespace toucanstand
--- a/modules/toucanstand_core/settings/SettingsReader.cpp
+++ b/modules/toucanstand_core/settings/SettingsReader.cpp
@@ -161,6 +161,30 @@
   return value->get<std::vector<std::string>>();
 }
 
+std::vector<std::int64_t> SettingsReader::WholeList(std::string_view aKey,
+                                                    std::int64_t aLowest,
+                                                    std::int64_t aHighest)
+{
+  const auto* value = this->Find(aKey, false);
+  if (value == nullptr) {
+    return {};
+  }
+  const auto isInRange = [aLowest, aHighest](const nlohmann::json& aItem) {
+    // Compares as JSON numbers: a conversion would wrap values above the signed range.
+    return aItem.is_number_integer() && aItem >= nlohmann::json(aLowest) &&
+           aItem <= nlohmann::json(aHighest);
+  };
+  if (!value->is_array() || !std::ranges::all_of(*value, isInRange)) {
+    this->RejectValue(aKey,
+                      *value,
+                      SettingsRule::IsList,
+                      "of whole numbers, " + RangeText(static_cast<double>(aLowest),
+                                                       static_cast<double>(aHighest)));
+    return {};
+  }
+  return value->get<std::vector<std::int64_t>>();
+}
+
 void SettingsReader::Object(std::string_view aKey,
                             const std::function<void(SettingsReader&)>& aRead)
 {
--- a/modules/toucanstand_core/settings/SettingsReader.h
+++ b/modules/toucanstand_core/settings/SettingsReader.h
@@ -61,6 +61,11 @@
   /// A list of strings; empty when missing.
   std::vector<std::string> TextList(std::string_view aKey);
 
+  /// A list of whole numbers in [aLowest, aHighest]; empty when missing.
+  std::vector<std::int64_t> WholeList(std::string_view aKey,
+                                      std::int64_t aLowest,
+                                      std::int64_t aHighest);
+
   /// Calls back with a reader of a nested object. Nothing is called when it is missing.
   void Object(std::string_view aKey, const std::function<void(SettingsReader&)>& aRead);
 
--- a/modules/toucanstand_membership/members/Membership.cpp
+++ b/modules/toucanstand_membership/members/Membership.cpp
@@ -12,6 +12,7 @@
 
 // Bounds the work that others can cause by ProbeRequests.
 constexpr std::size_t kMaximumOutstanding = 4096;
+constexpr std::uint64_t kFirstSequences = 1ULL << 52U;
 
 } // namespace
 
@@ -25,6 +26,9 @@
   , realNow(aNow)
   , protocolNow(aNow)
   , nextRound(aNow)
+  // A late answer to a probe of an earlier run must not match a probe of this one: it
+  // would count as contact from before the restart.
+  , lastSequence(aRandom.Below(kFirstSequences))
 {
 }
 
--- a/modules/toucanstand_membership/members/Membership.h
+++ b/modules/toucanstand_membership/members/Membership.h
@@ -141,7 +141,7 @@
   bool joined = false;
   std::vector<VmId> order;
   std::map<std::uint64_t, Outstanding> outstanding;
-  std::uint64_t lastSequence = 0;
+  std::uint64_t lastSequence;
   MembershipCounters counters;
 };
 
--- /dev/null
+++ b/tests/unit/toucanstand_configuration/TestAcceptance.cpp
@@ -0,0 +1,369 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "acceptance/Acceptance.h"
+#include "change/ConfigurationChange.h"
+#include "random/Random.h"
+#include "replica/ConfigurationReplica.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kStep = 250ms;
+
+/// Nodes, operators and a store under faults, on simulated time.
+class Simulation
+{
+public:
+  explicit Simulation(std::uint64_t aSeed)
+    : random(aSeed)
+  {
+    const auto count = 3 + this->random.Below(4);
+    this->restarts = this->Chance(0.5) ? 0.02 : 0.15;
+    this->storeReturns = this->Chance(0.5) ? 0.03 : 0.004;
+    for (std::size_t index = 0; index < count; ++index) {
+      this->vms.emplace_back("vm-" + std::to_string(index));
+      this->links.emplace_back(count, true);
+    }
+    this->nodes.resize(count);
+    this->storeLinks.assign(count, true);
+    for (std::size_t index = 0; index < count; ++index) {
+      this->Restart(index);
+    }
+  }
+
+  void Run(Duration aTime)
+  {
+    for (const auto end = this->now + aTime; this->now < end; this->now += kStep) {
+      this->InjectFaults();
+      this->Deliver();
+      for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+        if (this->nodes[index]->pausedUntil <= this->now) {
+          this->StepNode(index);
+        }
+      }
+    }
+    // Late writes settle, so that a change reported as lost can't win afterwards.
+    this->now += 1h;
+    this->Deliver();
+    for (const auto& nonce : this->lost) {
+      this->lostWon = this->lostWon || this->winners.contains(nonce);
+    }
+  }
+
+  bool staleServer = false;
+  bool reverted = false;
+  bool wrongWinner = false;
+  bool lostWon = false;
+  int accepted = 0;
+  int committed = 0;
+
+private:
+  struct Node
+  {
+    Node(const VmId& aVm, TimePoint aNow, const std::vector<VmId>& aVms)
+      : isolation(aVm, aNow)
+    {
+      this->isolation.SetQuorum({ aVms, {} });
+      this->acceptance.SetQuorum({ aVms, {} });
+    }
+
+    ConfigurationReplica replica;
+    Isolation isolation;
+    Acceptance acceptance;
+    TimePoint pausedUntil{};
+    std::int64_t highest = 0;
+  };
+  using Event = std::function<void()>;
+
+  void Restart(std::size_t aIndex)
+  {
+    this->nodes[aIndex] = std::make_shared<Node>(this->vms[aIndex], this->now, this->vms);
+  }
+
+  bool Chance(double aProbability) { return this->random.Fraction() < aProbability; }
+
+  /// Runs an event later: never, once or twice.
+  void Later(const Event& aEvent)
+  {
+    for (int copy = 0; copy < 2; ++copy) {
+      if (this->Chance(copy == 0 ? 0.9 : 0.1)) {
+        const auto limit = this->Chance(0.05) ? 12000 : 300;
+        this->events.emplace(
+          this->now + std::chrono::milliseconds(this->random.Below(limit)), aEvent);
+      }
+    }
+  }
+
+  void Deliver()
+  {
+    while (!this->events.empty() && this->events.begin()->first <= this->now) {
+      const auto event = std::move(this->events.begin()->second);
+      this->events.erase(this->events.begin());
+      event();
+    }
+  }
+
+  void InjectFaults()
+  {
+    const auto index = this->random.Below(this->nodes.size());
+    if (this->Chance(this->restarts)) {
+      this->Restart(index);
+    }
+    if (this->Chance(0.02)) {
+      this->nodes[index]->pausedUntil =
+        this->now + std::chrono::milliseconds(this->random.Below(15000));
+    }
+    if (this->Chance(0.05)) {
+      this->CutLinks();
+    }
+    if (this->Chance(this->storeUp ? 0.03 : this->storeReturns)) {
+      this->storeUp = !this->storeUp;
+    }
+    if (this->Chance(0.1)) {
+      this->StartOperator();
+    }
+  }
+
+  void CutLinks()
+  {
+    const double reachable = this->Chance(0.5) ? 0.6 : 1.0;
+    for (std::size_t from = 0; from < this->vms.size(); ++from) {
+      this->storeLinks[from] = this->Chance(0.6);
+      for (std::size_t to = 0; to < this->vms.size(); ++to) {
+        this->links[from][to] = this->Chance(reachable);
+      }
+    }
+  }
+
+  void StepNode(std::size_t aIndex)
+  {
+    auto& node = *this->nodes[aIndex];
+    if (this->Chance(0.3)) {
+      this->AskStore(aIndex);
+    }
+    this->AskPeer(aIndex, this->random.Below(this->vms.size()));
+    node.acceptance.Confirm(this->vms[aIndex], this->now, node.replica.Revision());
+    if (node.acceptance.Update(this->now) == AcceptanceState::Accepted &&
+        this->acceptedAt.emplace(node.acceptance.Revision(), this->now).second) {
+      ++this->accepted;
+    }
+    this->Check(node);
+  }
+
+  void Check(Node& aNode)
+  {
+    const auto revision = aNode.replica.Revision();
+    this->reverted = this->reverted || revision < aNode.highest;
+    aNode.highest = revision;
+    if (!aNode.isolation.MayServe(this->now)) {
+      return;
+    }
+    for (const auto& [acceptedRevision, time] : this->acceptedAt) {
+      this->staleServer = this->staleServer || (acceptedRevision > revision &&
+                                                this->now - time > kIsolationLimit);
+    }
+  }
+
+  void Adopt(Node& aNode, const std::optional<std::string>& aText)
+  {
+    if (!aText || aNode.replica.Offer(*aText, this->now) != OfferOutcome::Adopted) {
+      return;
+    }
+    aNode.isolation.SetRevision(aNode.replica.Revision());
+    aNode.acceptance.Begin(aNode.replica.Revision());
+  }
+
+  void AskStore(std::size_t aIndex)
+  {
+    if (!this->storeLinks[aIndex]) {
+      return;
+    }
+    const auto node = this->nodes[aIndex];
+    this->Later([this, node, aIndex, askedAt = this->now] {
+      if (!this->storeUp) {
+        return;
+      }
+      const auto value = this->stored;
+      const auto revision = this->storedRevision;
+      this->Later([this, node, aIndex, askedAt, value, revision] {
+        if (node == this->nodes[aIndex] && node->pausedUntil <= this->now) {
+          this->Adopt(*node, value.text);
+          node->isolation.StoreAnswered(askedAt, revision);
+        }
+      });
+    });
+  }
+
+  void AskPeer(std::size_t aFrom, std::size_t aTo)
+  {
+    if (aFrom == aTo || !this->links[aFrom][aTo]) {
+      return;
+    }
+    const auto node = this->nodes[aFrom];
+    this->Later([this, node, aFrom, aTo, askedAt = this->now] {
+      const auto& peer = *this->nodes[aTo];
+      if (peer.pausedUntil > this->now || !this->links[aTo][aFrom]) {
+        return;
+      }
+      const auto revision = peer.replica.Revision();
+      const bool synchronized = peer.isolation.IsSynchronized();
+      std::optional<std::string> text;
+      if (revision > 0) {
+        text = peer.replica.Current()->text;
+      }
+      this->Later([=, this] {
+        if (node != this->nodes[aFrom] || node->pausedUntil > this->now) {
+          return;
+        }
+        // Half of the time the value itself arrives only with a later answer.
+        if (revision > node->replica.Revision() && this->Chance(0.5)) {
+          this->Adopt(*node, text);
+        }
+        node->isolation.PeerAnswered(this->vms[aTo], askedAt, revision, synchronized);
+        node->acceptance.Confirm(this->vms[aTo], askedAt, revision);
+      });
+    });
+  }
+
+  void StartOperator()
+  {
+    const auto name = "operator-" + std::to_string(++this->operators);
+    const auto change = std::make_shared<ConfigurationChange>(ChangeRequest{
+      name,
+      name,
+      "",
+      SetDefault("/admission/long/queueLimit", std::to_string(this->random.Below(100))),
+      {} });
+    this->Perform(change, name, change->Start());
+  }
+
+  using ChangePointer = std::shared_ptr<ConfigurationChange>;
+
+  void Perform(const ChangePointer& aChange,
+               const std::string& aNonce,
+               const ChangeAction& aAction)
+  {
+    if (const auto* outcome = std::get_if<ChangeOutcome>(&aAction)) {
+      this->Finish(aNonce, *outcome);
+      return;
+    }
+    // Lost requests and lost replies look alike to the operator. A request that was given
+    // up may still take effect later.
+    const bool answered = this->storeUp && this->Chance(0.7);
+    const bool executed = answered || this->Chance(0.5);
+    const bool late = !answered && this->Chance(0.5);
+    const auto wait = std::chrono::milliseconds(this->random.Below(500));
+    if (const auto* swap = std::get_if<SwapConfiguration>(&aAction)) {
+      const auto at = this->now + (late ? wait + 2s : wait);
+      if (executed && !answered) {
+        this->events.emplace(at, [this, swap = *swap] { this->Write(swap); });
+      }
+      this->events.emplace(this->now + wait, [=, this, swap = *swap] {
+        this->Perform(aChange,
+                      aNonce,
+                      answered ? aChange->OnSwapped(this->Write(swap))
+                               : aChange->OnSwapUnanswered());
+      });
+      return;
+    }
+    this->events.emplace(this->now + wait, [=, this] {
+      this->Perform(aChange,
+                    aNonce,
+                    answered ? aChange->OnRead(this->stored) : aChange->OnReadFailed());
+    });
+  }
+
+  bool Write(const SwapConfiguration& aSwap)
+  {
+    if (aSwap.modRevision != this->stored.modRevision) {
+      return false;
+    }
+    const auto document = ParseConfiguration(aSwap.text);
+    this->wrongWinner =
+      this->wrongWinner || document->revision != this->storedRevision + 1;
+    this->stored = { aSwap.text, this->stored.modRevision + 1 };
+    this->storedRevision = document->revision;
+    this->winners.emplace(document->nonce, document->revision);
+    return true;
+  }
+
+  void Finish(const std::string& aNonce, const ChangeOutcome& aOutcome)
+  {
+    if (aOutcome.result == ChangeResult::Committed) {
+      ++this->committed;
+      this->wrongWinner = this->wrongWinner || !this->winners.contains(aNonce) ||
+                          this->winners.at(aNonce) != aOutcome.revision;
+    } else if (aOutcome.result != ChangeResult::Undetermined) {
+      this->lost.insert(aNonce);
+    }
+  }
+
+  Random random;
+  /// Chances per step. Many restarts during a long outage of the store leave the quorums
+  /// to the nodes alone.
+  double restarts = 0.02;
+  double storeReturns = 0.03;
+  TimePoint now{ 1h };
+  std::vector<VmId> vms;
+  std::vector<std::shared_ptr<Node>> nodes;
+  std::vector<std::vector<bool>> links;
+  std::vector<bool> storeLinks;
+  bool storeUp = true;
+  StoredConfiguration stored;
+  std::int64_t storedRevision = 0;
+  std::multimap<TimePoint, Event> events;
+  std::map<std::string, std::int64_t> winners;
+  std::set<std::string> lost;
+  std::map<std::int64_t, TimePoint> acceptedAt;
+  int operators = 0;
+};
+
+} // namespace
+
+TEST_CASE("No node that may serve misses an accepted change, whatever fails",
+          "[acceptance]")
+{
+  // Guards against quorums that don't intersect (late answers, votes from before a
+  // restart), against reverting, and against two winners of one revision.
+  int accepted = 0;
+  int committed = 0;
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    INFO("seed " << seed);
+    Simulation simulation(seed);
+    simulation.Run(60s);
+    REQUIRE_FALSE(simulation.staleServer);
+    REQUIRE_FALSE(simulation.reverted);
+    REQUIRE_FALSE(simulation.wrongWinner);
+    REQUIRE_FALSE(simulation.lostWon);
+    accepted += simulation.accepted;
+    committed += simulation.committed;
+  }
+  // The runs must reach the states that they are about.
+  CHECK(accepted > 2000);
+  CHECK(committed > 2000);
+}
+
+TEST_CASE("A change stays pending until a majority confirms within the window",
+          "[acceptance]")
+{
+  const TimePoint start{ 1h };
+  const std::vector<VmId> vms = { VmId("a"), VmId("b"), VmId("c") };
+  Acceptance acceptance;
+  acceptance.SetQuorum({ vms, {} });
+  acceptance.Begin(3);
+  acceptance.Confirm(VmId("a"), start, 3);
+  acceptance.Confirm(VmId("b"), start, 2);
+  acceptance.Confirm(VmId("other"), start, 3);
+  CHECK(acceptance.Update(start) == AcceptanceState::Pending);
+  acceptance.Confirm(VmId("b"), start + 9s, 3);
+  CHECK(acceptance.Update(start + 9s) == AcceptanceState::Pending);
+  acceptance.Confirm(VmId("c"), start + 9s, 4);
+  CHECK(acceptance.Update(start + 9s) == AcceptanceState::Accepted);
+  CHECK(acceptance.Missing(start + 9s) == std::vector<VmId>{ VmId("a") });
+}
