--- /dev/null
+++ b/modules/toucanstand_delivery/crashes/SuspectMessages.cpp
@@ -0,0 +1,130 @@
+#include "crashes/SuspectMessages.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+#include "settings/SettingsReader.h"
+
+namespace toucanstand {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::array<const char*, 4> kGrantNames = { "granted",
+                                                     "wait",
+                                                     "quarantined",
+                                                     "clear" };
+
+/// The delta under "known"; nothing when it is missing or malformed.
+std::optional<SuspectDelta> ReadKnown(const json& aBody)
+{
+  if (!aBody.is_object() || !aBody.contains("known")) {
+    return std::nullopt;
+  }
+  return SuspectDeltaFromJson(aBody.at("known"));
+}
+
+/// The other fields, without "known".
+json WithoutKnown(json aBody)
+{
+  aBody.erase("known");
+  return aBody;
+}
+
+} // namespace
+
+json ToJson(const RunAskMessage& aMessage)
+{
+  return { { "request", aMessage.request.Value() },
+           { "known", ToJson(aMessage.known) },
+           { "server", aMessage.server.Value() },
+           { "longest_ms", ToMilliseconds(aMessage.longest).count() } };
+}
+
+json ToJson(const RunEndedMessage& aMessage)
+{
+  return { { "request", aMessage.request.Value() }, { "known", ToJson(aMessage.known) } };
+}
+
+std::optional<RunAskMessage> RunAskFromJson(const json& aBody)
+{
+  auto known = ReadKnown(aBody);
+  if (!known) {
+    return std::nullopt;
+  }
+  const json fields = WithoutKnown(aBody);
+  SettingsReader reader(fields);
+  RunAskMessage message;
+  message.request = RequestId(reader.Text("request"));
+  message.server = ServerId(reader.Text("server"));
+  message.longest =
+    reader.Milliseconds("longest_ms", Duration::zero(), std::chrono::hours(24));
+  message.known = std::move(*known);
+  reader.Finish();
+  return reader.Errors().empty() ? std::optional(message) : std::nullopt;
+}
+
+std::optional<RunEndedMessage> RunEndedFromJson(const json& aBody)
+{
+  auto known = ReadKnown(aBody);
+  if (!known) {
+    return std::nullopt;
+  }
+  const json fields = WithoutKnown(aBody);
+  SettingsReader reader(fields);
+  RunEndedMessage message;
+  message.request = RequestId(reader.Text("request"));
+  message.known = std::move(*known);
+  reader.Finish();
+  return reader.Errors().empty() ? std::optional(message) : std::nullopt;
+}
+
+json ToJson(RunGrant aGrant)
+{
+  return { { "grant", kGrantNames.at(static_cast<std::size_t>(aGrant)) } };
+}
+
+std::optional<RunGrant> RunGrantFromJson(const json& aBody)
+{
+  if (!aBody.is_object() || !aBody.contains("grant")) {
+    return std::nullopt;
+  }
+  const auto& grant = aBody.at("grant");
+  const auto found = std::ranges::find_if(
+    kGrantNames, [&grant](const char* aName) { return grant == aName; });
+  if (found == kGrantNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<RunGrant>(found - kGrantNames.begin());
+}
+
+json SuspectsToJson(const std::vector<SuspectDelta>& aDeltas)
+{
+  json deltas = json::array();
+  const auto count = std::min(aDeltas.size(), kMaximumDeltas);
+  std::transform(aDeltas.begin(),
+                 aDeltas.begin() + static_cast<std::ptrdiff_t>(count),
+                 std::back_inserter(deltas),
+                 [](const SuspectDelta& aDelta) { return ToJson(aDelta); });
+  return { { "deltas", std::move(deltas) } };
+}
+
+std::vector<SuspectDelta> SuspectsFromJson(const json& aBody)
+{
+  std::vector<SuspectDelta> deltas;
+  if (!aBody.is_object() || !aBody.contains("deltas") || !aBody.at("deltas").is_array() ||
+      aBody.at("deltas").size() > kMaximumDeltas) {
+    return deltas;
+  }
+  for (const auto& item : aBody.at("deltas")) {
+    if (auto delta = SuspectDeltaFromJson(item)) {
+      deltas.push_back(std::move(*delta));
+    }
+  }
+  return deltas;
+}
+
+} // namespace toucanstand
--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -0,0 +1,3 @@
+toucanstand_program(toucanstand-entry programs toucanstand_routing toucanstand_admission
+                    toucanstand_delivery toucanstand_configuration toucanstand_ledger
+                    toucanstand_transport)
--- /dev/null
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -0,0 +1,339 @@
+#include "BackendCall.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "crashes/HomeServers.h"
+
+namespace toucanstand {
+
+namespace {
+
+/// When a caller should come back that found no server: about the time after which a
+/// repaired group gets its permission.
+constexpr Duration kNoServerRetryAfter = std::chrono::seconds(1);
+/// Between two questions to the arbiter.
+constexpr Duration kAskPause = std::chrono::milliseconds(50);
+
+/// What an attempt's failure says about the candidate, in the order of AttemptFailure.
+constexpr std::array kEnds = {
+  AttemptEnd::ConnectFailed, // ConnectRefused
+  AttemptEnd::ConnectFailed, // ConnectTimedOut
+  AttemptEnd::Broken,        // SendBroken
+  AttemptEnd::Slow,          // NoAnswerBeforeDeadline
+  AttemptEnd::Broken,        // BrokenBeforeHead
+  AttemptEnd::Broken,        // BrokenInBody
+  AttemptEnd::Abandoned,     // SilentConnection: the server is not to blame
+  AttemptEnd::Refused,       // RefusedAsNotRun
+  AttemptEnd::Broken,        // ServerError
+  AttemptEnd::Abandoned,     // CallerLeft
+};
+
+AttemptFailure WithoutBlame(HttpFailure aFailure)
+{
+  switch (aFailure) {
+    case HttpFailure::ConnectRefused:
+      return AttemptFailure::ConnectRefused;
+    case HttpFailure::ConnectTimedOut:
+      return AttemptFailure::ConnectTimedOut;
+    case HttpFailure::SendBroken:
+      return AttemptFailure::SendBroken;
+    case HttpFailure::BrokenBeforeHead:
+    case HttpFailure::HeadTimedOut:
+      return AttemptFailure::BrokenBeforeHead;
+    default:
+      return AttemptFailure::BrokenInBody;
+  }
+}
+
+} // namespace
+
+BackendCall::BackendCall(EntryContext& aContext, CallState& aState)
+  : context(aContext)
+  , state(aState)
+  , tracker(aState.request.contract.repeatability,
+            aState.request.account.id,
+            aState.request.contract.pool,
+            aState.request.deadline,
+            aContext.budget)
+{
+}
+
+Task<CallEnd> BackendCall::Run()
+{
+  while (true) {
+    auto choice = co_await this->Choose();
+    if (auto* end = std::get_if<CallEnd>(&choice)) {
+      co_return std::move(*end);
+    }
+    const Candidate candidate = std::get<Candidate>(choice);
+    const auto sentAt = BootClock::now();
+    const auto number = this->tracker.OnAttemptStarted(candidate.id);
+    this->context.metrics.Count(number == 1 ? "attempts_first_total"
+                                            : "attempts_retry_total");
+    this->context.RouterFor(candidate.pool).OnSent(candidate.id, sentAt);
+    this->context.quarantine.OnSent(
+      this->state.request.id, this->state.request.fingerprint, candidate.server);
+    this->state.sent = true;
+    this->serverCrashed = false;
+
+    auto result = co_await this->Attempt(candidate, number);
+    if (auto* end = std::get_if<CallEnd>(&result)) {
+      this->NoteEnd(candidate, std::nullopt, sentAt);
+      co_return std::move(*end);
+    }
+    const auto failure = std::get<AttemptFailure>(result);
+    this->NoteEnd(candidate, failure, sentAt);
+    this->context.metrics.Count(std::string("attempt_failures_total{reason=\"") +
+                                Name(failure) + "\"}");
+    const auto step = this->tracker.OnFailure(failure, candidate.id, BootClock::now());
+    if (step.kind == StepKind::GiveUp) {
+      co_return this->GiveUp(step, failure);
+    }
+  }
+}
+
+Task<AttemptFailure> BackendCall::Judge(HttpFailure aFailure, const Candidate& aCandidate)
+{
+  auto& quarantine = this->context.quarantine;
+  if (aFailure == HttpFailure::Cancelled) {
+    co_return this->state.cancelReason == CancelReason::DeadlinePassed
+      ? AttemptFailure::NoAnswerBeforeDeadline
+      : AttemptFailure::CallerLeft;
+  }
+  if (NothingWasSent(aFailure)) {
+    quarantine.OnServerLost(aCandidate.server, BootClock::now());
+    co_return WithoutBlame(aFailure);
+  }
+  const bool wasSilent =
+    aFailure == HttpFailure::HeadTimedOut || aFailure == HttpFailure::BodyTimedOut;
+  const bool serverAnswers = co_await this->ProbeServer(aCandidate.endpoint);
+  if (serverAnswers) {
+    this->context.client.DropIdle(aCandidate.endpoint);
+    co_return wasSilent ? AttemptFailure::SilentConnection : WithoutBlame(aFailure);
+  }
+  if (!wasSilent) {
+    this->serverCrashed = true;
+    quarantine.OnServerCrashed(aCandidate.server, BootClock::now());
+    this->context.suspects.Publish(quarantine, BootClock::now());
+  }
+  co_return WithoutBlame(aFailure);
+}
+
+bool BackendCall::StatesNotRun(int aStatus, const HttpHeaders& aHeaders) const
+{
+  const auto& statuses = this->state.request.contract.notRunStatuses;
+  return aHeaders.Find("Not-Run") == "true" ||
+         std::ranges::find(statuses, aStatus) != statuses.end();
+}
+
+HttpDeadlines BackendCall::Deadlines() const
+{
+  HttpDeadlines deadlines;
+  deadlines.connect = this->context.settings.connectTimeout;
+  deadlines.head = this->context.settings.progress.first;
+  deadlines.progress = this->context.settings.progress.between;
+  return deadlines;
+}
+
+ConnectionUse BackendCall::Connections() const
+{
+  return this->state.request.contract.repeatability == Repeatability::OnlyOnce
+           ? ConnectionUse::Fresh
+           : ConnectionUse::MayReuse;
+}
+
+Task<std::variant<Candidate, CallEnd>> BackendCall::Choose()
+{
+  while (this->state.cancelReason == CancelReason::None) {
+    const auto now = BootClock::now();
+    const auto& request = this->state.request;
+    std::vector<ServerId> servers;
+    for (const auto* candidate :
+         this->context.UsableCandidates(request.contract.pool, now)) {
+      servers.push_back(candidate->server);
+    }
+    if (!request.isChat) {
+      co_return this->ChooseAmong(servers, now);
+    }
+    const auto placement =
+      this->context.quarantine.Place(request.fingerprint, servers, now);
+    switch (placement.kind) {
+      case PlacementKind::Run:
+        co_return this->ChooseAmong(placement.servers, now);
+      case PlacementKind::RunAlone:
+        if (this->granted == placement.servers.front()) {
+          co_return this->ChooseAmong(placement.servers, now);
+        }
+        if (auto end = co_await this->AskToRunAlone(placement.servers.front())) {
+          co_return std::move(*end);
+        }
+        break;
+      case PlacementKind::Wait:
+        co_await this->Pause(placement.until - now);
+        break;
+      case PlacementKind::Reject:
+        co_return this->NoServer();
+    }
+  }
+  co_return this->GiveUp(NextStep{}, AttemptFailure::CallerLeft);
+}
+
+Task<std::optional<CallEnd>> BackendCall::AskToRunAlone(const ServerId& aServer)
+{
+  const auto& request = this->state.request;
+  const auto now = BootClock::now();
+  const auto known = this->context.quarantine.DeltaFor(request.fingerprint, now);
+  const Endpoint arbiter = this->ArbiterEndpoint();
+  const auto grant = co_await this->context.suspects.Ask(
+    request.id, known, aServer, request.deadline - now, arbiter);
+  switch (grant) {
+    case RunGrant::Granted:
+      this->granted = aServer;
+      break;
+    case RunGrant::Quarantined:
+      co_return this->NoServer();
+    case RunGrant::Wait:
+    case RunGrant::Clear:
+      co_await this->Pause(kAskPause);
+      break;
+  }
+  co_return std::nullopt;
+}
+
+Task<> BackendCall::Pause(Duration aDuration)
+{
+  boost::asio::steady_timer timer(this->context.loop);
+  timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+    std::max(aDuration, Duration(std::chrono::milliseconds(1)))));
+  this->state.cancel.Arm([&timer] { timer.cancel(); });
+  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  this->state.cancel.Disarm();
+}
+
+Task<bool> BackendCall::ProbeServer(const Endpoint& aEndpoint)
+{
+  HttpRequest request;
+  request.target = "/state";
+  HttpDeadlines deadlines;
+  deadlines.connect = this->context.settings.progress.probe;
+  deadlines.head = this->context.settings.progress.probe;
+  deadlines.progress = this->context.settings.progress.probe;
+  CancelSwitch never;
+  this->context.metrics.Count("probes_total");
+  auto opened = co_await this->context.client.Open(
+    aEndpoint, std::move(request), deadlines, ConnectionUse::Fresh, never);
+  co_return opened && (*opened)->Status() == 200;
+}
+
+std::variant<Candidate, CallEnd> BackendCall::ChooseAmong(
+  const std::vector<ServerId>& aServers,
+  TimePoint aNow)
+{
+  const auto& request = this->state.request;
+  RouteQuery query;
+  query.pool = request.contract.pool;
+  query.workClass = request.workClass;
+  query.prefix = request.prefix;
+  query.excluded = this->tracker.Tried();
+  for (const auto* candidate :
+       this->context.UsableCandidates(request.contract.pool, aNow)) {
+    if (std::ranges::find(aServers, candidate->server) == aServers.end()) {
+      query.excluded.push_back(candidate->id);
+    }
+  }
+  auto chosen = this->context.RouterFor(request.contract.pool).Choose(query, aNow);
+  if (!chosen) {
+    this->context.metrics.Count(std::string("route_refusals_total{reason=\"") +
+                                Name(chosen.LastReason()) + "\"}");
+    return this->NoServer();
+  }
+  return std::move(*chosen);
+}
+
+void BackendCall::NoteEnd(const Candidate& aCandidate,
+                          const std::optional<AttemptFailure>& aFailure,
+                          TimePoint aSentAt)
+{
+  const auto now = BootClock::now();
+  const auto& request = this->state.request;
+  const auto end =
+    aFailure ? kEnds.at(static_cast<std::size_t>(*aFailure)) : AttemptEnd::Answered;
+  this->context.RouterFor(aCandidate.pool)
+    .OnFinished(aCandidate.id, end, now - aSentAt, now, request.workClass);
+  if (!this->serverCrashed) {
+    const bool survived = !aFailure || *aFailure == AttemptFailure::RefusedAsNotRun ||
+                          *aFailure == AttemptFailure::ServerError;
+    this->context.quarantine.OnEnded(
+      request.id, survived ? RunEnd::Survived : RunEnd::Abandoned, now);
+  }
+  if (this->granted) {
+    this->context.suspects.ReportRunEnded(
+      request.id,
+      this->context.quarantine.DeltaFor(request.fingerprint, now),
+      this->ArbiterEndpoint());
+    this->granted.reset();
+  }
+  this->context.suspects.Publish(this->context.quarantine, now);
+}
+
+CallEnd BackendCall::GiveUp(const NextStep& aStep, AttemptFailure aFailure) const
+{
+  if (this->state.cancelReason == CancelReason::CallerLeft) {
+    return MakeError(this->tracker.Outcome(), 499, "caller_left", "the caller left");
+  }
+  if (this->state.cancelReason == CancelReason::DeadlinePassed ||
+      aStep.reason == GiveUpReason::DeadlinePassed) {
+    return MakeError(
+      this->tracker.Outcome(), 504, "deadline_passed", "no answer before the deadline");
+  }
+  if (aStep.outcome == CallOutcome::NotRun) {
+    return MakeError(CallOutcome::NotRun,
+                     503,
+                     Name(aFailure),
+                     "the backend servers did not take the request",
+                     kNoServerRetryAfter);
+  }
+  return MakeError(aStep.outcome, 502, Name(aFailure), "the backend server failed");
+}
+
+CallEnd BackendCall::NoServer() const
+{
+  const auto& request = this->state.request;
+  const auto outcome = this->tracker.Outcome();
+  const auto level =
+    this->context.quarantine.Level(request.fingerprint, BootClock::now());
+  if (level == SuspicionLevel::Quarantined) {
+    return MakeError(
+      outcome, 422, "quarantined", "backend servers crashed while they ran this request");
+  }
+  if (outcome == CallOutcome::NotRun) {
+    return MakeError(outcome,
+                     503,
+                     "no_server",
+                     "no backend server can take the request now",
+                     kNoServerRetryAfter);
+  }
+  return MakeError(outcome, 502, "no_server", "no other backend server can take over");
+}
+
+Endpoint BackendCall::ArbiterEndpoint() const
+{
+  std::vector<VmId> vms;
+  std::ranges::transform(this->context.view.liveEntryVms,
+                         std::back_inserter(vms),
+                         [](const Vm& aVm) { return aVm.id; });
+  const auto arbiter = ArbiterVm(vms);
+  const auto found =
+    std::ranges::find(this->context.view.liveEntryVms, arbiter, [](const Vm& aVm) {
+      return aVm.id;
+    });
+  return found == this->context.view.liveEntryVms.end() ? this->context.settings.node
+                                                        : found->nodeEndpoint;
+}
+
+} // namespace toucanstand
