Bound the servers lost to one crashing request and test it over a fleet

Cause: quarantine after two crashes is not enough. Copies of a request that reach several entry VMs before the first crash is reported crash one server each.

Change: CrashQuarantine::Place() combines three rules: a fingerprint runs only on its two home servers (rendezvous hashing), a request whose home server was just lost waits 300 ms for the reports of other entry VMs, a suspect runs alone with a grant of one arbiter.

--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -142,6 +142,31 @@
   });
 }
 
+Placement CrashQuarantine::Place(std::uint64_t aFingerprint,
+                                 const std::vector<ServerId>& aServers,
+                                 TimePoint aNow) const
+{
+  const SuspicionLevel level = this->Level(aFingerprint, aNow);
+  if (level == SuspicionLevel::Quarantined) {
+    return { PlacementKind::Reject, {}, {} };
+  }
+  // A suspect waits as well: until the other reports have arrived, a copy that another
+  // entry VM sent earlier may still be about to crash the suspect's second home server.
+  const auto homes = HomeServers(aFingerprint, aServers);
+  const TimePoint hold = this->HoldUntil(homes);
+  if (hold > aNow) {
+    return { PlacementKind::Wait, {}, hold };
+  }
+  if (level == SuspicionLevel::Clear && !homes.empty()) {
+    return { PlacementKind::Run, homes, {} };
+  }
+  const auto server = this->TrialServer(aFingerprint, aServers);
+  if (!server || !this->MayRunOn(aFingerprint, *server, aNow)) {
+    return { PlacementKind::Wait, {}, aNow + kWaitStep };
+  }
+  return { PlacementKind::RunAlone, { *server }, {} };
+}
+
 std::optional<ServerId> CrashQuarantine::TrialServer(
   std::uint64_t aFingerprint,
   const std::vector<ServerId>& aServers) const
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.h
@@ -38,6 +38,27 @@
   Abandoned,
 };
 
+/// Where a request may run now.
+enum class PlacementKind
+{
+  /// On any of the servers.
+  Run,
+  /// Only on the first server, and only with a grant of the SuspectArbiter.
+  RunAlone,
+  /// Nowhere before the time given; ask again then.
+  Wait,
+  /// Nowhere: answer the caller now.
+  Reject,
+};
+
+/// Decision of CrashQuarantine::Place().
+struct Placement
+{
+  PlacementKind kind = PlacementKind::Reject;
+  std::vector<ServerId> servers;
+  TimePoint until{};
+};
+
 /// A request that was in flight on a crashed server.
 struct Suspect
 {
@@ -62,6 +83,8 @@
   static constexpr Duration kAbandonedTail = std::chrono::seconds(2);
   /// Time in which the other entry VMs' reports of a crash arrive.
   static constexpr Duration kReportDelay = std::chrono::milliseconds(300);
+  /// Time between two looks at whether another suspect has ended.
+  static constexpr Duration kWaitStep = std::chrono::milliseconds(20);
   /// A lost server counts as newly lost again after this.
   static constexpr Duration kLostMemory = std::chrono::seconds(10);
   static constexpr std::size_t kMaximumFingerprints = 10'000;
@@ -97,6 +120,16 @@
                               const ServerId& aServer,
                               TimePoint aNow) const;
 
+  /// Where a request may run now: combines the rules below. Call it before each attempt,
+  /// and again when a grant arrives.
+  ///
+  /// @param aServers the usable servers of the pool, including those that refused a
+  /// connection but are still in the snapshot; otherwise the home servers would change
+  /// before the reports have arrived.
+  [[nodiscard]] Placement Place(std::uint64_t aFingerprint,
+                                const std::vector<ServerId>& aServers,
+                                TimePoint aNow) const;
+
   /// The server on which a suspect runs alone: of its home servers the first that did not
   /// crash with it. Nothing when there is none.
   [[nodiscard]] std::optional<ServerId> TrialServer(
--- /dev/null
+++ b/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
@@ -0,0 +1,345 @@
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "crashes/CrashQuarantine.h"
+#include "crashes/HomeServers.h"
+#include "crashes/SuspectArbiter.h"
+#include "random/Random.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kPoison = 666;
+
+/// Entry VMs in front of servers, with message delays. One request crashes every server
+/// that runs it and is sent again and again at all entry VMs, also at the same moment.
+class Fleet
+{
+public:
+  static constexpr std::size_t kEntries = 6;
+  static constexpr std::size_t kServers = 12;
+  static constexpr std::size_t kInnocent = 80;
+
+  Fleet(std::uint64_t aSeed, Duration aLongestMessage)
+    : random(aSeed)
+    , longestMessage(aLongestMessage)
+    , entries(kEntries)
+    , arbiter(this->entries.front())
+  {
+    for (std::size_t index = 0; index < kServers; ++index) {
+      this->servers.emplace_back("server-" + std::to_string(index));
+    }
+    this->visible.assign(kEntries, this->servers);
+  }
+
+  void Run()
+  {
+    const Duration burst = this->Between(0ms, 1s);
+    for (std::size_t index = 0; index < 40; ++index) {
+      const bool inBurst = index < 20;
+      const Duration start =
+        inBurst ? burst + this->Between(0ms, 5ms) : this->Between(0ms, 8s);
+      this->Arrive("poison-" + std::to_string(index), kPoison, start);
+    }
+    for (std::size_t index = 0; index < kInnocent; ++index) {
+      this->Arrive(
+        "innocent-" + std::to_string(index), 1000 + index, this->Between(0ms, 3s));
+    }
+    while (!this->events.empty() && this->now < TimePoint{} + 60s) {
+      auto event = this->events.extract(this->events.begin());
+      this->now = event.key();
+      event.mapped()();
+    }
+  }
+
+  [[nodiscard]] std::size_t LostServers() const { return this->dead.size(); }
+  [[nodiscard]] std::size_t Answered() const { return this->answered; }
+  [[nodiscard]] std::size_t Rejected() const { return this->rejected; }
+
+private:
+  struct Request
+  {
+    RequestId id;
+    std::uint64_t fingerprint = 0;
+    std::size_t entry = 0;
+    ServerId server;
+    bool running = false;
+  };
+  using RequestPointer = std::shared_ptr<Request>;
+
+  Duration Between(Duration aLow, Duration aHigh)
+  {
+    return aLow + Duration(this->random.Below((aHigh - aLow).count() + 1));
+  }
+  void After(Duration aDelay, std::function<void()> aWork)
+  {
+    this->events.emplace(this->now + aDelay, std::move(aWork));
+  }
+  void AfterMessage(std::function<void()> aWork)
+  {
+    this->After(this->Between(1ms, this->longestMessage), std::move(aWork));
+  }
+
+  void Arrive(const std::string& aName, std::uint64_t aFingerprint, Duration aStart)
+  {
+    auto request = std::make_shared<Request>(
+      Request{ RequestId(aName), aFingerprint, this->random.Below(kEntries), {}, false });
+    this->After(aStart, [this, request] { this->Try(request); });
+  }
+
+  void Try(const RequestPointer& aRequest)
+  {
+    auto& entry = this->entries[aRequest->entry];
+    const auto placement =
+      entry.Place(aRequest->fingerprint, this->visible[aRequest->entry], this->now);
+    if (placement.kind == PlacementKind::Reject) {
+      this->rejected += aRequest->fingerprint == kPoison ? 0 : 1;
+    } else if (placement.kind == PlacementKind::Wait) {
+      this->After(placement.until - this->now, [this, aRequest] { this->Try(aRequest); });
+    } else if (placement.kind == PlacementKind::RunAlone) {
+      this->AskToRun(aRequest, placement.servers.front());
+    } else {
+      this->Send(aRequest,
+                 placement.servers[this->random.Below(placement.servers.size())]);
+    }
+  }
+
+  void AskToRun(const RequestPointer& aRequest, const ServerId& aServer)
+  {
+    auto known =
+      this->entries[aRequest->entry].DeltaFor(aRequest->fingerprint, this->now);
+    this->AfterMessage([this, aRequest, aServer, known] {
+      const auto grant =
+        this->arbiter.OnAsk(aRequest->id, known, aServer, 30s, this->now);
+      const auto learned = this->entries[0].DeltaFor(aRequest->fingerprint, this->now);
+      this->AfterMessage([this, aRequest, aServer, grant, learned] {
+        auto& entry = this->entries[aRequest->entry];
+        entry.Merge(learned, this->now);
+        if (grant == RunGrant::Granted &&
+            entry.MayRunOn(aRequest->fingerprint, aServer, this->now)) {
+          this->Send(aRequest, aServer);
+          return;
+        }
+        if (grant == RunGrant::Granted) {
+          this->ReportEnd(aRequest);
+        }
+        this->After(20ms, [this, aRequest] { this->Try(aRequest); });
+      });
+    });
+  }
+
+  void Send(const RequestPointer& aRequest, const ServerId& aServer)
+  {
+    auto& entry = this->entries[aRequest->entry];
+    if (this->dead.contains(aServer)) {
+      entry.OnServerLost(aServer, this->now);
+      this->ReportEnd(aRequest);
+      this->After(5ms, [this, aRequest] { this->Try(aRequest); });
+      return;
+    }
+    entry.OnSent(aRequest->id, aRequest->fingerprint, aServer);
+    aRequest->server = aServer;
+    aRequest->running = true;
+    this->inFlight.push_back(aRequest);
+    const bool poison = aRequest->fingerprint == kPoison;
+    const Duration time = poison ? this->Between(1ms, 60ms) : this->Between(50ms, 900ms);
+    this->After(time, [this, aRequest, aServer, poison] {
+      if (!aRequest->running || aRequest->server != aServer) {
+        return;
+      }
+      poison ? this->Crash(aServer) : this->Finish(aRequest);
+    });
+    if (poison && this->random.Below(3) == 0) {
+      // Its caller leaves; the server goes on working on it for a moment.
+      this->After(10ms, [this, aRequest] {
+        this->entries[aRequest->entry].OnEnded(
+          aRequest->id, RunEnd::Abandoned, this->now);
+      });
+    }
+  }
+
+  void Finish(const RequestPointer& aRequest)
+  {
+    aRequest->running = false;
+    ++this->answered;
+    this->entries[aRequest->entry].OnEnded(aRequest->id, RunEnd::Survived, this->now);
+    this->ReportEnd(aRequest);
+  }
+
+  void Crash(const ServerId& aServer)
+  {
+    if (!this->dead.insert(aServer).second) {
+      return;
+    }
+    for (auto& request : this->inFlight) {
+      request->running = request->running && request->server != aServer;
+    }
+    for (std::size_t index = 0; index < kEntries; ++index) {
+      this->After(this->Between(1ms, 40ms),
+                  [this, index, aServer] { this->NoticeCrash(index, aServer); });
+      this->After(this->Between(500ms, 2s),
+                  [this, index, aServer] { std::erase(this->visible[index], aServer); });
+    }
+  }
+
+  void NoticeCrash(std::size_t aEntry, const ServerId& aServer)
+  {
+    const auto suspects = this->entries[aEntry].OnServerCrashed(aServer, this->now);
+    for (const auto& delta : this->entries[aEntry].TakeDeltas(this->now)) {
+      for (std::size_t peer = 0; peer < kEntries; ++peer) {
+        this->AfterMessage(
+          [this, peer, delta] { this->entries[peer].Merge(delta, this->now); });
+      }
+    }
+    for (const auto& suspect : suspects) {
+      for (const auto& request : this->inFlight) {
+        if (request->id == suspect.request) {
+          this->ReportEnd(request);
+          this->After(1ms, [this, request] { this->Try(request); });
+          break;
+        }
+      }
+    }
+  }
+
+  void ReportEnd(const RequestPointer& aRequest)
+  {
+    const auto known =
+      this->entries[aRequest->entry].DeltaFor(aRequest->fingerprint, this->now);
+    this->AfterMessage([this, aRequest, known] {
+      this->arbiter.OnRunEnded(aRequest->id, known, this->now);
+    });
+  }
+
+  Random random;
+  Duration longestMessage;
+  TimePoint now{};
+  std::deque<CrashQuarantine> entries;
+  SuspectArbiter arbiter;
+  std::vector<ServerId> servers;
+  /// Servers in the snapshot of each entry VM.
+  std::vector<std::vector<ServerId>> visible;
+  std::set<ServerId> dead;
+  std::vector<RequestPointer> inFlight;
+  std::multimap<TimePoint, std::function<void()>> events;
+  std::size_t answered = 0;
+  std::size_t rejected = 0;
+};
+
+} // namespace
+
+TEST_CASE("A request that crashes every server costs two servers in the whole fleet",
+          "[crashes]")
+{
+  // Guards against losing a server per entry VM (R24, R67), and against giving up
+  // requests that were merely in flight on the same servers.
+  for (std::uint64_t seed = 1; seed <= 1500; ++seed) {
+    INFO("seed " << seed);
+    Fleet fleet(seed, 200ms);
+    fleet.Run();
+    REQUIRE(fleet.LostServers() <= 2);
+    REQUIRE(fleet.LostServers() >= 1);
+    REQUIRE(fleet.Rejected() == 0);
+    REQUIRE(fleet.Answered() == Fleet::kInnocent);
+  }
+}
+
+TEST_CASE("A caller that leaves before the crash doesn't hide its request", "[crashes]")
+{
+  // Guards against losing a server for each retry of an impatient caller.
+  CrashQuarantine quarantine;
+  const TimePoint start{};
+  quarantine.OnSent(RequestId("r"), kPoison, ServerId("a"));
+  quarantine.OnEnded(RequestId("r"), RunEnd::Abandoned, start);
+  CHECK(quarantine.OnServerCrashed(ServerId("a"), start + 1s).empty());
+  CHECK(quarantine.Level(kPoison, start + 1s) == SuspicionLevel::RunAlone);
+
+  quarantine.OnSent(RequestId("later"), 5, ServerId("b"));
+  quarantine.OnEnded(RequestId("later"), RunEnd::Abandoned, start);
+  CHECK(quarantine.OnServerCrashed(ServerId("b"), start + 3s).empty());
+  CHECK(quarantine.Level(5, start + 3s) == SuspicionLevel::Clear);
+}
+
+TEST_CASE("Reports of one crash count once, of a later crash of the server again",
+          "[crashes]")
+{
+  // Guards against quarantining an innocent request because two entry VMs saw one crash,
+  // and against missing a second crash of a server that was restarted.
+  CrashQuarantine first;
+  CrashQuarantine second;
+  const TimePoint now{};
+  first.OnSent(RequestId("r1"), 7, ServerId("a"));
+  second.OnSent(RequestId("r2"), 7, ServerId("a"));
+  first.OnServerCrashed(ServerId("a"), now);
+  second.OnServerCrashed(ServerId("a"), now);
+  for (const auto& delta : second.TakeDeltas(now)) {
+    const auto received = SuspectDeltaFromJson(ToJson(delta));
+    REQUIRE(received == delta);
+    CHECK_FALSE(first.Merge(*received, now));
+  }
+  CHECK(first.Level(7, now) == SuspicionLevel::RunAlone);
+  first.OnSent(RequestId("r3"), 7, ServerId("a"));
+  const auto suspects = first.OnServerCrashed(ServerId("a"), now + 1s);
+  REQUIRE(suspects.size() == 1);
+  CHECK(suspects.front().level == SuspicionLevel::Quarantined);
+}
+
+TEST_CASE("A quarantine ends after its lifetime although nodes exchange it", "[crashes]")
+{
+  // Guards against nodes extending a lifetime without end by passing it to and fro.
+  CrashQuarantine left;
+  CrashQuarantine right;
+  TimePoint now{};
+  for (const char* server : { "a", "b" }) {
+    left.OnSent(RequestId(server), 7, ServerId(server));
+    left.OnServerCrashed(ServerId(server), now);
+  }
+  for (; now < TimePoint{} + CrashQuarantine::kLifetime + 2s; now += 100ms) {
+    for (auto* pair : { &left, &right }) {
+      auto& other = pair == &left ? right : left;
+      for (const auto& delta : pair->AllDeltas(now)) {
+        other.Merge(delta, now + 50ms);
+      }
+      pair->OnTime(now);
+    }
+  }
+  CHECK(left.Level(7, now) == SuspicionLevel::Clear);
+  CHECK(right.Level(7, now) == SuspicionLevel::Clear);
+}
+
+TEST_CASE("A suspect that a server survives is clear again on every node", "[crashes]")
+{
+  // Guards against a frequent innocent request running one at a time for ten minutes.
+  CrashQuarantine quarantine;
+  CrashQuarantine peer;
+  const TimePoint now{};
+  quarantine.OnSent(RequestId("r"), 7, ServerId("a"));
+  quarantine.OnServerCrashed(ServerId("a"), now);
+  quarantine.OnSent(RequestId("r"), 7, ServerId("b"));
+  quarantine.OnEnded(RequestId("r"), RunEnd::Survived, now);
+  CHECK(quarantine.Level(7, now) == SuspicionLevel::Clear);
+  for (const auto& delta : quarantine.TakeDeltas(now)) {
+    peer.Merge(delta, now);
+  }
+  CHECK(peer.Level(7, now) == SuspicionLevel::Clear);
+}
+
+TEST_CASE("The number of remembered fingerprints is bounded", "[crashes]")
+{
+  CrashQuarantine quarantine;
+  const TimePoint now{};
+  for (std::uint64_t fingerprint = 0; fingerprint < 12'000; ++fingerprint) {
+    quarantine.Merge({ fingerprint, { { ServerId("a"), 0 } }, {}, 5min }, now);
+  }
+  CHECK(quarantine.AllDeltas(now).size() == CrashQuarantine::kMaximumFingerprints);
+}
