--- a/programs/toucanstand-entry/NodeLink.cpp
+++ b/programs/toucanstand-entry/NodeLink.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
-#include "document/ConfigurationText.h"
 #include "observation/WorldViewText.h"
 
 namespace toucanstand {
@@ -20,6 +19,12 @@
   : context(aContext)
   , timer(aContext.loop)
 {
+  this->configuration.AddListener([this](const ConfigurationDocument& aDocument) {
+    const auto& settings = this->context.settings;
+    this->context.OnConfiguration(
+      EffectiveConfiguration(aDocument, settings.id, settings.zone));
+    spdlog::info("configuration revision {} is in force", aDocument.revision);
+  });
 }
 
 void NodeLink::Start()
@@ -52,6 +57,16 @@
   this->context.metrics.Count("messages_rejected_total{reason=\"type\"}");
 }
 
+void NodeLink::OnConfigurationMessage(const Message& aMessage)
+{
+  const auto text = aMessage.body.find("text");
+  const bool isText = text != aMessage.body.end() && text->is_string();
+  if (!isText || this->configuration.Offer(text->get_ref<const std::string&>(),
+                                           BootClock::now()) == OfferOutcome::Invalid) {
+    this->context.metrics.Count("messages_rejected_total{reason=\"configuration\"}");
+  }
+}
+
 void NodeLink::Subscribe()
 {
   const auto now = BootClock::now();
--- a/programs/toucanstand-entry/NodeLink.h
+++ b/programs/toucanstand-entry/NodeLink.h
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "EntryContext.h"
+#include "replica/ConfigurationReplica.h"
 
 namespace toucanstand {
 
@@ -24,6 +25,7 @@
   void OnConfigurationMessage(const Message& aMessage);
 
   EntryContext& context;
+  ConfigurationReplica configuration;
   boost::asio::steady_timer timer;
   TimePoint lastMessageAt{};
 };
