Test the entry process under faults of its engines and connections

Cause: the entry had not been run. A stand-in node decides what the entry knows, real engine and service processes do the work.

--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -4,12 +4,12 @@
 add_custom_target(unit_tests DEPENDS ${directory_targets})
 
 # Integration tests start the programs of this build; each Test*.cpp is one test.
-add_library(integration_support STATIC tests/integration/support/HttpCaller.cpp
-                                       tests/integration/support/ProcessLauncher.cpp)
+file(GLOB support_sources CONFIGURE_DEPENDS tests/integration/support/*.cpp)
+add_library(integration_support STATIC ${support_sources})
 target_include_directories(integration_support PUBLIC tests/integration)
 target_compile_definitions(
   integration_support PRIVATE TOUCANSTAND_PROGRAM_DIRECTORY="${CMAKE_RUNTIME_OUTPUT_DIRECTORY}")
-target_link_libraries(integration_support PUBLIC toucanstand_transport)
+target_link_libraries(integration_support PUBLIC toucanstand_transport toucanstand_delivery)
 
 function(toucanstand_integration_test name)
   add_executable(integration_${name} tests/CatchMain.cpp tests/integration/${name}.cpp)
@@ -20,3 +20,4 @@
 
 toucanstand_integration_test(TestStandinEngine standins_library)
 toucanstand_integration_test(TestStandinService standins_library)
+toucanstand_integration_test(TestEntry standins_library)
