--- a/programs/toucanstand-entry/EngineCall.cpp
+++ b/programs/toucanstand-entry/EngineCall.cpp
@@ -23,7 +23,7 @@
   HttpDeadlines deadlines;
   deadlines.head = std::chrono::seconds(1);
   deadlines.progress = std::chrono::seconds(1);
-  co_await aClient.Fetch(std::move(aEndpoint), std::move(request), deadlines);
+  (void)co_await aClient.Fetch(std::move(aEndpoint), std::move(request), deadlines);
 }
 
 } // namespace
