Spread own requests first, keep slots for short work, add a benchmark

Change: a strategy that takes two random candidates among those with the fewest own requests, and for long work the fewest own long ones; long work gets what the recent use by short work leaves, between a least and a greatest share; a quarter instead of half of the slots goes by account share. The benchmark program holds the model.

--- /dev/null
+++ b/benchmarks/benchmark-decisions/Main.cpp
@@ -0,0 +1,219 @@
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "DecisionCost.h"
+#include "QueueModel.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::array<std::uint64_t, 3> kSeeds = { 1, 2, 3 };
+
+struct Policy
+{
+  const char* name;
+  AdmissionPolicy admission;
+  RoutingStrategy routing;
+};
+
+constexpr std::array kPolicies = {
+  Policy{ "controller + least two choices",
+          AdmissionPolicy::Controller,
+          RoutingStrategy::LeastTwoChoices },
+  Policy{ "controller + two choices",
+          AdmissionPolicy::Controller,
+          RoutingStrategy::TwoChoices },
+  Policy{ "controller + least outstanding",
+          AdmissionPolicy::Controller,
+          RoutingStrategy::LeastOutstanding },
+  Policy{ "controller + round robin",
+          AdmissionPolicy::Controller,
+          RoutingStrategy::RoundRobin },
+  Policy{ "single FIFO + least outstanding",
+          AdmissionPolicy::Fifo,
+          RoutingStrategy::LeastOutstanding },
+  Policy{ "single FIFO + round robin",
+          AdmissionPolicy::Fifo,
+          RoutingStrategy::RoundRobin },
+  Policy{ "no shedding + least outstanding",
+          AdmissionPolicy::None,
+          RoutingStrategy::LeastOutstanding },
+  Policy{ "no shedding + round robin",
+          AdmissionPolicy::None,
+          RoutingStrategy::RoundRobin },
+};
+
+/// Share of the offered work that is long.
+constexpr double kLongPart = 0.25;
+
+ModelSettings SettingsOf(const Policy& aPolicy, std::uint64_t aSeed)
+{
+  ModelSettings settings;
+  settings.admission = aPolicy.admission;
+  settings.routing.strategy = aPolicy.routing;
+  settings.seed = aSeed;
+  return settings;
+}
+
+std::function<double(Duration)> Constant(double aLoad)
+{
+  return [aLoad](Duration) { return aLoad; };
+}
+
+/// A tenth of the capacity, and from 30 s to 32 s up to four times it.
+double Swing(Duration aElapsed)
+{
+  const double seconds = ToSeconds(aElapsed);
+  if (seconds < 30) {
+    return 0.1;
+  }
+  return seconds < 32 ? 0.1 + (seconds - 30) / 2 * 3.9 : 4.0;
+}
+
+/// Mean over the seeds of worth per second, and of its share of the best.
+void PrintWorth(const Policy& aPolicy, const std::function<void(ModelSettings&)>& aLoad)
+{
+  double rate = 0;
+  double share = 0;
+  double lowest = 1;
+  for (const auto seed : kSeeds) {
+    auto settings = SettingsOf(aPolicy, seed);
+    aLoad(settings);
+    const auto results = QueueModel(std::move(settings)).Run();
+    const double part = results.worthRate / results.bestWorthRate;
+    rate += results.worthRate / kSeeds.size();
+    share += part / kSeeds.size();
+    lowest = std::min(lowest, part);
+  }
+  std::printf("  %8.0f  %5.1f%%  (lowest %5.1f%%)  %s\n",
+              rate,
+              100 * share,
+              100 * lowest,
+              aPolicy.name);
+}
+
+void MeasureWorth()
+{
+  for (const double load : { 1.0, 2.0, 4.0 }) {
+    std::printf("worth answered in time per second, share of best; load %.0f\n", load);
+    for (const auto& policy : kPolicies) {
+      PrintWorth(policy, [load](ModelSettings& aSettings) {
+        aSettings.shortLoad = Constant(load * (1 - kLongPart));
+        aSettings.longLoad = Constant(load * kLongPart);
+      });
+    }
+  }
+  for (const double longPart : { 0.0, kLongPart }) {
+    // Long work in progress at the end of the measured period is part of it in the
+    // numerator only; the longer period keeps that below a thirtieth.
+    const Duration measured = longPart > 0 ? 180s : 10s;
+    std::printf("swing from 0.1 to 4 in 2 s, first %.0f s, long part %.2f\n",
+                ToSeconds(measured),
+                longPart);
+    for (const auto& policy : kPolicies) {
+      PrintWorth(policy, [longPart, measured](ModelSettings& aSettings) {
+        aSettings.shortLoad = [longPart](Duration aElapsed) {
+          return Swing(aElapsed) * (1 - longPart);
+        };
+        aSettings.longLoad = [longPart](Duration aElapsed) {
+          return Swing(aElapsed) * longPart;
+        };
+        aSettings.measureFrom = 30s;
+        aSettings.measureUntil = 30s + measured;
+        aSettings.length = 30s + measured + 60s;
+      });
+    }
+  }
+}
+
+/// 99th percentile of short work in seconds and its answered share, over the seeds.
+void PrintBlocking(const Policy& aPolicy, double aShortLoad, double aLongLoad)
+{
+  std::array<double, 2> slowest{};
+  double answered = 0;
+  for (const auto seed : kSeeds) {
+    for (const bool withLong : { false, true }) {
+      auto settings = SettingsOf(aPolicy, seed);
+      settings.shortLoad = Constant(aShortLoad);
+      settings.longLoad = Constant(withLong ? aLongLoad : 0.0);
+      const auto results = QueueModel(std::move(settings)).Run();
+      slowest[withLong ? 1 : 0] +=
+        ToSeconds(results.latency[0].Percentile(0.99)) / kSeeds.size();
+      if (withLong) {
+        answered += static_cast<double>(results.answered[0]) /
+                    static_cast<double>(results.offered[0]) / kSeeds.size();
+      }
+    }
+  }
+  std::printf("  %6.3f s / %6.3f s = %5.2f  short answered %5.1f%%  %s\n",
+              slowest[1],
+              slowest[0],
+              slowest[1] / slowest[0],
+              100 * answered,
+              aPolicy.name);
+}
+
+void MeasureBlocking()
+{
+  for (const double shortLoad : { 0.3, 0.45, 0.6 }) {
+    for (const double longLoad : { 0.3, 2.0 }) {
+      std::printf(
+        "99th percentile of short work at load %.2f, with long work at load %.1f "
+        "over without\n",
+        shortLoad,
+        longLoad);
+      for (const auto& policy : kPolicies) {
+        PrintBlocking(policy, shortLoad, longLoad);
+      }
+    }
+  }
+}
+
+void MeasureSlowServer()
+{
+  std::printf(
+    "one of twelve servers takes 10 times as long; load 0.6, short work only\n");
+  for (const auto& policy : kPolicies) {
+    double share = 0;
+    double slowest = 0;
+    for (const auto seed : kSeeds) {
+      auto settings = SettingsOf(policy, seed);
+      settings.slowServerFactor = 10;
+      settings.shortLoad = Constant(0.6);
+      settings.longLoad = Constant(0.0);
+      const auto results = QueueModel(std::move(settings)).Run();
+      share += results.firstServerShare / kSeeds.size();
+      slowest += ToSeconds(results.latency[0].Percentile(0.99)) / kSeeds.size();
+    }
+    std::printf("  answers by it %5.2f%%  99th percentile %6.3f s  %s\n",
+                100 * share,
+                slowest,
+                policy.name);
+  }
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const std::string part = aCount > 1 ? aArguments[1] : "all";
+  if (part == "all" || part == "worth") {
+    MeasureWorth();
+  }
+  if (part == "all" || part == "blocking") {
+    MeasureBlocking();
+  }
+  if (part == "all" || part == "slow-server") {
+    MeasureSlowServer();
+  }
+  if (part == "all" || part == "cost") {
+    MeasureDecisionCost();
+  }
+  return 0;
+}
--- /dev/null
+++ b/benchmarks/benchmark-decisions/QueueModel.cpp
@@ -0,0 +1,359 @@
+#include "QueueModel.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "admission/ServiceModel.h"
+
+namespace toucanstand {
+
+namespace {
+
+const PoolId kPool("assistant");
+constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+constexpr double kSecondsPerToken = 0.01;
+
+/// Cost in tokens: uniform around these means, from half to one and a half of them.
+constexpr std::array kMeanCost = { 50.0, 1500.0 };
+constexpr std::array kTimeout = { Duration(std::chrono::seconds(5)),
+                                  Duration(std::chrono::seconds(60)) };
+
+/// Worth of a request and how often it occurs; long work is worth ten times as much,
+/// which is a third of the worth per token of short work.
+constexpr std::array kWorths = { 1.0, 1.0, 1.0, 1.0, 2.0, 2.0, 5.0, 10.0 };
+constexpr std::array kClassWorth = { 1.0, 10.0 };
+
+/// Share of the arrivals of each account: a few large accounts, many small ones.
+constexpr std::array kAccounts = { 0.30, 0.20, 0.15, 0.10, 0.05,
+                                   0.05, 0.05, 0.04, 0.03, 0.03 };
+
+/// Time of a request on an otherwise empty server, as a share of that on a full one.
+constexpr double kEmptyServerTime = 0.7;
+
+std::size_t DrawAccount(Random& aRandom)
+{
+  double rest = aRandom.Fraction();
+  std::size_t account = 0;
+  while (account + 1 < kAccounts.size() && rest >= kAccounts[account]) {
+    rest -= kAccounts[account++];
+  }
+  return account;
+}
+
+RequestId IdOf(std::size_t aJob)
+{
+  return RequestId(std::to_string(aJob));
+}
+
+} // namespace
+
+QueueModel::QueueModel(ModelSettings aSettings)
+  : settings(std::move(aSettings))
+  , random(this->settings.seed)
+  , servers(static_cast<std::size_t>(this->settings.servers))
+{
+  for (int node = 0; node < this->settings.nodes; ++node) {
+    this->nodes.push_back(
+      { AdmissionController(this->settings.admissionSettings,
+                            Random(this->random.Below(1U << 30U))),
+        Router(this->settings.routing, Random(this->random.Below(1U << 30U))),
+        {},
+        0,
+        {} });
+  }
+}
+
+ModelResults QueueModel::Run()
+{
+  this->Report();
+  this->ScheduleArrivals(WorkClass::Short);
+  this->ScheduleArrivals(WorkClass::Long);
+  while (!this->events.empty()) {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->now = event.at;
+    event.run();
+  }
+  ModelResults results;
+  for (const auto& job : this->jobs) {
+    if (!this->IsMeasured(job)) {
+      continue;
+    }
+    ++results.offered[IndexOf(job.workClass)];
+    if (job.answered) {
+      ++results.answered[IndexOf(job.workClass)];
+      results.worthRate += job.worth;
+      results.latency[IndexOf(job.workClass)].Record(job.answeredAt - job.arrivedAt);
+    }
+  }
+  const double seconds =
+    ToSeconds(this->settings.measureUntil - this->settings.measureFrom);
+  results.worthRate /= seconds;
+  results.bestWorthRate = this->BestWorth() / seconds;
+  results.firstServerShare =
+    static_cast<double>(this->firstServerAnswers) /
+    static_cast<double>(std::max<std::uint64_t>(this->answers, 1));
+  return results;
+}
+
+void QueueModel::At(TimePoint aWhen, std::function<void()> aRun)
+{
+  this->events.push({ aWhen, this->nextSequence++, std::move(aRun) });
+}
+
+void QueueModel::ScheduleArrivals(WorkClass aClass)
+{
+  const Duration elapsed = this->now - this->start;
+  if (elapsed >= this->settings.length) {
+    return;
+  }
+  const auto& load =
+    aClass == WorkClass::Short ? this->settings.shortLoad : this->settings.longLoad;
+  const double capacity =
+    this->settings.servers * this->settings.slotsPerServer / kSecondsPerToken;
+  const double rate = load(elapsed) * capacity / kMeanCost[IndexOf(aClass)];
+  // Without load, the load is looked at again after a while. Otherwise arrivals form a
+  // Poisson process; the step is bounded, so that it follows a swing.
+  const double step = rate > 0 ? -std::log(1.0 - this->random.Fraction()) / rate : 0.1;
+  const bool arrives = rate > 0 && step <= 0.1;
+  this->At(this->now + FromSeconds(std::min(step, 0.1)), [this, aClass, arrives] {
+    if (arrives) {
+      this->Arrive(aClass);
+    }
+    this->ScheduleArrivals(aClass);
+  });
+}
+
+void QueueModel::Arrive(WorkClass aClass)
+{
+  Job job;
+  job.workClass = aClass;
+  job.account = DrawAccount(this->random);
+  job.worth = kWorths[this->random.Below(kWorths.size())] * kClassWorth[IndexOf(aClass)];
+  job.cost = kMeanCost[IndexOf(aClass)] * (0.5 + this->random.Fraction());
+  job.arrivedAt = this->now;
+  job.deadline = this->now + kTimeout[IndexOf(aClass)];
+  job.node = this->random.Below(this->nodes.size());
+  const std::size_t index = this->jobs.size();
+  this->jobs.push_back(job);
+  this->At(job.deadline, [this, index] { this->GiveUp(index); });
+  switch (this->settings.admission) {
+    case AdmissionPolicy::Controller:
+      this->Apply(
+        job.node,
+        this->nodes[job.node].controller.Offer({ IdOf(index),
+                                                 kPool,
+                                                 AccountId(std::to_string(job.account)),
+                                                 aClass,
+                                                 job.worth,
+                                                 job.cost,
+                                                 job.deadline },
+                                               this->now));
+      break;
+    case AdmissionPolicy::Fifo:
+      this->nodes[job.node].queue.push_back(index);
+      this->DispatchFifo(job.node);
+      break;
+    case AdmissionPolicy::None:
+      this->Send(index);
+      break;
+  }
+}
+
+void QueueModel::Report()
+{
+  // What a node receives is the state at the time of the previous report.
+  WorldView view;
+  view.receivedAt = this->now;
+  view.mayServe = true;
+  ++this->reports;
+  for (std::size_t index = 0; index < this->servers.size(); ++index) {
+    auto& server = this->servers[index];
+    Candidate candidate;
+    candidate.id = std::to_string(index);
+    candidate.pool = kPool;
+    candidate.usableUntil = this->now + 4 * kReportInterval;
+    candidate.load = server.lastReport;
+    candidate.load.receivedAt = this->now;
+    candidate.load.capacity = this->settings.slotsPerServer;
+    candidate.load.sequence = this->reports;
+    server.lastReport.running = server.running;
+    server.lastReport.queued = static_cast<double>(server.queue.size());
+    view.candidates.push_back(candidate);
+  }
+  const double slots = this->settings.servers * this->settings.slotsPerServer;
+  for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+    this->nodes[node].router.Update(view, this->now);
+    this->nodes[node].controller.OnSlots(
+      kPool, slots / static_cast<double>(this->nodes.size()), this->now);
+  }
+  if (this->now - this->start < this->settings.length + kTimeout[1]) {
+    this->At(this->now + kReportInterval, [this] { this->Report(); });
+  }
+}
+
+void QueueModel::Apply(std::size_t aNode, const std::vector<AdmissionAction>& aActions)
+{
+  for (const auto& action : aActions) {
+    if (const auto* admit = std::get_if<Admit>(&action)) {
+      this->Send(std::stoul(admit->id.Value()));
+    } else {
+      this->jobs[std::stoul(std::get<Refuse>(action).id.Value())].stage = Stage::Ended;
+    }
+  }
+  auto& node = this->nodes[aNode];
+  const auto next = node.controller.NextWake();
+  if (next && (!node.wake || *next < *node.wake)) {
+    node.wake = next;
+    this->At(std::max(*next, this->now), [this, aNode] { this->Wake(aNode); });
+  }
+}
+
+void QueueModel::Wake(std::size_t aNode)
+{
+  this->nodes[aNode].wake.reset();
+  this->Apply(aNode, this->nodes[aNode].controller.Advance(this->now));
+}
+
+void QueueModel::DispatchFifo(std::size_t aNode)
+{
+  auto& node = this->nodes[aNode];
+  while (!node.queue.empty() && node.running < this->SlotsPerNode()) {
+    const std::size_t job = node.queue.front();
+    node.queue.pop_front();
+    if (this->jobs[job].stage == Stage::Waiting) {
+      ++node.running;
+      this->Send(job);
+    }
+  }
+}
+
+void QueueModel::Send(std::size_t aJob)
+{
+  auto& job = this->jobs[aJob];
+  auto& router = this->nodes[job.node].router;
+  const auto chosen = router.Choose({ kPool, job.workClass, {}, {} }, this->now);
+  job.server = std::stoul(chosen->id);
+  job.sentAt = this->now;
+  job.stage = Stage::QueuedAtServer;
+  router.OnSent(chosen->id, this->now, job.workClass);
+  this->servers[job.server].queue.push_back(aJob);
+  this->Fill(job.server);
+}
+
+void QueueModel::Fill(std::size_t aServer)
+{
+  auto& server = this->servers[aServer];
+  while (!server.queue.empty() && server.running < this->settings.slotsPerServer) {
+    const std::size_t index = server.queue.front();
+    server.queue.pop_front();
+    auto& job = this->jobs[index];
+    job.stage = Stage::Running;
+    ++server.running;
+    const double fullness =
+      static_cast<double>(server.running) / this->settings.slotsPerServer;
+    const double seconds = job.cost * kSecondsPerToken *
+                           (kEmptyServerTime + (1.0 - kEmptyServerTime) * fullness) *
+                           (0.9 + 0.2 * this->random.Fraction()) *
+                           (aServer == 0 ? this->settings.slowServerFactor : 1.0);
+    this->At(this->now + FromSeconds(seconds), [this, index] { this->Finish(index); });
+  }
+}
+
+void QueueModel::Finish(std::size_t aJob)
+{
+  auto& job = this->jobs[aJob];
+  if (job.stage != Stage::Running) {
+    return; // Cancelled in the meantime.
+  }
+  job.answered = true;
+  job.stage = Stage::Ended;
+  job.answeredAt = this->now;
+  ++this->answers;
+  this->firstServerAnswers += job.server == 0 ? 1 : 0;
+  --this->servers[job.server].running;
+  this->Fill(job.server);
+  this->Leave(aJob, AttemptEnd::Answered);
+}
+
+void QueueModel::GiveUp(std::size_t aJob)
+{
+  auto& job = this->jobs[aJob];
+  const Stage stage = job.stage;
+  if (stage == Stage::Ended) {
+    return;
+  }
+  job.stage = Stage::Ended;
+  auto& server = this->servers[job.server];
+  if (stage == Stage::QueuedAtServer) {
+    std::erase(server.queue, aJob);
+  } else if (stage == Stage::Running) {
+    --server.running;
+    this->Fill(job.server);
+  }
+  if (stage == Stage::Waiting && this->settings.admission == AdmissionPolicy::Fifo) {
+    return; // DispatchFifo() passes over it.
+  }
+  if (stage == Stage::Waiting) {
+    this->Apply(job.node,
+                this->nodes[job.node].controller.OnAbandoned(IdOf(aJob), this->now));
+    return;
+  }
+  this->Leave(aJob, AttemptEnd::Abandoned);
+}
+
+void QueueModel::Leave(std::size_t aJob, AttemptEnd aEnd)
+{
+  const Job job = this->jobs[aJob];
+  auto& node = this->nodes[job.node];
+  node.router.OnFinished(
+    std::to_string(job.server), aEnd, this->now - job.sentAt, this->now, job.workClass);
+  if (this->settings.admission == AdmissionPolicy::Fifo) {
+    --node.running;
+    this->DispatchFifo(job.node);
+  } else if (this->settings.admission == AdmissionPolicy::Controller) {
+    this->Apply(
+      job.node,
+      aEnd == AttemptEnd::Answered
+        ? node.controller.OnFinished(
+            IdOf(aJob), AttemptOutcome::Answered, this->now - job.sentAt, this->now)
+        : node.controller.OnAbandoned(IdOf(aJob), this->now));
+  }
+}
+
+int QueueModel::SlotsPerNode() const
+{
+  return this->settings.servers * this->settings.slotsPerServer / this->settings.nodes;
+}
+
+double QueueModel::BestWorth() const
+{
+  std::vector<const Job*> measured;
+  for (const auto& job : this->jobs) {
+    if (this->IsMeasured(job)) {
+      measured.push_back(&job);
+    }
+  }
+  std::ranges::sort(measured, [](const Job* aLeft, const Job* aRight) {
+    return aLeft->worth * aRight->cost > aRight->worth * aLeft->cost;
+  });
+  double room = this->settings.servers * this->settings.slotsPerServer /
+                kSecondsPerToken *
+                ToSeconds(this->settings.measureUntil - this->settings.measureFrom);
+  double worth = 0;
+  for (const auto* job : measured) {
+    const double part = std::min(1.0, room / job->cost);
+    worth += part * job->worth;
+    room -= part * job->cost;
+  }
+  return worth;
+}
+
+bool QueueModel::IsMeasured(const Job& aJob) const
+{
+  const Duration elapsed = aJob.arrivedAt - this->start;
+  return elapsed >= this->settings.measureFrom && elapsed < this->settings.measureUntil;
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/benchmarks/benchmark-decisions/QueueModel.h
@@ -0,0 +1,155 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "admission/AdmissionController.h"
+#include "metrics/LatencyHistogram.h"
+#include "random/Random.h"
+#include "routing/Router.h"
+
+namespace toucanstand {
+
+/// Admission that is compared.
+enum class AdmissionPolicy
+{
+  /// AdmissionController.
+  Controller,
+  /// One unbounded queue per node, in order of arrival, in front of the node's slots.
+  Fifo,
+  /// Everything is sent to a server at once and queues there.
+  None,
+};
+
+/// Offered load, servers and policy of one run.
+struct ModelSettings
+{
+  AdmissionPolicy admission = AdmissionPolicy::Controller;
+  RouterSettings routing;
+  AdmissionSettings admissionSettings;
+  std::uint64_t seed = 1;
+  int nodes = 6;
+  int servers = 12;
+  int slotsPerServer = 8;
+  /// Server that takes this multiple of the usual time; the first one.
+  double slowServerFactor = 1.0;
+  /// Offered work of each class as a multiple of the capacity, by time.
+  std::function<double(Duration)> shortLoad;
+  std::function<double(Duration)> longLoad;
+  /// Arrivals end at `length`; those in [measureFrom, measureUntil) are measured.
+  Duration length = std::chrono::seconds(150);
+  Duration measureFrom = std::chrono::seconds(30);
+  Duration measureUntil = std::chrono::seconds(90);
+};
+
+/// What one run measured.
+struct ModelResults
+{
+  /// Worth answered in time per second.
+  double worthRate = 0;
+  /// Greatest worth per second that the servers could answer, all arrivals being known
+  /// beforehand and divisible at will: an upper bound.
+  double bestWorthRate = 0;
+  std::array<std::uint64_t, 2> offered{};
+  std::array<std::uint64_t, 2> answered{};
+  /// Latency of answered requests, from arrival.
+  std::array<LatencyHistogram, 2> latency;
+  /// Share of answers given by the first server.
+  double firstServerShare = 0;
+};
+
+/// A plain queue model: nodes with their own controller and router in front of servers
+/// that run a fixed number of requests at once and queue the rest in order of arrival.
+/// Callers give up at their deadline, and a request that was given up on is cancelled.
+class QueueModel
+{
+public:
+  explicit QueueModel(ModelSettings aSettings);
+
+  [[nodiscard]] ModelResults Run();
+
+private:
+  enum class Stage
+  {
+    Waiting,
+    QueuedAtServer,
+    Running,
+    Ended,
+  };
+  struct Job
+  {
+    WorkClass workClass = WorkClass::Short;
+    std::size_t account = 0;
+    double worth = 1;
+    double cost = 1;
+    TimePoint arrivedAt{};
+    TimePoint sentAt{};
+    TimePoint deadline{};
+    TimePoint answeredAt{};
+    std::size_t node = 0;
+    std::size_t server = 0;
+    Stage stage = Stage::Waiting;
+    bool answered = false;
+  };
+  struct Server
+  {
+    int running = 0;
+    std::deque<std::size_t> queue;
+    LoadReport lastReport;
+  };
+  struct Node
+  {
+    AdmissionController controller;
+    Router router;
+    std::deque<std::size_t> queue;
+    int running = 0;
+    std::optional<TimePoint> wake;
+  };
+  struct Event
+  {
+    TimePoint at;
+    std::uint64_t sequence;
+    std::function<void()> run;
+    bool operator>(const Event& aOther) const
+    {
+      return at != aOther.at ? at > aOther.at : sequence > aOther.sequence;
+    }
+  };
+
+  void At(TimePoint aWhen, std::function<void()> aRun);
+  void ScheduleArrivals(WorkClass aClass);
+  void Arrive(WorkClass aClass);
+  void Report();
+  void Apply(std::size_t aNode, const std::vector<AdmissionAction>& aActions);
+  void Wake(std::size_t aNode);
+  void DispatchFifo(std::size_t aNode);
+  void Send(std::size_t aJob);
+  void Fill(std::size_t aServer);
+  void Finish(std::size_t aJob);
+  void GiveUp(std::size_t aJob);
+  void Leave(std::size_t aJob, AttemptEnd aEnd);
+  [[nodiscard]] int SlotsPerNode() const;
+  [[nodiscard]] double BestWorth() const;
+  [[nodiscard]] bool IsMeasured(const Job& aJob) const;
+
+  ModelSettings settings;
+  Random random;
+  TimePoint now{ std::chrono::seconds(1000) };
+  TimePoint start = now;
+  std::vector<Job> jobs;
+  std::vector<Server> servers;
+  std::vector<Node> nodes;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
+  std::uint64_t nextSequence = 0;
+  std::uint64_t reports = 0;
+  std::uint64_t answers = 0;
+  std::uint64_t firstServerAnswers = 0;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/benchmarks/benchmarks.cmake
@@ -0,0 +1,1 @@
+toucanstand_program(benchmark-decisions benchmarks toucanstand_routing toucanstand_admission)
--- a/modules/toucanstand_admission/admission/AdmissionPool.cpp
+++ b/modules/toucanstand_admission/admission/AdmissionPool.cpp
@@ -298,13 +298,19 @@
 
 void AdmissionPool::Dispatch(TimePoint aNow, Actions& aActions)
 {
+  const auto observe = [this, aNow] {
+    this->shortDemand.Observe(
+      static_cast<double>(this->runningByClass[IndexOf(WorkClass::Short)]), aNow);
+  };
+  observe();
   while (!this->waiting.empty() && this->running.size() < this->limit.Whole()) {
     const Waiting* next = this->Next();
     if (next == nullptr) {
-      return;
+      break;
     }
     this->Start(this->Take(*next), aNow, aActions);
   }
+  observe();
 }
 
 void AdmissionPool::Start(const Waiting& aWaiting, TimePoint aNow, Actions& aActions)
@@ -407,9 +413,13 @@
   if (aClass == WorkClass::Short || whole == 0) {
     return whole;
   }
-  const auto share = static_cast<std::size_t>(
-    std::floor(static_cast<double>(whole) * this->settings.longShare + 1e-9));
-  return std::max<std::size_t>(share, 1);
+  const auto slots = static_cast<double>(whole);
+  const double most = slots * this->settings.longShare;
+  const double least = std::min(slots * this->settings.leastLongShare, most);
+  // Long work holds its slots for so long that they cannot be taken back when short work
+  // arrives; the room for it has to be kept free beforehand.
+  const double left = std::clamp(slots - this->shortDemand.Needed(), least, most);
+  return std::max<std::size_t>(static_cast<std::size_t>(std::floor(left + 1e-9)), 1);
 }
 
 Duration AdmissionPool::LongRunAfter() const
--- a/modules/toucanstand_admission/admission/AdmissionPool.h
+++ b/modules/toucanstand_admission/admission/AdmissionPool.h
@@ -17,6 +17,7 @@
 #include "admission/Arrival.h"
 #include "admission/ConcurrencyLimit.h"
 #include "admission/ReturnSchedule.h"
+#include "admission/ShortDemand.h"
 #include "random/Random.h"
 
 namespace toucanstand {
@@ -111,6 +112,7 @@
   [[nodiscard]] const Waiting* NextByShare();
   [[nodiscard]] const Waiting* NextByValue() const;
   [[nodiscard]] bool MayRun(WorkClass aClass) const;
+  /// Slots that a class may use: for long work what short work leaves, within its shares.
   [[nodiscard]] std::size_t SlotsOf(WorkClass aClass) const;
   [[nodiscard]] Duration LongRunAfter() const;
   void Learn(const Running& aRunning, Duration aService, TimePoint aNow);
@@ -120,6 +122,7 @@
   ConcurrencyLimit limit;
   ServiceModel model;
   ReturnSchedule returns;
+  ShortDemand shortDemand;
   std::unordered_map<AccountId, std::unique_ptr<AccountState>> accounts;
   std::unordered_map<RequestId, Waiting> waiting;
   std::unordered_map<RequestId, Running> running;
--- a/modules/toucanstand_admission/admission/AdmissionSettings.h
+++ b/modules/toucanstand_admission/admission/AdmissionSettings.h
@@ -34,9 +34,11 @@
   std::vector<ClientAccount> accounts;
   /// Greatest share of a pool's slots that long work may take.
   double longShare = 0.5;
+  /// Share that long work keeps however many slots short work needs.
+  double leastLongShare = 0.25;
   /// Share of the free slots given out in turn by account; the rest goes to the request
   /// with the highest worth per cost of any account.
-  double fairShare = 0.5;
+  double fairShare = 0.25;
   /// Requests waiting for a pool, over all accounts and classes.
   std::size_t maximumQueued = 2000;
   /// Time that the waiting work of one class may need at the current limit.
--- a/modules/toucanstand_routing/routing/CandidateState.h
+++ b/modules/toucanstand_routing/routing/CandidateState.h
@@ -77,6 +77,8 @@
   bool inOwnZone;
   std::uint64_t hash;
   OwnRequests own;
+  /// Own requests outstanding that are long work; part of `own`.
+  double ownLong = 0;
   LoadEstimate load;
   Health health;
   /// Requests it can run at once, bounded by what is usual in its pool.
--- a/modules/toucanstand_routing/routing/RouteQuery.cpp
+++ b/modules/toucanstand_routing/routing/RouteQuery.cpp
@@ -13,6 +13,8 @@
       return "least-outstanding";
     case RoutingStrategy::TwoChoices:
       return "two-choices";
+    case RoutingStrategy::LeastTwoChoices:
+      return "least-two-choices";
   }
   return "unknown";
 }
--- a/modules/toucanstand_routing/routing/Router.cpp
+++ b/modules/toucanstand_routing/routing/Router.cpp
@@ -272,10 +272,11 @@
   return anyUsable ? RouteRefusal::AllExcluded : RouteRefusal::NoCandidate;
 }
 
-void Router::OnSent(const std::string& aCandidateId, TimePoint aNow)
+void Router::OnSent(const std::string& aCandidateId, TimePoint aNow, WorkClass aClass)
 {
   if (auto* candidate = this->state->Find(aCandidateId)) {
     candidate->own.OnSent(aNow);
+    candidate->ownLong += aClass == WorkClass::Long ? 1 : 0;
   }
 }
 
@@ -301,6 +302,9 @@
     return;
   }
   candidate->own.OnFinished(aNow);
+  if (aClass == WorkClass::Long) {
+    candidate->ownLong = std::max(0.0, candidate->ownLong - 1);
+  }
   own.OnEnd(*candidate, aEnd, aNow);
   if (aEnd == AttemptEnd::Answered) {
     own.OnLatency(*candidate, LatencyKind::WholeAnswer, aClass, aLatency, aNow);
--- a/modules/toucanstand_routing/routing/Router.h
+++ b/modules/toucanstand_routing/routing/Router.h
@@ -18,7 +18,8 @@
 /// process observed of its own attempts.
 ///
 /// The caller reports each attempt with OnSent(), at most one OnFirstByte() and exactly
-/// one OnFinished(). Reports about unknown candidates are counted and ignored.
+/// one OnFinished(), all with the same work class. Reports about unknown candidates are
+/// counted and ignored.
 class Router
 {
 public:
@@ -37,7 +38,9 @@
   Result<Candidate, RouteRefusal> Choose(const RouteQuery& aQuery, TimePoint aNow);
 
   /// A request was sent to a candidate.
-  void OnSent(const std::string& aCandidateId, TimePoint aNow);
+  void OnSent(const std::string& aCandidateId,
+              TimePoint aNow,
+              WorkClass aClass = WorkClass::Short);
 
   /// The first byte of an answer arrived. @param aLatency since OnSent().
   void OnFirstByte(const std::string& aCandidateId,
--- a/modules/toucanstand_routing/routing/RouterSettings.h
+++ b/modules/toucanstand_routing/routing/RouterSettings.h
@@ -17,6 +17,9 @@
   LeastOutstanding,
   /// The less loaded of two random candidates.
   TwoChoices,
+  /// The less loaded of two random candidates among those with the fewest requests of
+  /// this process outstanding.
+  LeastTwoChoices,
 };
 
 /// Name of a strategy in settings and state dumps.
@@ -45,7 +48,7 @@
 /// Settings of a Router.
 struct RouterSettings
 {
-  RoutingStrategy strategy = RoutingStrategy::TwoChoices;
+  RoutingStrategy strategy = RoutingStrategy::LeastTwoChoices;
   /// Load reports older than this count as unknown.
   Duration staleness = std::chrono::seconds(3);
   /// A prefix stays on its candidate while that has at most this multiple of the mean
--- a/modules/toucanstand_routing/routing/SelectionStrategy.cpp
+++ b/modules/toucanstand_routing/routing/SelectionStrategy.cpp
@@ -2,14 +2,16 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
+#include <utility>
 #include <vector>
 
 namespace toucanstand {
 
 namespace {
 
-/// Draws of one random choice before all candidates are examined.
-constexpr int kDraws = 4;
+/// Random draws for two candidates before all of them are examined.
+constexpr int kDraws = 8;
 
 class RoundRobin final : public SelectionStrategy
 {
@@ -59,8 +61,78 @@
   }
 };
 
-/// Two random candidates of the pool and two of the own availability zone are compared;
-/// one of the zone wins while its load exceeds the other's by at most the tolerance.
+/// The least loaded of the candidates that were drawn; one of the own availability zone
+/// wins while its load exceeds the others' by at most the tolerance.
+class Comparison
+{
+public:
+  explicit Comparison(const Selection& aSelection)
+    : selection(aSelection)
+    , zoned(!aSelection.pool.InOwnZone().empty() &&
+            aSelection.pool.InOwnZone().size() < aSelection.pool.Candidates().size())
+  {
+  }
+
+  void Add(CandidateState* aCandidate)
+  {
+    if (aCandidate == nullptr) {
+      return;
+    }
+    const bool near = this->zoned && aCandidate->inOwnZone;
+    const double compared = this->selection.pool.Load(*aCandidate, this->selection.now) -
+                            (near ? this->selection.settings.zoneTolerance : 0.0);
+    if (this->best == nullptr || compared < this->lowest) {
+      this->best = aCandidate;
+      this->lowest = compared;
+    }
+  }
+
+  /// Whether it matters in which zone a candidate is.
+  [[nodiscard]] bool IsZoned() const { return this->zoned; }
+
+  /// Null when nothing was drawn.
+  [[nodiscard]] CandidateState* Best() const { return this->best; }
+
+private:
+  const Selection& selection;
+  bool zoned;
+  CandidateState* best = nullptr;
+  double lowest = 0;
+};
+
+/// Two of the candidates that were offered, in random order.
+class RandomPair
+{
+public:
+  void Add(CandidateState* aCandidate, Random& aRandom)
+  {
+    ++this->offered;
+    const std::uint64_t place = this->offered <= this->pair.size()
+                                  ? this->offered - 1
+                                  : aRandom.Below(this->offered);
+    if (place < this->pair.size()) {
+      this->pair[place] = aCandidate;
+    }
+  }
+
+  void Clear() { *this = {}; }
+
+  /// The first of equals wins a comparison, so that their order must be random as well.
+  void AddTo(Comparison& aComparison, Random& aRandom)
+  {
+    if (aRandom.Below(2) == 0) {
+      std::swap(this->pair[0], this->pair[1]);
+    }
+    aComparison.Add(this->pair[0]);
+    aComparison.Add(this->pair[1]);
+  }
+
+private:
+  std::array<CandidateState*, 2> pair{};
+  std::uint64_t offered = 0;
+};
+
+/// Two random candidates of the pool and two of the own availability zone are compared.
 class TwoChoices final : public SelectionStrategy
 {
 public:
@@ -68,63 +140,101 @@
                                        RoutingPool& aPool,
                                        Random& aRandom) const override
   {
-    const auto& all = aPool.Candidates();
-    const auto& near = aPool.InOwnZone();
-    const bool zoned = !near.empty() && near.size() < all.size();
-    CandidateState* best = nullptr;
-    double lowest = 0;
-    for (const auto* group : { &all, zoned ? &near : nullptr }) {
-      for (auto* candidate : Draw(aSelection, group, aRandom)) {
-        if (candidate == nullptr) {
-          continue;
-        }
-        const double load =
-          aPool.Load(*candidate, aSelection.now) -
-          (zoned && candidate->inOwnZone ? aSelection.settings.zoneTolerance : 0.0);
-        if (best == nullptr || load < lowest) {
-          best = candidate;
-          lowest = load;
-        }
-      }
+    Comparison comparison(aSelection);
+    Draw(aSelection, aPool, aRandom, comparison);
+    return comparison.Best();
+  }
+
+  /// Adds the candidates that are drawn to a comparison.
+  static void Draw(const Selection& aSelection,
+                   const RoutingPool& aPool,
+                   Random& aRandom,
+                   Comparison& aComparison)
+  {
+    DrawFrom(aSelection, aPool.Candidates(), aRandom, aComparison);
+    if (aComparison.IsZoned()) {
+      DrawFrom(aSelection, aPool.InOwnZone(), aRandom, aComparison);
     }
-    return best;
   }
 
 private:
-  using Pair = std::array<CandidateState*, 2>;
+  static void DrawFrom(const Selection& aSelection,
+                       const std::vector<CandidateState*>& aGroup,
+                       Random& aRandom,
+                       Comparison& aComparison)
+  {
+    const CandidateState* first = nullptr;
+    for (int draw = 0; draw < kDraws && !aGroup.empty(); ++draw) {
+      auto* candidate = aGroup[aRandom.Below(aGroup.size())];
+      if (candidate == first || !aSelection.Admits(*candidate)) {
+        continue;
+      }
+      aComparison.Add(candidate);
+      if (first != nullptr) {
+        return;
+      }
+      first = candidate;
+    }
+    DrawFromAdmitted(aSelection, aGroup, aRandom, aComparison);
+  }
 
-  /// Two different admitted candidates, or fewer.
-  static Pair Draw(const Selection& aSelection,
-                   const std::vector<CandidateState*>* aGroup,
-                   Random& aRandom)
+  /// Examines all candidates; used when few of them are admitted.
+  static void DrawFromAdmitted(const Selection& aSelection,
+                               const std::vector<CandidateState*>& aGroup,
+                               Random& aRandom,
+                               Comparison& aComparison)
   {
-    if (aGroup == nullptr || aGroup->empty()) {
-      return {};
+    RandomPair pair;
+    for (auto* candidate : aGroup) {
+      if (aSelection.Admits(*candidate)) {
+        pair.Add(candidate, aRandom);
+      }
     }
-    Pair pair{};
-    std::size_t found = 0;
-    for (int draw = 0; draw < 2 * kDraws && found < pair.size(); ++draw) {
-      auto* candidate = (*aGroup)[aRandom.Below(aGroup->size())];
-      if (candidate != pair[0] && aSelection.Admits(*candidate)) {
-        pair[found++] = candidate;
+    pair.AddTo(aComparison, aRandom);
+  }
+};
+
+/// The process knows its own requests exactly, so that their even spread needs no luck;
+/// reports, which lag, only decide between candidates that are equal in this respect.
+class LeastTwoChoices final : public SelectionStrategy
+{
+public:
+  [[nodiscard]] CandidateState* Choose(const Selection& aSelection,
+                                       RoutingPool& aPool,
+                                       Random& aRandom) const override
+  {
+    Comparison comparison(aSelection);
+    RandomPair all;
+    RandomPair near;
+    std::pair fewest(std::numeric_limits<double>::infinity(), 0.0);
+    for (auto* candidate : aPool.Candidates()) {
+      const auto own = Own(*candidate, aSelection.query.workClass);
+      if (own > fewest || !aSelection.Admits(*candidate)) {
+        continue;
+      }
+      if (own < fewest) {
+        fewest = own;
+        all.Clear();
+        near.Clear();
+      }
+      all.Add(candidate, aRandom);
+      if (comparison.IsZoned() && candidate->inOwnZone) {
+        near.Add(candidate, aRandom);
       }
     }
-    return found == pair.size() ? pair : DrawFromAdmitted(aSelection, *aGroup, aRandom);
+    all.AddTo(comparison, aRandom);
+    near.AddTo(comparison, aRandom);
+    return comparison.Best();
   }
 
-  static Pair DrawFromAdmitted(const Selection& aSelection,
-                               const std::vector<CandidateState*>& aGroup,
-                               Random& aRandom)
+private:
+  /// What is to be spread evenly: own requests, and first of all own long ones for long
+  /// work, so that it does not fill all slots of some candidates.
+  static std::pair<double, double> Own(const CandidateState& aCandidate, WorkClass aClass)
   {
-    std::vector<CandidateState*> admitted;
-    std::ranges::copy_if(
-      aGroup, std::back_inserter(admitted), [&aSelection](const auto* aCandidate) {
-        return aSelection.Admits(*aCandidate);
-      });
-    Pair pair{};
-    std::ranges::sample(
-      admitted, pair.begin(), static_cast<std::ptrdiff_t>(pair.size()), aRandom.Engine());
-    return pair;
+    const double ownLong = aClass == WorkClass::Long ? aCandidate.ownLong : 0.0;
+    return { ownLong / aCandidate.capacity,
+             aCandidate.own.Outstanding() / aCandidate.capacity };
   }
 };
 
@@ -138,9 +248,11 @@
     case RoutingStrategy::LeastOutstanding:
       return std::make_unique<LeastOutstanding>();
     case RoutingStrategy::TwoChoices:
+      return std::make_unique<TwoChoices>();
+    case RoutingStrategy::LeastTwoChoices:
       break;
   }
-  return std::make_unique<TwoChoices>();
+  return std::make_unique<LeastTwoChoices>();
 }
 
 } // namespace toucanstand
--- a/tests/unit/toucanstand_admission/TestAdmissionController.cpp
+++ b/tests/unit/toucanstand_admission/TestAdmissionController.cpp
@@ -175,11 +175,38 @@
   CHECK(other.running.size() == 4);
 }
 
+TEST_CASE("Short work that needs the slots leaves long work its least share",
+          "[admission]")
+{
+  // Guards against slots that long work holds for long when short work comes back, and
+  // against long work that never runs.
+  AdmissionSettings settings;
+  settings.limit.adaptive = false;
+  Desk desk(16, settings);
+  for (int round = 0; round < 200; ++round) {
+    for (int number = 0; number < 9; ++number) {
+      desk.Offer(desk.Request(std::to_string(round) + "." + std::to_string(number)));
+    }
+    desk.now += 100ms;
+    while (!desk.running.empty()) {
+      desk.Finish(*desk.running.begin(), 100ms);
+    }
+  }
+  for (int number = 0; number < 8; ++number) {
+    desk.Offer(desk.Request("long" + std::to_string(number), WorkClass::Long));
+  }
+  CHECK(desk.running.size() == 4);
+  desk.now += 20s;
+  desk.Take(desk.controller.Advance(desk.now));
+  CHECK(desk.running.size() == 8);
+}
+
 TEST_CASE("An account cannot displace the others", "[admission]")
 {
   // Guards against one large account that fills the queue and takes all slots.
   AdmissionSettings settings;
   settings.maximumQueued = 40;
+  settings.fairShare = 0.5;
   ClientAccount granted;
   granted.id = AccountId("tsagaan");
   granted.share = 2;
--- a/tests/unit/toucanstand_routing/TestRouter.cpp
+++ b/tests/unit/toucanstand_routing/TestRouter.cpp
@@ -328,7 +328,8 @@
 {
   for (const auto strategy : { RoutingStrategy::RoundRobin,
                                RoutingStrategy::LeastOutstanding,
-                               RoutingStrategy::TwoChoices }) {
+                               RoutingStrategy::TwoChoices,
+                               RoutingStrategy::LeastTwoChoices }) {
     RouterSettings settings;
     settings.strategy = strategy;
     World world(7, settings);
