--- a/modules/toucanstand_configuration/document/ConfigurationDocument.h
+++ b/modules/toucanstand_configuration/document/ConfigurationDocument.h
@@ -47,7 +47,7 @@
   std::vector<Contract> contracts;
   std::vector<ClientAccount> accounts;
   AdmissionPolicy admission;
-  RoutingStrategy strategy = RoutingStrategy::TwoChoices;
+  RoutingStrategy strategy = RoutingStrategy::LeastTwoChoices;
   std::vector<GroupPolicy> groups;
   /// Always Refuse: to continue needs an exception with a reason.
   IsolatedServing isolatedServing = IsolatedServing::Refuse;
--- a/modules/toucanstand_configuration/document/ConfigurationText.cpp
+++ b/modules/toucanstand_configuration/document/ConfigurationText.cpp
@@ -26,7 +26,8 @@
 
 constexpr std::array kStrategyNames = { "round-robin",
                                         "least-outstanding",
-                                        "two-choices" };
+                                        "two-choices",
+                                        "least-two-choices" };
 constexpr std::array<const char*, kScopeKinds> kScopeNames = { "account",
                                                                "pool",
                                                                "contract",
--- a/modules/toucanstand_routing/routing/RouterSettings.h
+++ b/modules/toucanstand_routing/routing/RouterSettings.h
@@ -33,7 +33,7 @@
 /// Settings of a Router.
 struct RouterSettings
 {
-  RoutingStrategy strategy = RoutingStrategy::TwoChoices;
+  RoutingStrategy strategy = RoutingStrategy::LeastTwoChoices;
   /// Load reports older than this count as unknown.
   Duration staleness = std::chrono::seconds(3);
   /// A prefix stays on its candidate while that has at most this multiple of the mean
--- a/modules/toucanstand_world/contracts/RoutingStrategy.h
+++ b/modules/toucanstand_world/contracts/RoutingStrategy.h
@@ -10,6 +10,9 @@
   LeastOutstanding,
   /// The less loaded of two random candidates.
   TwoChoices,
+  /// The less loaded of two random candidates among those with the fewest requests of
+  /// this process outstanding.
+  LeastTwoChoices,
 };
 
 /// Name of a strategy in the configuration, settings and state dumps.
