--- a/modules/toucanstand_delivery/joins/IdenticalRequests.cpp
+++ b/modules/toucanstand_delivery/joins/IdenticalRequests.cpp
@@ -14,8 +14,8 @@
       this->runOfCaller.contains(aRequest)) {
     return {};
   }
-  const Key key{ aAccount, aFingerprint };
-  if (Run* run = this->FindOpen(key, aForm); run != nullptr) {
+  const Key key{ aAccount, aFingerprint, aForm };
+  if (Run* run = this->FindOpen(key); run != nullptr) {
     const RequestId name = this->open.at(key);
     run->callers.insert(aRequest);
     this->runOfCaller.emplace(aRequest, name);
@@ -25,7 +25,7 @@
   if (this->runs.size() >= kMaximumRuns) {
     return {};
   }
-  this->runs.emplace(aRequest, Run{ key, aForm, { aRequest }, {}, 0 });
+  this->runs.emplace(aRequest, Run{ key, { aRequest }, {}, 0 });
   this->runOfCaller.emplace(aRequest, aRequest);
   this->open.insert_or_assign(key, aRequest);
   return {};
@@ -97,15 +97,14 @@
            { "held_bytes", this->totalBytes } };
 }
 
-IdenticalRequests::Run* IdenticalRequests::FindOpen(const Key& aKey, AnswerForm aForm)
+IdenticalRequests::Run* IdenticalRequests::FindOpen(const Key& aKey)
 {
   const auto found = this->open.find(aKey);
   if (found == this->open.end()) {
     return nullptr;
   }
   Run& run = this->runs.at(found->second);
-  const bool fits = run.form == aForm && run.callers.size() < kMaximumCallersPerRun;
-  return fits ? &run : nullptr;
+  return run.callers.size() < kMaximumCallersPerRun ? &run : nullptr;
 }
 
 void IdenticalRequests::Close(const RequestId& aRun, Run& aEntry)
--- a/modules/toucanstand_delivery/joins/IdenticalRequests.h
+++ b/modules/toucanstand_delivery/joins/IdenticalRequests.h
@@ -6,8 +6,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 #include <nlohmann/json_fwd.hpp>
@@ -72,18 +72,17 @@
   [[nodiscard]] nlohmann::json Describe() const;
 
 private:
-  using Key = std::pair<AccountId, std::uint64_t>;
+  using Key = std::tuple<AccountId, std::uint64_t, AnswerForm>;
 
   struct Run
   {
     Key key;
-    AnswerForm form = AnswerForm::Whole;
     std::set<RequestId> callers;
     std::vector<std::string> events;
     std::size_t bytes = 0;
   };
 
-  [[nodiscard]] Run* FindOpen(const Key& aKey, AnswerForm aForm);
+  [[nodiscard]] Run* FindOpen(const Key& aKey);
   void Close(const RequestId& aRun, Run& aEntry);
   void Erase(const RequestId& aRun);
 
--- /dev/null
+++ b/tests/unit/toucanstand_delivery/TestAttemptTracker.cpp
@@ -0,0 +1,141 @@
+#include <array>
+#include <string>
+#include <utility>
+
+#include <catch2/catch.hpp>
+
+#include "attempts/AttemptTracker.h"
+#include "random/Random.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AccountId kAccount("account");
+const PoolId kPool("pool");
+
+AttemptTracker MakeTracker(RetryBudget& aBudget, Repeatability aRepeatability)
+{
+  return AttemptTracker(aRepeatability, kAccount, kPool, TimePoint{} + 10s, aBudget);
+}
+
+} // namespace
+
+TEST_CASE("No call that may have run is sent again or reported as not run", "[attempts]")
+{
+  // Guards against a second execution (R5) and a wrong "not run" (R4) after any sequence
+  // of failures.
+  // Written out here, so that a change of the table in AttemptFailure.cpp is noticed.
+  constexpr std::array<std::pair<AttemptFailure, bool>, 10> kFailures = { {
+    { AttemptFailure::ConnectRefused, true },
+    { AttemptFailure::ConnectTimedOut, true },
+    { AttemptFailure::SendBroken, false },
+    { AttemptFailure::NoAnswerBeforeDeadline, false },
+    { AttemptFailure::BrokenBeforeHead, false },
+    { AttemptFailure::BrokenInBody, false },
+    { AttemptFailure::SilentConnection, false },
+    { AttemptFailure::RefusedAsNotRun, true },
+    { AttemptFailure::ServerError, false },
+    { AttemptFailure::CallerLeft, false },
+  } };
+  std::size_t retries = 0;
+  for (std::uint64_t seed = 1; seed <= 5000; ++seed) {
+    INFO("seed " << seed);
+    Random random(seed);
+    RetryBudget budget;
+    for (int warm = 0; warm < 100; ++warm) {
+      budget.OnFirstAttempt(kAccount, kPool);
+    }
+    const bool onlyOnce = random.Below(2) == 0;
+    auto tracker =
+      MakeTracker(budget, onlyOnce ? Repeatability::OnlyOnce : Repeatability::Idempotent);
+    bool mayHaveRun = false;
+    TimePoint now{};
+    NextStep step{ StepKind::Retry };
+    while (step.kind != StepKind::GiveUp) {
+      const std::string candidate = "c" + std::to_string(tracker.Attempts());
+      tracker.OnAttemptStarted(candidate);
+      REQUIRE(tracker.Outcome() == CallOutcome::Unknown);
+      const auto [failure, provesNotRun] = kFailures[random.Below(kFailures.size())];
+      mayHaveRun = mayHaveRun || !provesNotRun;
+      now += std::chrono::seconds(random.Below(5));
+      step = tracker.OnFailure(failure, candidate, now);
+      const bool again = step.kind != StepKind::GiveUp;
+      REQUIRE_FALSE((again && onlyOnce && mayHaveRun));
+      REQUIRE_FALSE((again && now >= tracker.Deadline()));
+      retries += again ? 1 : 0;
+    }
+    REQUIRE(step.outcome == (mayHaveRun ? CallOutcome::Unknown : CallOutcome::NotRun));
+    REQUIRE(tracker.Attempts() <= AttemptTracker::kMaximumAttempts);
+  }
+  CHECK(retries > 1000);
+}
+
+TEST_CASE("A stream resumes where it broke off, an answer without offsets doesn't",
+          "[attempts]")
+{
+  // Guards against sending the caller the beginning of an answer twice.
+  RetryBudget budget;
+  auto stream = MakeTracker(budget, Repeatability::Idempotent);
+  stream.OnAttemptStarted("a");
+  stream.OnTokensReceived(17);
+  const auto step = stream.OnFailure(AttemptFailure::BrokenInBody, "a", TimePoint{});
+  CHECK(step.kind == StepKind::Resume);
+  CHECK(step.resumeOffset == 17);
+
+  auto plain = MakeTracker(budget, Repeatability::Idempotent);
+  plain.OnAttemptStarted("a");
+  plain.OnBodyForwarded();
+  const auto stop = plain.OnFailure(AttemptFailure::BrokenInBody, "a", TimePoint{});
+  CHECK(stop.kind == StepKind::GiveUp);
+  CHECK(stop.reason == GiveUpReason::AnswerStarted);
+  CHECK(stop.outcome == CallOutcome::Unknown);
+}
+
+TEST_CASE("Retries under overload stay below a tenth of the first attempts", "[attempts]")
+{
+  // Guards against retries that keep an overloaded pool overloaded (R23).
+  RetryBudget budget;
+  constexpr int kRequests = 20'000;
+  for (int request = 0; request < kRequests; ++request) {
+    budget.OnFirstAttempt(kAccount, kPool);
+    static_cast<void>(budget.TrySpend(kAccount, kPool, RetryCause::MayBeOverload));
+  }
+  CHECK(budget.Spent() <= kRequests / 10 + 1);
+  CHECK(budget.Spent() >= kRequests / 10 - 1);
+}
+
+TEST_CASE("Losing servers overdraws the budget, and only up to the bound", "[attempts]")
+{
+  // Guards against giving up the streams of a lost server, and against unlimited retries
+  // when server after server is lost. An account with one request may retry it once.
+  RetryBudget budget;
+  budget.OnFirstAttempt(kAccount, kPool);
+  REQUIRE(budget.TrySpend(kAccount, kPool, RetryCause::MayBeOverload));
+  REQUIRE_FALSE(budget.TrySpend(kAccount, kPool, RetryCause::MayBeOverload));
+  int overdrawn = 0;
+  while (budget.TrySpend(kAccount, kPool, RetryCause::LostServer)) {
+    ++overdrawn;
+  }
+  CHECK(overdrawn == static_cast<int>(RetryBudget::kLargestOverdraft));
+  const AccountId other("other");
+  budget.OnFirstAttempt(other, kPool);
+  CHECK_FALSE(budget.TrySpend(other, kPool, RetryCause::MayBeOverload));
+}
+
+TEST_CASE("Names of accounts can't be used to gain credit", "[attempts]")
+{
+  // Guards against unbounded memory and against a fresh credit for each invented account.
+  RetryBudget budget;
+  const auto spend = [&budget](int aIndex) {
+    const std::string name = std::to_string(aIndex);
+    return budget.TrySpend(AccountId(name), PoolId(name), RetryCause::MayBeOverload);
+  };
+  constexpr int kAccounts = static_cast<int>(RetryBudget::kMaximumBuckets);
+  int spent = 0;
+  for (int index = 0; index < kAccounts + 1000; ++index) {
+    spent += spend(index) ? 1 : 0;
+  }
+  CHECK(spent == kAccounts + 1);
+}
