--- a/modules/toucanstand_delivery/crashes/SuspectMessages.h
+++ b/modules/toucanstand_delivery/crashes/SuspectMessages.h
@@ -36,7 +36,8 @@
 
 /// Nothing when a field is missing, has the wrong type or exceeds its bound.
 [[nodiscard]] std::optional<RunAskMessage> RunAskFromJson(const nlohmann::json& aBody);
-[[nodiscard]] std::optional<RunEndedMessage> RunEndedFromJson(const nlohmann::json& aBody);
+[[nodiscard]] std::optional<RunEndedMessage> RunEndedFromJson(
+  const nlohmann::json& aBody);
 
 /// Body of `run-grant`.
 [[nodiscard]] nlohmann::json ToJson(RunGrant aGrant);
--- a/modules/toucanstand_ledger/claims/ClaimMachine.cpp
+++ b/modules/toucanstand_ledger/claims/ClaimMachine.cpp
@@ -35,8 +35,7 @@
     return this->Grant(aRevision);
   }
   if (aResult == StoreResult::ConditionFailed && aExisting) {
-    return this->IsOwn(*aExisting) ? this->Grant(aExisting->revision)
-                                   : this->Judge(*aExisting);
+    return this->Resolve(*aExisting);
   }
   this->createUnanswered = this->createUnanswered || aResult == StoreResult::NoReply;
   if (aResult == StoreResult::NotSent && !this->createUnanswered) {
@@ -187,6 +186,15 @@
              .reply = { this->own.nonce, ClaimAnswer::Granted, 0, {}, false } } };
 }
 
+ClaimActions ClaimMachine::Resolve(const StoredClaim& aExisting)
+{
+  // The own nonce in a record that this machine did not try to create comes from a
+  // repeated claim message: the call may have been granted before.
+  const bool createdHere = this->createUnanswered && this->IsOwn(aExisting);
+  const bool open = createdHere && aExisting.record->state != ClaimState::Finished;
+  return open ? this->Grant(aExisting.revision) : this->Judge(aExisting);
+}
+
 ClaimActions ClaimMachine::Judge(const StoredClaim& aExisting)
 {
   const auto& record = aExisting.record;
@@ -226,7 +234,7 @@
 ClaimActions ClaimMachine::ReadBackReply(const std::optional<StoredClaim>& aFound)
 {
   if (aFound) {
-    return this->IsOwn(*aFound) ? this->Grant(aFound->revision) : this->Judge(*aFound);
+    return this->Resolve(*aFound);
   }
   // The unanswered create may still arrive. Creating again with the same nonce is safe:
   // only one of the two takes effect, and either one is the own record.
--- a/modules/toucanstand_ledger/claims/ClaimMachine.h
+++ b/modules/toucanstand_ledger/claims/ClaimMachine.h
@@ -145,6 +145,7 @@
   [[nodiscard]] ClaimActions Create();
   [[nodiscard]] ClaimActions Read(State aState);
   [[nodiscard]] ClaimActions Grant(std::int64_t aRevision);
+  [[nodiscard]] ClaimActions Resolve(const StoredClaim& aExisting);
   [[nodiscard]] ClaimActions Judge(const StoredClaim& aExisting);
   [[nodiscard]] ClaimActions ReadBackReply(const std::optional<StoredClaim>& aFound);
   [[nodiscard]] ClaimActions OutcomeReadReply(const std::optional<StoredClaim>& aFound);
--- a/programs/toucanstand-entry/AdmissionGate.cpp
+++ b/programs/toucanstand-entry/AdmissionGate.cpp
@@ -24,7 +24,8 @@
   std::optional<Entry> entry;
 };
 
-AdmissionGate::AdmissionGate(boost::asio::io_context& aLoop, AdmissionController aController)
+AdmissionGate::AdmissionGate(boost::asio::io_context& aLoop,
+                             AdmissionController aController)
   : loop(aLoop)
   , controller(std::move(aController))
   , wakeTimer(aLoop)
@@ -43,7 +44,9 @@
   co_return *waiter->entry;
 }
 
-void AdmissionGate::Leave(const RequestId& aId, AttemptOutcome aOutcome, Duration aService)
+void AdmissionGate::Leave(const RequestId& aId,
+                          AttemptOutcome aOutcome,
+                          Duration aService)
 {
   this->Apply(this->controller.OnFinished(aId, aOutcome, aService, BootClock::now()));
 }
--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -328,10 +328,8 @@
                          std::back_inserter(vms),
                          [](const Vm& aVm) { return aVm.id; });
   const auto arbiter = ArbiterVm(vms);
-  const auto found =
-    std::ranges::find(this->context.view.liveEntryVms, arbiter, [](const Vm& aVm) {
-      return aVm.id;
-    });
+  const auto found = std::ranges::find(
+    this->context.view.liveEntryVms, arbiter, [](const Vm& aVm) { return aVm.id; });
   return found == this->context.view.liveEntryVms.end() ? this->context.settings.node
                                                         : found->nodeEndpoint;
 }
--- a/programs/toucanstand-entry/BackendCall.h
+++ b/programs/toucanstand-entry/BackendCall.h
@@ -32,7 +32,8 @@
   using AttemptResult = std::variant<CallEnd, AttemptFailure>;
 
   /// Sends the request to a candidate and reads the answer.
-  virtual Task<AttemptResult> Attempt(const Candidate& aCandidate, std::uint32_t aNumber) = 0;
+  virtual Task<AttemptResult> Attempt(const Candidate& aCandidate,
+                                      std::uint32_t aNumber) = 0;
 
   /// Finds out what a transport failure says about the server, probing it when needed.
   Task<AttemptFailure> Judge(HttpFailure aFailure, const Candidate& aCandidate);
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -49,10 +49,11 @@
       CallEnd end;
       end.outcome = CallOutcome::Answered;
       end.status = aReply->status;
-      HttpResponse stored =
-        aReply->bodyOmitted
-          ? ErrorResponse(aReply->status, "answer_not_stored", "the answer was too long to keep")
-          : JsonResponse(aReply->status, aReply->body);
+      HttpResponse stored = aReply->bodyOmitted
+                              ? ErrorResponse(aReply->status,
+                                              "answer_not_stored",
+                                              "the answer was too long to keep")
+                              : JsonResponse(aReply->status, aReply->body);
       stored.headers.Add("Idempotent-Replay", "true");
       end.answer = std::move(stored);
       return end;
@@ -101,13 +102,14 @@
     co_await aExchange.Respond(std::move(response));
     co_return;
   }
-  auto read = this->reader.Read(
-    aExchange.Request(), this->context.configuration, BootClock::now());
+  auto read =
+    this->reader.Read(aExchange.Request(), this->context.configuration, BootClock::now());
   if (!read) {
     const auto& rejection = read.LastReason();
     this->context.metrics.Count(std::string("calls_rejected_total{type=\"") +
                                 rejection.type + "\"}");
-    HttpResponse response = ErrorResponse(rejection.status, rejection.type, rejection.message);
+    HttpResponse response =
+      ErrorResponse(rejection.status, rejection.type, rejection.message);
     response.headers.Add("Toucanstand-Outcome", WireName(CallOutcome::NotRun));
     co_await aExchange.Respond(std::move(response));
     co_return;
@@ -191,8 +193,8 @@
     if (aState.cancelReason == CancelReason::None) {
       co_return std::nullopt;
     }
-    CallEnd given =
-      MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left before the call");
+    CallEnd given = MakeError(
+      CallOutcome::NotRun, 499, "caller_left", "the caller left before the call");
     this->ReportOutcome(aNonce, given);
     co_return given;
   }
@@ -260,8 +262,9 @@
     metrics.Record(std::string("call_seconds{class=\"") + Name(request.workClass) + "\"}",
                    BootClock::now() - request.arrivedAt);
     // Worth is a fraction, counters are whole numbers.
-    metrics.Count("worth_answered_milli_total",
-                  static_cast<std::uint64_t>(request.worth * request.account.worth * 1000));
+    metrics.Count(
+      "worth_answered_milli_total",
+      static_cast<std::uint64_t>(request.worth * request.account.worth * 1000));
   }
 }
 
--- a/programs/toucanstand-entry/CallReader.cpp
+++ b/programs/toucanstand-entry/CallReader.cpp
@@ -30,9 +30,8 @@
 
 bool IsPrintable(std::string_view aText)
 {
-  return std::ranges::all_of(aText, [](char aCharacter) {
-    return aCharacter > ' ' && aCharacter <= '~';
-  });
+  return std::ranges::all_of(
+    aText, [](char aCharacter) { return aCharacter > ' ' && aCharacter <= '~'; });
 }
 
 CallRejection Rejection(int aStatus, const char* aType, std::string aMessage)
@@ -65,7 +64,8 @@
 
 CallReader::CallReader(VmId aVm, std::uint64_t aRunNumber, std::int64_t aLongTokens)
   // Two runs of one VM must not use the same ids.
-  : idPrefix(aVm.Value() + "-" + HashHex128(std::to_string(aRunNumber)).substr(0, 8) + "-")
+  : idPrefix(aVm.Value() + "-" + HashHex128(std::to_string(aRunNumber)).substr(0, 8) +
+             "-")
   , longTokens(aLongTokens)
 {
 }
@@ -91,7 +91,8 @@
 
   const auto account = aRequest.headers.Find("Client-Account");
   if (account.size() > kMostNameBytes || !IsPrintable(account)) {
-    return Rejection(400, "invalid_account", "Client-Account must be 1 to 128 characters");
+    return Rejection(
+      400, "invalid_account", "Client-Account must be 1 to 128 characters");
   }
   call.account = aConfiguration.AccountFor(
     AccountId(std::string(account.empty() ? kOrdinaryAccount : account)));
@@ -129,8 +130,7 @@
     const char* const last = text.data() + text.size();
     const auto [end, error] = std::from_chars(text.data(), last, count);
     if (error != std::errc{} || end != last || count < 1 || count > kLongestTimeoutMs) {
-      return Rejection(
-        400, "invalid_timeout", "Request-Timeout-Ms must be 1 to 3600000");
+      return Rejection(400, "invalid_timeout", "Request-Timeout-Ms must be 1 to 3600000");
     }
     timeout = std::chrono::milliseconds(count);
   }
@@ -151,8 +151,8 @@
   if (auto rejection = CheckMessages(*document)) {
     return rejection;
   }
-  const json& tokens = document->contains("max_tokens") ? (*document)["max_tokens"]
-                                                        : json(kDefaultTokens);
+  const json& tokens =
+    document->contains("max_tokens") ? (*document)["max_tokens"] : json(kDefaultTokens);
   if (!tokens.is_number_integer() || tokens < 1 || tokens > kMostTokens) {
     return Rejection(400, "invalid_max_tokens", "max_tokens must be 1 to 1000000");
   }
--- a/programs/toucanstand-entry/CallReader.h
+++ b/programs/toucanstand-entry/CallReader.h
@@ -20,8 +20,10 @@
                                           TimePoint aNow);
 
 private:
-  std::optional<CallRejection> ReadDeadline(const HttpRequest& aRequest, CallRequest& aCall);
-  std::optional<CallRejection> ReadChat(const HttpRequest& aRequest, CallRequest& aCall) const;
+  std::optional<CallRejection> ReadDeadline(const HttpRequest& aRequest,
+                                            CallRequest& aCall);
+  std::optional<CallRejection> ReadChat(const HttpRequest& aRequest,
+                                        CallRequest& aCall) const;
   std::optional<CallRejection> ReadService(const HttpRequest& aRequest,
                                            CallRequest& aCall) const;
 
--- a/programs/toucanstand-entry/EngineCall.cpp
+++ b/programs/toucanstand-entry/EngineCall.cpp
@@ -103,8 +103,9 @@
   }
 }
 
-Task<std::optional<AttemptFailure>> EngineCall::TakeTokens(std::vector<TokenEvent> aEvents,
-                                                           std::uint32_t aNumber)
+Task<std::optional<AttemptFailure>> EngineCall::TakeTokens(
+  std::vector<TokenEvent> aEvents,
+  std::uint32_t aNumber)
 {
   for (auto& event : aEvents) {
     switch (this->assembler.OnToken(aNumber, event.index)) {
@@ -162,8 +163,8 @@
       wellFormed = false;
       return;
     }
-    aEvents.push_back({ event->at("index").get<std::uint64_t>(),
-                        event->at("token").get<std::string>() });
+    aEvents.push_back(
+      { event->at("index").get<std::uint64_t>(), event->at("token").get<std::string>() });
   });
   return bounded && wellFormed;
 }
@@ -175,11 +176,10 @@
   if (!this->firstTokenSeen) {
     this->firstTokenSeen = true;
     this->context.RouterFor(aCandidate.pool)
-      .OnFirstByte(
-        aCandidate.id, now - this->attemptStartedAt, now, request.workClass);
-    this->context.metrics.Record(
-      std::string("first_token_seconds{class=\"") + Name(request.workClass) + "\"}",
-      now - request.arrivedAt);
+      .OnFirstByte(aCandidate.id, now - this->attemptStartedAt, now, request.workClass);
+    this->context.metrics.Record(std::string("first_token_seconds{class=\"") +
+                                   Name(request.workClass) + "\"}",
+                                 now - request.arrivedAt);
   } else {
     this->context.metrics.Record("token_gap_seconds", now - this->lastTokenAt);
   }
@@ -195,7 +195,8 @@
     boost::asio::detached);
 }
 
-HttpRequest EngineCall::MakeRequest(const Candidate& aCandidate, std::uint32_t aNumber) const
+HttpRequest EngineCall::MakeRequest(const Candidate& aCandidate,
+                                    std::uint32_t aNumber) const
 {
   const auto& call = this->state.request;
   HttpRequest request;
--- a/programs/toucanstand-entry/EngineCall.h
+++ b/programs/toucanstand-entry/EngineCall.h
@@ -15,7 +15,8 @@
   EngineCall(EntryContext& aContext, CallState& aState, CallerAnswer& aAnswer);
 
 protected:
-  Task<AttemptResult> Attempt(const Candidate& aCandidate, std::uint32_t aNumber) override;
+  Task<AttemptResult> Attempt(const Candidate& aCandidate,
+                              std::uint32_t aNumber) override;
 
 private:
   /// One event of an engine's stream.
--- a/programs/toucanstand-entry/EntryContext.cpp
+++ b/programs/toucanstand-entry/EntryContext.cpp
@@ -89,8 +89,8 @@
 
 bool EntryContext::MayServe(TimePoint aNow) const
 {
-  const bool recent = this->view.receivedAt != TimePoint{} &&
-                      aNow - this->view.receivedAt < kViewValidity;
+  const bool recent =
+    this->view.receivedAt != TimePoint{} && aNow - this->view.receivedAt < kViewValidity;
   return recent && this->view.mayServe && this->configuration.Revision() > 0;
 }
 
--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -43,9 +43,9 @@
   if (!this->Listen()) {
     return ExitCode::Failure;
   }
-  this->shutdown.SetHooks(
-    ShutdownHooks{ [this] { this->BeginDrain(); },
-                   [this] { return this->listenerOpen || this->server.ActiveExchanges() > 0; } });
+  this->shutdown.SetHooks(ShutdownHooks{
+    [this] { this->BeginDrain(); },
+    [this] { return this->listenerOpen || this->server.ActiveExchanges() > 0; } });
   this->nodeLink.Start();
   this->loop.run();
   return this->shutdown.Outcome();
@@ -54,8 +54,10 @@
 bool EntryProcess::Listen()
 {
   const auto& settings = this->context.settings;
-  const auto messages = this->context.port.Listen(
-    settings.messages, [this](const Message& aMessage) { this->nodeLink.OnMessage(aMessage); });
+  const auto messages =
+    this->context.port.Listen(settings.messages, [this](const Message& aMessage) {
+      this->nodeLink.OnMessage(aMessage);
+    });
   const auto operatorEndpoint = this->operators.Listen(settings.operatorEndpoint);
   const auto callers = this->server.Listen(settings.listen);
   if (!messages || !operatorEndpoint || !callers) {
--- a/programs/toucanstand-entry/EntrySettings.cpp
+++ b/programs/toucanstand-entry/EntrySettings.cpp
@@ -12,15 +12,16 @@
 
 void ReadLimits(SettingsReader& aReader, HttpServerLimits& aLimits)
 {
-  const auto size = [&aReader](std::string_view aKey, std::size_t aMost, std::size_t aDefault) {
-    return static_cast<std::size_t>(aReader.Whole(
-      aKey, 1, static_cast<std::int64_t>(aMost), static_cast<std::int64_t>(aDefault)));
-  };
+  const auto size =
+    [&aReader](std::string_view aKey, std::size_t aMost, std::size_t aDefault) {
+      return static_cast<std::size_t>(aReader.Whole(
+        aKey, 1, static_cast<std::int64_t>(aMost), static_cast<std::int64_t>(aDefault)));
+    };
   aLimits.headerBytes = size("header_bytes", 1U << 20U, aLimits.headerBytes);
   aLimits.bodyBytes = size("body_bytes", 64U << 20U, aLimits.bodyBytes);
   aLimits.connections = size("connections", 100000, aLimits.connections);
-  aLimits.idleTimeout =
-    aReader.Milliseconds("idle_timeout_ms", milliseconds(10), minutes(60), aLimits.idleTimeout);
+  aLimits.idleTimeout = aReader.Milliseconds(
+    "idle_timeout_ms", milliseconds(10), minutes(60), aLimits.idleTimeout);
   aLimits.requestTimeout = aReader.Milliseconds(
     "request_timeout_ms", milliseconds(10), minutes(10), aLimits.requestTimeout);
 }
@@ -47,9 +48,8 @@
   settings.messages = ReadEndpoint(aReader, "messages");
   settings.node = ReadEndpoint(aReader, "node");
   settings.ledger = ReadEndpoint(aReader, "ledger");
-  aReader.Object("limits", [&](SettingsReader& aLimits) {
-    ReadLimits(aLimits, settings.limits);
-  });
+  aReader.Object("limits",
+                 [&](SettingsReader& aLimits) { ReadLimits(aLimits, settings.limits); });
   aReader.Object("progress", [&](SettingsReader& aProgress) {
     ReadProgress(aProgress, settings.progress);
   });
--- a/programs/toucanstand-entry/ServiceCall.h
+++ b/programs/toucanstand-entry/ServiceCall.h
@@ -12,7 +12,8 @@
   using BackendCall::BackendCall;
 
 protected:
-  Task<AttemptResult> Attempt(const Candidate& aCandidate, std::uint32_t aNumber) override;
+  Task<AttemptResult> Attempt(const Candidate& aCandidate,
+                              std::uint32_t aNumber) override;
 
 private:
   [[nodiscard]] HttpRequest MakeRequest(std::uint32_t aNumber) const;
--- a/programs/toucanstand-entry/SuspectLink.cpp
+++ b/programs/toucanstand-entry/SuspectLink.cpp
@@ -24,7 +24,9 @@
   RunGrant grant = RunGrant::Wait;
 };
 
-SuspectLink::SuspectLink(boost::asio::io_context& aLoop, MessagePort& aPort, Endpoint aNode)
+SuspectLink::SuspectLink(boost::asio::io_context& aLoop,
+                         MessagePort& aPort,
+                         Endpoint aNode)
   : loop(aLoop)
   , port(aPort)
   , node(std::move(aNode))
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -20,3 +20,7 @@
 
 toucanstand_integration_test(TestStandinEngine standins_library)
 toucanstand_integration_test(TestStandinService standins_library)
+
+# Benchmarks are built with everything else and run by hand.
+add_executable(bench_claims tests/benchmarks/BenchClaims.cpp)
+target_link_libraries(bench_claims PRIVATE toucanstand_ledger)
--- a/tests/unit/toucanstand_ledger/TestClaimMachine.cpp
+++ b/tests/unit/toucanstand_ledger/TestClaimMachine.cpp
@@ -427,6 +427,19 @@
   CHECK(machine.OnReplaceReply(StoreResult::Done).front().outcomeReply.recorded);
 }
 
+TEST_CASE("A repeated claim message with the same nonce is not granted again", "[claims]")
+{
+  // Guards against two grants for one claim when a message is delivered twice.
+  ModelStore store;
+  ClaimMachine first(Message("n1"), VmId("vm-1"));
+  REQUIRE(store.Apply(first.OnClaimAsked().front()) == StoreResult::Done);
+  ClaimMachine second(Message("n1"), VmId("vm-1"));
+  REQUIRE(store.Apply(second.OnClaimAsked().front()) == StoreResult::ConditionFailed);
+  const auto reply =
+    second.OnCreateReply(StoreResult::ConditionFailed, 0, store.Read(false));
+  CHECK(reply.front().reply.answer == ClaimAnswer::InProgress);
+}
+
 TEST_CASE("The answer to a repeated key depends on what its record says", "[claims]")
 {
   // Guards against answering from the wrong state; none of these may be a grant.
