--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -67,8 +67,8 @@
                   callers ? "ok" : settings.listen.Text());
     return false;
   }
-  std::cout << "listening " << callers->Text() << " operator " << operatorEndpoint->Text()
-            << " messages " << messages->Text() << std::endl;
+  std::cout << "listening " << callers->Text() << "\noperator "
+            << operatorEndpoint->Text() << "\nmessages " << messages->Text() << std::endl;
   return true;
 }
 
