--- a/modules/toucanstand_ledger/claims/ClaimRecord.cpp
+++ b/modules/toucanstand_ledger/claims/ClaimRecord.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "hashing/Fingerprint.h"
+#include "serialization/BoundedJson.h"
 
 namespace toucanstand {
 
@@ -110,10 +111,11 @@
 
 std::optional<ClaimRecord> ParseClaimRecord(const std::string& aText)
 {
-  const auto document = nlohmann::json::parse(aText, nullptr, false);
-  if (!document.is_object()) {
+  const auto decoded = DecodeJson(aText);
+  if (!decoded || !decoded->is_object()) {
     return std::nullopt;
   }
+  const auto& document = *decoded;
   try {
     const auto state = StateFromName(document.at("state").get<std::string>());
     if (!state || document.at("version").get<int>() != kVersion) {
--- a/modules/toucanstand_ledger/claims/RetentionLease.h
+++ b/modules/toucanstand_ledger/claims/RetentionLease.h
@@ -31,6 +31,9 @@
   /// lifetime may have begun then.
   void OnGranted(std::int64_t aLease, TimePoint aAskedAt);
 
+  /// The store may have lost the lease: have a new one granted before the next claim.
+  void Forget() { this->usableUntil = TimePoint{}; }
+
 private:
   Duration retention;
   Duration period;
