--- a/programs/toucanstand-ledger/OwnerDirectory.cpp
+++ b/programs/toucanstand-ledger/OwnerDirectory.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "observation/WorldViewText.h"
+#include "serialization/BoundedJson.h"
 
 namespace toucanstand {
 
@@ -33,12 +34,11 @@
 
 bool OwnerDirectory::OnMessage(const Message& aMessage)
 {
+  if (aMessage.type == "suspects") {
+    return true;
+  }
   if (aMessage.type == "configuration") {
-    // The ledger has no use for it; naming the revision keeps the node from repeating it.
-    const auto revision = aMessage.body.find("revision");
-    if (revision != aMessage.body.end() && revision->is_number_integer()) {
-      this->configurationRevision = revision->get<std::int64_t>();
-    }
+    this->NoteConfiguration(aMessage.body);
     return true;
   }
   if (aMessage.type != "world") {
@@ -52,6 +52,20 @@
   return true;
 }
 
+void OwnerDirectory::NoteConfiguration(const nlohmann::json& aBody)
+{
+  constexpr std::size_t kMostBytes = std::size_t{ 1 } << 20U;
+  const auto text = aBody.find("text");
+  if (text == aBody.end() || !text->is_string()) {
+    return;
+  }
+  const auto document = DecodeJson(text->get<std::string>(), { kMostBytes, 32 });
+  if (document && document->is_object() && document->contains("revision") &&
+      (*document)["revision"].is_number_integer()) {
+    this->configurationRevision = (*document)["revision"].get<std::int64_t>();
+  }
+}
+
 bool OwnerDirectory::IsGone(const VmId& aVm, TimePoint aNow) const
 {
   return !this->live.empty() && aNow - this->receivedAt < kFreshness &&
--- a/programs/toucanstand-ledger/OwnerDirectory.h
+++ b/programs/toucanstand-ledger/OwnerDirectory.h
@@ -24,7 +24,7 @@
   /// Begins to subscribe, once a second.
   void Start();
 
-  /// Takes over `world` and `configuration` messages; false for other types.
+  /// Takes over what the node sends to its subscribers; false for other types.
   bool OnMessage(const Message& aMessage);
 
   /// True when a recent snapshot doesn't list the VM.
@@ -32,6 +32,9 @@
 
 private:
   void Subscribe();
+  /// The ledger has no use for the configuration, but a subscription that names the
+  /// revision held keeps the node from sending it again.
+  void NoteConfiguration(const nlohmann::json& aBody);
 
   MessagePort& port;
   Endpoint node;
