--- a/modules/toucanstand_configuration/document/ConfigurationDocument.h
+++ b/modules/toucanstand_configuration/document/ConfigurationDocument.h
@@ -8,6 +8,7 @@
 
 #include "contracts/ClientAccount.h"
 #include "contracts/Contract.h"
+#include "contracts/RoutingStrategy.h"
 #include "isolation/Isolation.h"
 
 namespace toucanstand {
@@ -15,17 +16,6 @@
 /// Key of the configuration in the platform's store.
 inline constexpr const char* kConfigurationKey = "/toucanstand/configuration";
 
-/// How a node chooses among the candidates of a pool.
-enum class RoutingStrategy
-{
-  RoundRobin,
-  LeastOutstanding,
-  PowerOfTwo,
-};
-
-/// Name of a strategy in the configuration.
-[[nodiscard]] const char* Name(RoutingStrategy aStrategy);
-
 /// Limits of one work class.
 struct ClassPolicy
 {
@@ -57,7 +47,7 @@
   std::vector<Contract> contracts;
   std::vector<ClientAccount> accounts;
   AdmissionPolicy admission;
-  RoutingStrategy strategy = RoutingStrategy::PowerOfTwo;
+  RoutingStrategy strategy = RoutingStrategy::TwoChoices;
   std::vector<GroupPolicy> groups;
   /// Always Refuse: to continue needs an exception with a reason.
   IsolatedServing isolatedServing = IsolatedServing::Refuse;
--- a/tests/unit/toucanstand_configuration/TestConfigurationChange.cpp
+++ b/tests/unit/toucanstand_configuration/TestConfigurationChange.cpp
@@ -27,7 +27,7 @@
 TEST_CASE("The loser of a race learns the winner's author and revision", "[change]")
 {
   auto winner = MakeChange("winner", Strategy("round-robin"));
-  auto loser = MakeChange("loser", Strategy("power-of-two"));
+  auto loser = MakeChange("loser", Strategy("two-choices"));
   const auto text = Written(winner.OnRead({ {}, 0 }));
   static_cast<void>(loser.OnRead({ {}, 0 }));
   static_cast<void>(loser.OnSwapped(false));
@@ -56,7 +56,7 @@
   auto first = MakeChange("first", Strategy("round-robin"));
   const auto text = Written(first.OnRead({ {}, 0 }));
   static_cast<void>(first.OnSwapUnanswered());
-  auto second = MakeChange("second", Strategy("power-of-two"));
+  auto second = MakeChange("second", Strategy("two-choices"));
   const auto later = Written(second.OnRead({ text, 1 }));
   const auto outcome = std::get<ChangeOutcome>(first.OnRead({ later, 2 }));
   CHECK(outcome.result == ChangeResult::Undetermined);
--- a/tests/unit/toucanstand_configuration/TestConfigurationText.cpp
+++ b/tests/unit/toucanstand_configuration/TestConfigurationText.cpp
@@ -28,7 +28,7 @@
       { "scope": { "kind": "zone", "name": "ub-east" }, "reason": "link work until Friday",
         "set": { "isolatedServing": "continue", "strategy": "least-outstanding" } },
       { "scope": { "kind": "vm", "name": "vm-2" }, "reason": "compares strategies",
-        "set": { "strategy": "power-of-two", "isolatedServing": "refuse" } },
+        "set": { "strategy": "two-choices", "isolatedServing": "refuse" } },
       { "scope": { "kind": "contract", "name": "chat" }, "reason": "slow model",
         "set": { "timeoutMs": 60000 } },
       { "scope": { "kind": "account", "name": "audit" }, "reason": "year end",
@@ -46,7 +46,7 @@
   const EffectiveConfiguration other(*document, VmId("vm-3"), ZoneId("ub-west"));
   const PoolId pool("assistant");
 
-  CHECK(here.StrategyFor(pool) == RoutingStrategy::PowerOfTwo);
+  CHECK(here.StrategyFor(pool) == RoutingStrategy::TwoChoices);
   CHECK(here.IsolatedServingPolicy() == IsolatedServing::Refuse);
   CHECK(zone.StrategyFor(pool) == RoutingStrategy::LeastOutstanding);
   CHECK(zone.IsolatedServingPolicy() == IsolatedServing::Continue);
