Add the observation table; repeat one member on each membership message

Two observers poll each backend server. The table lets the second one stay silent while the first one's observations arrive, and an unanswered poll does not outweigh another observer's report that is younger than 2 s: the fault may lie between this node and the server only. A refused connection does. A leaving node tells four members itself, because it may end before the next round of probes.

--- a/modules/toucanstand_membership/isolation/Isolation.cpp
+++ b/modules/toucanstand_membership/isolation/Isolation.cpp
@@ -69,9 +69,14 @@
   this->Synchronize();
 }
 
+bool Isolation::NeedsStoreRead(TimePoint aNow) const
+{
+  return !this->synchronized || !this->HasContact(aNow - this->limit / 2);
+}
+
 ServingState Isolation::State(TimePoint aNow) const
 {
-  if (this->synchronized && this->HasContact(aNow)) {
+  if (this->synchronized && this->HasContact(aNow - this->limit)) {
     return ServingState::Serving;
   }
   // Without a configuration there is nothing that the exception could have allowed.
@@ -142,15 +147,14 @@
     }));
 }
 
-bool Isolation::HasContact(TimePoint aNow) const
+bool Isolation::HasContact(TimePoint aSince) const
 {
-  const auto since = aNow - this->limit;
-  if (this->store.coveredAt && *this->store.coveredAt >= since) {
+  if (this->store.coveredAt && *this->store.coveredAt >= aSince) {
     return true;
   }
   const std::size_t own = this->quorum.Contains(this->self) ? 1 : 0;
   return !this->quorum.Vms().empty() &&
-         this->PeersSince(since) + own >= this->quorum.Majority();
+         this->PeersSince(aSince) + own >= this->quorum.Majority();
 }
 
 } // namespace toucanstand
--- a/modules/toucanstand_membership/isolation/Isolation.h
+++ b/modules/toucanstand_membership/isolation/Isolation.h
@@ -77,6 +77,10 @@
   /// Whether this node's revision counts for the quorums of others.
   [[nodiscard]] bool IsSynchronized() const { return this->synchronized; }
 
+  /// Whether this node should read the store to stay in contact: it is unsynchronized,
+  /// or half of the limit has passed without contact with the store or a majority.
+  [[nodiscard]] bool NeedsStoreRead(TimePoint aNow) const;
+
   [[nodiscard]] ServingState State(TimePoint aNow) const;
   [[nodiscard]] bool MayServe(TimePoint aNow) const;
   [[nodiscard]] nlohmann::json Describe(TimePoint aNow) const;
@@ -96,7 +100,7 @@
   void Promote(Contact& aContact) const;
   void Synchronize();
   [[nodiscard]] std::size_t PeersSince(TimePoint aTime) const;
-  [[nodiscard]] bool HasContact(TimePoint aNow) const;
+  [[nodiscard]] bool HasContact(TimePoint aSince) const;
 
   VmId self;
   TimePoint start;
--- a/modules/toucanstand_membership/members/Membership.cpp
+++ b/modules/toucanstand_membership/members/Membership.cpp
@@ -12,6 +12,8 @@
 
 // Bounds the work that others can cause by ProbeRequests.
 constexpr std::size_t kMaximumOutstanding = 4096;
+// Members that a leaving process tells itself; they spread it further.
+constexpr std::size_t kFarewells = 4;
 constexpr std::uint64_t kFirstSequences = 1ULL << 52U;
 
 } // namespace
@@ -45,10 +47,21 @@
   this->synchronized = aSynchronized;
 }
 
-void Membership::Leave()
+MembershipActions Membership::Leave()
 {
   this->leaving = true;
   this->deltas.Put(this->self.id, this->OwnDelta());
+  MembershipActions actions;
+  auto told = this->members.AliveIds();
+  std::ranges::shuffle(told, this->random.Engine());
+  told.resize(std::min(told.size(), kFarewells));
+  for (const auto& id : told) {
+    Outstanding probe;
+    probe.target = this->members.Find(id)->known.vm;
+    probe.suspects = false;
+    this->SendProbe(std::move(probe), false, actions);
+  }
+  return actions;
 }
 
 bool Membership::Announce(const Notice& aNotice, TimePoint aNow)
@@ -435,6 +448,17 @@
   if (receiver != nullptr) {
     header.deltas.push_back(receiver->known);
   }
+  // A node that joined while a delta was already spread may have missed it. One more
+  // member on each message, in turn, makes all lists equal in the end.
+  const auto& entries = this->members.Entries();
+  auto next = entries.upper_bound(this->lastRepeated);
+  if (next == entries.end()) {
+    next = entries.begin();
+  }
+  if (next != entries.end()) {
+    this->lastRepeated = next->first;
+    header.deltas.push_back(next->second.known);
+  }
   return header;
 }
 
--- a/modules/toucanstand_membership/members/Membership.h
+++ b/modules/toucanstand_membership/members/Membership.h
@@ -52,7 +52,8 @@
   void SetConfiguration(std::int64_t aRevision, bool aSynchronized);
 
   /// Announces that this VM leaves. Can't be undone within this incarnation.
-  void Leave();
+  /// @returns messages that tell some members at once, for a process about to end
+  [[nodiscard]] MembershipActions Leave();
 
   /// Spreads a notice. @returns false when it was known.
   bool Announce(const Notice& aNotice, TimePoint aNow);
@@ -136,6 +137,8 @@
   MemberTable members;
   Dissemination<VmId, MemberDelta> deltas{ kMaximumMembers };
   Notices notices;
+  /// Member that was last repeated on a message.
+  VmId lastRepeated;
   std::vector<Vm> contacts;
   std::size_t nextContact = 0;
   bool joined = false;
--- a/modules/toucanstand_membership/toucanstand_membership.h
+++ b/modules/toucanstand_membership/toucanstand_membership.h
@@ -8,4 +8,5 @@
 #include "isolation/Isolation.h"
 #include "members/Membership.h"
 #include "messages/MembershipMessageText.h"
+#include "observers/ObservationTable.h"
 #include "observers/ObserverAssignment.h"
--- a/tests/unit/toucanstand_membership/TestMembership.cpp
+++ b/tests/unit/toucanstand_membership/TestMembership.cpp
@@ -227,7 +227,7 @@
           break;
         case 2:
           if (fleet.nodes[index]) {
-            fleet.nodes[index]->Leave();
+            static_cast<void>(fleet.nodes[index]->Leave());
           }
           break;
         default:
--- /dev/null
+++ b/tests/unit/toucanstand_membership/TestObservationTable.cpp
@@ -0,0 +1,58 @@
+#include <catch2/catch.hpp>
+
+#include "observers/ObservationTable.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart{ 1h };
+
+Observation Seen(TimePoint aAt)
+{
+  Observation observation;
+  observation.server = ServerId("engine");
+  observation.reachable = true;
+  observation.group = GroupId("group");
+  observation.generation = 2;
+  observation.observedAt = aAt;
+  return observation;
+}
+
+} // namespace
+
+TEST_CASE("An unanswered poll does not outweigh another observer's fresh report",
+          "[observers]")
+{
+  // Guards against a group that loses permission because one observer is cut off from it.
+  ObservationTable table;
+  const ServerId server("engine");
+  CHECK(table.RecordReceived(Seen(kStart)));
+  CHECK_FALSE(table.RecordFailure(server, PollFailure::NoAnswer, kStart + 1s));
+  CHECK(table.All().at(server).reachable);
+  CHECK(table.RecordFailure(server, PollFailure::NoAnswer, kStart + 2s));
+  CHECK_FALSE(table.All().at(server).reachable);
+  CHECK(table.RecordReceived(Seen(kStart + 3s)));
+  CHECK(table.RecordFailure(server, PollFailure::Refused, kStart + 4s));
+  // A late observation does not replace a newer one.
+  CHECK_FALSE(table.RecordReceived(Seen(kStart + 3500ms)));
+  CHECK_FALSE(table.All().at(server).reachable);
+}
+
+TEST_CASE("The second observer sends only what the first one has not sent", "[observers]")
+{
+  ObservationTable table;
+  table.RecordReceived(Seen(kStart));
+  table.RecordOwn(Seen(kStart + 200ms), kStart + 200ms);
+  CHECK(table.TakeSpread().empty());
+  auto changed = Seen(kStart + 300ms);
+  changed.leaving = true;
+  table.RecordOwn(changed, kStart + 300ms);
+  CHECK(table.TakeSpread().size() == 1);
+  CHECK(table.TakeSpread().empty());
+  // It takes over when the first one has gone silent.
+  table.RecordReceived(Seen(kStart + 400ms));
+  table.RecordOwn(Seen(kStart + 900ms), kStart + 900ms);
+  CHECK(table.TakeSpread().size() == 1);
+}
