--- a/modules/toucanstand_configuration/change/ConfigurationChange.cpp
+++ b/modules/toucanstand_configuration/change/ConfigurationChange.cpp
@@ -5,7 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "settings/JsonText.h"
+#include "serialization/BoundedJson.h"
 
 namespace toucanstand {
 
@@ -111,8 +111,7 @@
   document["nonce"] = this->request.nonce;
   document["reason"] = this->request.reason;
   // An author or reason from a command line need not be valid UTF-8.
-  auto proposed =
-    ParseConfiguration(document.dump(-1, ' ', false, json::error_handler_t::replace));
+  auto proposed = ParseConfiguration(EncodeJson(document));
   if (!proposed) {
     return Invalid(proposed.LastReason());
   }
--- a/modules/toucanstand_core/toucanstand_core.h
+++ b/modules/toucanstand_core/toucanstand_core.h
@@ -13,6 +13,5 @@
 #include "random/Random.h"
 #include "serialization/BoundedJson.h"
 #include "settings/EndpointSetting.h"
-#include "settings/JsonText.h"
 #include "settings/SettingsReader.h"
 #include "time/BootClock.h"
