Add standin-store

The HTTP front of the store: calls, watches as chunked lines, leases that expire by a timer so that a watch alone sees their end, and faults (outage, delay, reply lost after the effect, silent connections). /log and /fault work during an outage, which closes the connections of calls without an effect.

Its integration test uses EtcdStore, the system's own client. One assumption of the test was wrong and is replaced: the client refuses values above 1,000,000 bytes itself, so the store's own limit of 1 MiB is tested with plain calls at and one byte above the limit.

ServiceModel is renamed to ServiceInstance: the admission module has a class ServiceModel in the same namespace.

--- a/standins/standin-service/ServiceModel.cpp
+++ b/standins/standin-service/ServiceInstance.cpp
@@ -1,4 +1,4 @@
-#include "ServiceModel.h"
+#include "ServiceInstance.h"
 
 #include <algorithm>
 
@@ -16,12 +16,13 @@
 
 } // namespace
 
-ServiceModel::ServiceModel(ServiceSettings aSettings)
+ServiceInstance::ServiceInstance(ServiceSettings aSettings)
   : settings(std::move(aSettings))
 {
 }
 
-std::optional<std::uint64_t> ServiceModel::Submit(ServiceRequest aRequest, TimePoint aNow)
+std::optional<std::uint64_t> ServiceInstance::Submit(ServiceRequest aRequest,
+                                                     TimePoint aNow)
 {
   if (this->faults.refuse) {
     ++this->rejections["refused"];
@@ -38,7 +39,7 @@
   return number;
 }
 
-std::vector<ServiceCompletion> ServiceModel::Advance(TimePoint aNow)
+std::vector<ServiceCompletion> ServiceInstance::Advance(TimePoint aNow)
 {
   std::vector<ServiceCompletion> completions;
   const auto isDue = [aNow](const Run& aRun) { return aRun.due <= aNow; };
@@ -56,13 +57,13 @@
   return completions;
 }
 
-std::optional<TimePoint> ServiceModel::NextEvent() const
+std::optional<TimePoint> ServiceInstance::NextEvent() const
 {
   const auto earliest = std::ranges::min_element(this->running, {}, &Run::due);
   return earliest == this->running.end() ? std::nullopt : std::optional(earliest->due);
 }
 
-void ServiceModel::Crash()
+void ServiceInstance::Crash()
 {
   this->running.clear();
   this->queue.clear();
@@ -70,7 +71,7 @@
   this->reports = 0;
 }
 
-nlohmann::json ServiceModel::State(TimePoint aNow)
+nlohmann::json ServiceInstance::State(TimePoint aNow)
 {
   const TimePoint reported = aNow - this->settings.reportLag;
   while (this->loadHistory.size() > 1 && this->loadHistory[1].at <= reported) {
@@ -93,7 +94,7 @@
   };
 }
 
-nlohmann::json ServiceModel::Log() const
+nlohmann::json ServiceInstance::Log() const
 {
   auto runs = nlohmann::json::array();
   for (const auto& run : this->log) {
@@ -110,7 +111,7 @@
            { "rejections", this->rejections } };
 }
 
-void ServiceModel::FillSlots(TimePoint aNow)
+void ServiceInstance::FillSlots(TimePoint aNow)
 {
   while (!this->queue.empty() && this->running.size() < this->settings.slots) {
     Run run = std::move(this->queue.front());
@@ -131,7 +132,7 @@
   this->RecordLoad(aNow);
 }
 
-void ServiceModel::RecordLoad(TimePoint aNow)
+void ServiceInstance::RecordLoad(TimePoint aNow)
 {
   this->loadHistory.push_back({ aNow, this->running.size(), this->queue.size() });
   const TimePoint reported = aNow - this->settings.reportLag;
--- a/standins/standin-service/ServiceModel.h
+++ b/standins/standin-service/ServiceInstance.h
@@ -59,10 +59,10 @@
 /// State machine of one service instance: so many requests run at once, the others wait
 /// in order of arrival. A run is logged when it starts, because from then on its effect
 /// may have happened. It does no I/O.
-class ServiceModel
+class ServiceInstance
 {
 public:
-  explicit ServiceModel(ServiceSettings aSettings);
+  explicit ServiceInstance(ServiceSettings aSettings);
 
   /// Accepts a request; nothing when it is rejected and will not run.
   [[nodiscard]] std::optional<std::uint64_t> Submit(ServiceRequest aRequest,
--- a/standins/standin-service/ServiceServer.h
+++ b/standins/standin-service/ServiceServer.h
@@ -8,7 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include "ServiceModel.h"
+#include "ServiceInstance.h"
 #include "common/FaultyServer.h"
 #include "common/ModelTimer.h"
 
@@ -54,7 +54,7 @@
 
   boost::asio::io_context& loop;
   HttpServer::Handler control;
-  ServiceModel model;
+  ServiceInstance model;
   ModelTimer modelTimer;
   FaultyServer server;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
--- a/standins/standin-store/StoreGateway.cpp
+++ b/standins/standin-store/StoreGateway.cpp
@@ -292,11 +292,9 @@
   }
 }
 
-bool StoreGateway::IsWrite(const std::string& aPath)
+bool StoreGateway::IsLeaseWrite(const std::string& aPath)
 {
-  return aPath == "/v3/kv/put" || aPath == "/v3/kv/deleterange" ||
-         aPath == "/v3/kv/txn" || aPath == "/v3/lease/grant" ||
-         aPath == "/v3/lease/revoke";
+  return aPath == "/v3/lease/grant" || aPath == "/v3/lease/revoke";
 }
 
 std::optional<WatchRequest> StoreGateway::ReadWatch(const std::string& aBody)
--- a/standins/standin-store/StoreGateway.h
+++ b/standins/standin-store/StoreGateway.h
@@ -42,8 +42,8 @@
                                   const std::string& aBody,
                                   TimePoint aNow);
 
-  /// True for calls that may change the store.
-  [[nodiscard]] static bool IsWrite(const std::string& aPath);
+  /// True for calls that grant or revoke a lease.
+  [[nodiscard]] static bool IsLeaseWrite(const std::string& aPath);
 
   /// Reads and counts a watch; nothing when the request is malformed.
   [[nodiscard]] std::optional<WatchRequest> ReadWatch(const std::string& aBody);
--- a/standins/standins.cmake
+++ b/standins/standins.cmake
@@ -10,7 +10,7 @@
   standins/common/StandinControl.cpp
   standins/common/TokenFunction.cpp
   standins/standin-engine/EngineModel.cpp
-  standins/standin-service/ServiceModel.cpp
+  standins/standin-service/ServiceInstance.cpp
   standins/standin-store/KeyValueState.cpp
   standins/standin-store/StoreGateway.cpp
   standins/toucanstand-load/AnswerCheck.cpp
@@ -29,3 +29,4 @@
 
 toucanstand_program(standin-engine standins standins_library)
 toucanstand_program(standin-service standins standins_library)
+toucanstand_program(standin-store standins standins_library)
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -20,3 +20,4 @@
 
 toucanstand_integration_test(TestStandinEngine standins_library)
 toucanstand_integration_test(TestStandinService standins_library)
+toucanstand_integration_test(TestStandinStore standins_library)
