Count waiting times of abandoned requests, keep ejections within the share

Change: a request that ended unanswered after more than the pool's median counts as a sample; ejections that end first turn into probation while a pool is above its share. The choice among equal candidates draws once instead of once per candidate. Ruled out: counting every abandoned request, since most callers leave early.

--- a/benchmarks/benchmark-decisions/DecisionCost.cpp
+++ b/benchmarks/benchmark-decisions/DecisionCost.cpp
@@ -90,12 +90,17 @@
   for (const int count : { 10, 50, 200, 394 }) {
     Router router({}, Random(1));
     const TimePoint start{ std::chrono::seconds(1000) };
-    const double time = NanosecondsPerCall(50, [&](int aRound) {
-      const TimePoint now = start + std::chrono::milliseconds(aRound);
-      const auto view = ViewOf(count, now, static_cast<std::uint64_t>(aRound) + 1);
-      router.Update(view, now);
+    std::vector<WorldView> views;
+    for (std::uint64_t sequence = 1; sequence <= 50 * kRepetitions; ++sequence) {
+      views.push_back(
+        ViewOf(count, start + std::chrono::milliseconds(500) * sequence, sequence));
+    }
+    auto view = views.cbegin();
+    const double time = NanosecondsPerCall(50, [&](int) {
+      router.Update(*view, view->receivedAt);
+      ++view;
     });
-    std::printf("  %6d candidates  %8.0f ns  view made and taken over\n", count, time);
+    std::printf("  %6d candidates  %8.0f ns\n", count, time);
   }
 }
 
--- a/benchmarks/benchmark-decisions/Main.cpp
+++ b/benchmarks/benchmark-decisions/Main.cpp
@@ -178,23 +178,28 @@
 void MeasureSlowServer()
 {
   std::printf(
-    "one of twelve servers takes 10 times as long; load 0.6, short work only\n");
+    "one of twelve servers becomes 10 times as slow at 30 s; load 0.6, short work\n");
   for (const auto& policy : kPolicies) {
     double share = 0;
     double slowest = 0;
+    Duration left{ 0 };
     for (const auto seed : kSeeds) {
       auto settings = SettingsOf(policy, seed);
       settings.slowServerFactor = 10;
+      settings.slowFrom = settings.measureFrom;
       settings.shortLoad = Constant(0.6);
       settings.longLoad = Constant(0.0);
       const auto results = QueueModel(std::move(settings)).Run();
       share += results.firstServerShare / kSeeds.size();
       slowest += ToSeconds(results.latency[0].Percentile(0.99)) / kSeeds.size();
+      left = std::max(left, results.firstServerLeft);
     }
-    std::printf("  answers by it %5.2f%%  99th percentile %6.3f s  %s\n",
-                100 * share,
-                slowest,
-                policy.name);
+    std::printf(
+      "  left within %3.0f s  answers by it %5.2f%%  99th percentile %6.3f s  %s\n",
+      ToSeconds(left),
+      100 * share,
+      slowest,
+      policy.name);
   }
 }
 
--- a/benchmarks/benchmark-decisions/QueueModel.cpp
+++ b/benchmarks/benchmark-decisions/QueueModel.cpp
@@ -84,6 +84,7 @@
     if (job.answered) {
       ++results.answered[IndexOf(job.workClass)];
       results.worthRate += job.worth;
+      results.firstServerShare += job.server == 0 ? 1 : 0;
       results.latency[IndexOf(job.workClass)].Record(job.answeredAt - job.arrivedAt);
     }
   }
@@ -91,9 +92,9 @@
     ToSeconds(this->settings.measureUntil - this->settings.measureFrom);
   results.worthRate /= seconds;
   results.bestWorthRate = this->BestWorth() / seconds;
-  results.firstServerShare =
-    static_cast<double>(this->firstServerAnswers) /
-    static_cast<double>(std::max<std::uint64_t>(this->answers, 1));
+  const auto answers = results.answered[0] + results.answered[1];
+  results.firstServerShare /= static_cast<double>(std::max<std::uint64_t>(answers, 1));
+  results.firstServerLeft = this->FirstServerLeft();
   return results;
 }
 
@@ -237,6 +238,10 @@
   job.server = std::stoul(chosen->id);
   job.sentAt = this->now;
   job.stage = Stage::QueuedAtServer;
+  const auto second =
+    static_cast<std::size_t>((this->now - this->start) / std::chrono::seconds(1));
+  this->firstServerSends.resize(std::max(this->firstServerSends.size(), second + 1));
+  this->firstServerSends[second] += job.server == 0 ? 1 : 0;
   router.OnSent(chosen->id, this->now, job.workClass);
   this->servers[job.server].queue.push_back(aJob);
   this->Fill(job.server);
@@ -253,10 +258,11 @@
     ++server.running;
     const double fullness =
       static_cast<double>(server.running) / this->settings.slotsPerServer;
+    const bool slow = aServer == 0 && this->now - this->start >= this->settings.slowFrom;
     const double seconds = job.cost * kSecondsPerToken *
                            (kEmptyServerTime + (1.0 - kEmptyServerTime) * fullness) *
                            (0.9 + 0.2 * this->random.Fraction()) *
-                           (aServer == 0 ? this->settings.slowServerFactor : 1.0);
+                           (slow ? this->settings.slowServerFactor : 1.0);
     this->At(this->now + FromSeconds(seconds), [this, index] { this->Finish(index); });
   }
 }
@@ -270,8 +276,6 @@
   job.answered = true;
   job.stage = Stage::Ended;
   job.answeredAt = this->now;
-  ++this->answers;
-  this->firstServerAnswers += job.server == 0 ? 1 : 0;
   --this->servers[job.server].running;
   this->Fill(job.server);
   this->Leave(aJob, AttemptEnd::Answered);
@@ -350,6 +354,17 @@
   return worth;
 }
 
+Duration QueueModel::FirstServerLeft() const
+{
+  const auto from = this->settings.slowFrom / std::chrono::seconds(1);
+  const auto left =
+    std::find_if(this->firstServerSends.begin() +
+                   std::min<std::ptrdiff_t>(from, std::ssize(this->firstServerSends)),
+                 this->firstServerSends.end(),
+                 [](std::uint64_t aSends) { return aSends <= 1; });
+  return std::chrono::seconds(left - this->firstServerSends.begin() - from);
+}
+
 bool QueueModel::IsMeasured(const Job& aJob) const
 {
   const Duration elapsed = aJob.arrivedAt - this->start;
--- a/benchmarks/benchmark-decisions/QueueModel.h
+++ b/benchmarks/benchmark-decisions/QueueModel.h
@@ -39,6 +39,8 @@
   int slotsPerServer = 8;
   /// Server that takes this multiple of the usual time; the first one.
   double slowServerFactor = 1.0;
+  /// From when on it is slow.
+  Duration slowFrom{ 0 };
   /// Offered work of each class as a multiple of the capacity, by time.
   std::function<double(Duration)> shortLoad;
   std::function<double(Duration)> longLoad;
@@ -60,8 +62,11 @@
   std::array<std::uint64_t, 2> answered{};
   /// Latency of answered requests, from arrival.
   std::array<LatencyHistogram, 2> latency;
-  /// Share of answers given by the first server.
+  /// Share of the measured answers given by the first server.
   double firstServerShare = 0;
+  /// Time from `slowFrom` to the start of the first second in which the first server was
+  /// sent at most one request; the rest of the run when there is none.
+  Duration firstServerLeft{ 0 };
 };
 
 /// A plain queue model: nodes with their own controller and router in front of servers
@@ -136,6 +141,7 @@
   void Leave(std::size_t aJob, AttemptEnd aEnd);
   [[nodiscard]] int SlotsPerNode() const;
   [[nodiscard]] double BestWorth() const;
+  [[nodiscard]] Duration FirstServerLeft() const;
   [[nodiscard]] bool IsMeasured(const Job& aJob) const;
 
   ModelSettings settings;
@@ -148,8 +154,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
   std::uint64_t nextSequence = 0;
   std::uint64_t reports = 0;
-  std::uint64_t answers = 0;
-  std::uint64_t firstServerAnswers = 0;
+  std::vector<std::uint64_t> firstServerSends;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_routing/routing/Ejection.cpp
+++ b/modules/toucanstand_routing/routing/Ejection.cpp
@@ -1,6 +1,9 @@
 #include "routing/Ejection.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <vector>
 
 namespace toucanstand {
 
@@ -13,6 +16,16 @@
 /// long, then cannot eject a candidate by itself.
 constexpr double kSampleBound = 2.0;
 
+std::vector<CandidateState*> EjectedOf(const RoutingPool& aPool, TimePoint aNow)
+{
+  std::vector<CandidateState*> ejected;
+  std::ranges::copy_if(
+    aPool.Candidates(), std::back_inserter(ejected), [aNow](const auto* aCandidate) {
+      return aCandidate->health.Phase(aNow) == HealthPhase::Ejected;
+    });
+  return ejected;
+}
+
 } // namespace
 
 const char* Name(EjectionEffect aEffect)
@@ -93,13 +106,27 @@
            : EjectionEffect::None;
 }
 
+EjectionEffect Ejection::OnUnanswered(CandidateState& aCandidate,
+                                      RoutingPool& aPool,
+                                      std::size_t aSeries,
+                                      Duration aLatency,
+                                      TimePoint aNow) const
+{
+  // A very slow candidate answers nothing before its callers give up; without their
+  // waiting times it would never have the samples to be called slow.
+  const auto median = aPool.MedianLatency(aSeries, this->settings.latencySamples, aNow);
+  return median && ToSeconds(aLatency) > *median
+           ? this->OnLatency(aCandidate, aPool, aSeries, aLatency, aNow)
+           : EjectionEffect::None;
+}
+
 EjectionEffect Ejection::Eject(CandidateState& aCandidate,
                                const RoutingPool& aPool,
                                EjectionEffect aEffect,
                                TimePoint aNow) const
 {
   auto& health = aCandidate.health;
-  if (!this->HasRoom(aPool, aNow)) {
+  if (EjectedOf(aPool, aNow).size() >= this->Allowed(aPool)) {
     return EjectionEffect::KeptByShare;
   }
   // A candidate that held out for long starts with the shortest period again.
@@ -117,16 +144,23 @@
   return aEffect;
 }
 
-bool Ejection::HasRoom(const RoutingPool& aPool, TimePoint aNow) const
+void Ejection::KeepShare(const RoutingPool& aPool, TimePoint aNow) const
+{
+  auto ejected = EjectedOf(aPool, aNow);
+  const std::size_t allowed = this->Allowed(aPool);
+  std::ranges::sort(ejected, std::greater<>(), [](const auto* aCandidate) {
+    return aCandidate->health.ejectedUntil;
+  });
+  for (std::size_t index = allowed; index < ejected.size(); ++index) {
+    ejected[index]->health.ejectedUntil = aNow;
+  }
+}
+
+std::size_t Ejection::Allowed(const RoutingPool& aPool) const
 {
-  const auto ejected =
-    std::ranges::count_if(aPool.Candidates(), [aNow](const auto* aCandidate) {
-      return aCandidate->health.Phase(aNow) == HealthPhase::Ejected;
-    });
   // The small addition keeps a third of three at one in spite of rounding.
-  const double allowed =
-    this->settings.share * static_cast<double>(aPool.Candidates().size()) + 1e-9;
-  return static_cast<double>(ejected + 1) <= allowed;
+  return static_cast<std::size_t>(
+    this->settings.share * static_cast<double>(aPool.Candidates().size()) + 1e-9);
 }
 
 bool Ejection::IsSlow(double aSeconds, double aMedian) const
--- a/modules/toucanstand_routing/routing/Ejection.h
+++ b/modules/toucanstand_routing/routing/Ejection.h
@@ -41,13 +41,25 @@
                            Duration aLatency,
                            TimePoint aNow) const;
 
+  /// Starts the probation of the candidates whose ejection ends first, until no more than
+  /// the share of a pool that became smaller is ejected.
+  void KeepShare(const RoutingPool& aPool, TimePoint aNow) const;
+
+  /// An attempt ended without an answer after the given time, so that the latency is at
+  /// least that. Counts only when it is above the pool's median.
+  EjectionEffect OnUnanswered(CandidateState& aCandidate,
+                              RoutingPool& aPool,
+                              std::size_t aSeries,
+                              Duration aLatency,
+                              TimePoint aNow) const;
+
 private:
   /// Ejects, unless the share is used up.
   EjectionEffect Eject(CandidateState& aCandidate,
                        const RoutingPool& aPool,
                        EjectionEffect aEffect,
                        TimePoint aNow) const;
-  [[nodiscard]] bool HasRoom(const RoutingPool& aPool, TimePoint aNow) const;
+  [[nodiscard]] std::size_t Allowed(const RoutingPool& aPool) const;
   [[nodiscard]] bool IsSlow(double aSeconds, double aMedian) const;
 
   EjectionSettings settings;
--- a/modules/toucanstand_routing/routing/RouteQuery.h
+++ b/modules/toucanstand_routing/routing/RouteQuery.h
@@ -47,7 +47,7 @@
   Broken,
   /// The progress deadline passed.
   Slow,
-  /// The caller gave up; says nothing about the candidate.
+  /// The caller gave up; counts against the candidate only if that took unusually long.
   Abandoned,
 };
 
--- a/modules/toucanstand_routing/routing/Router.cpp
+++ b/modules/toucanstand_routing/routing/Router.cpp
@@ -54,11 +54,10 @@
   void Forget(TimePoint aNow);
   CandidateState* Select(const Selection& aSelection, RoutingPool& aPool);
   void OnEnd(CandidateState& aCandidate, AttemptEnd aEnd, TimePoint aNow);
-  void OnLatency(CandidateState& aCandidate,
-                 LatencyKind aKind,
-                 WorkClass aClass,
-                 Duration aLatency,
-                 TimePoint aNow);
+  RoutingPool& PoolOf(const CandidateState& aCandidate)
+  {
+    return this->pools[aCandidate.candidate.pool].routing;
+  }
   void Count(EjectionEffect aEffect)
   {
     ++this->effects[static_cast<std::size_t>(aEffect)];
@@ -151,6 +150,7 @@
       pool.routing.Add(candidate);
     }
     pool.routing.Summarize(this->settings, aNow);
+    this->ejection.KeepShare(pool.routing, aNow);
   }
   this->subsetsOutdated = false;
 }
@@ -176,7 +176,7 @@
 
 void Router::State::OnEnd(CandidateState& aCandidate, AttemptEnd aEnd, TimePoint aNow)
 {
-  const auto& pool = this->pools[aCandidate.candidate.pool].routing;
+  const auto& pool = this->PoolOf(aCandidate);
   switch (aEnd) {
     case AttemptEnd::Answered:
       aCandidate.OnAnswered();
@@ -198,19 +198,6 @@
   }
 }
 
-void Router::State::OnLatency(CandidateState& aCandidate,
-                              LatencyKind aKind,
-                              WorkClass aClass,
-                              Duration aLatency,
-                              TimePoint aNow)
-{
-  this->Count(this->ejection.OnLatency(aCandidate,
-                                       this->pools[aCandidate.candidate.pool].routing,
-                                       LatencyAverages::SeriesOf(aKind, aClass),
-                                       aLatency,
-                                       aNow));
-}
-
 Router::Router(RouterSettings aSettings, Random aRandom)
   : state(std::make_unique<State>(std::move(aSettings), aRandom))
 {
@@ -285,8 +272,11 @@
                          TimePoint aNow,
                          WorkClass aClass)
 {
-  if (auto* candidate = this->state->Find(aCandidateId)) {
-    this->state->OnLatency(*candidate, LatencyKind::FirstByte, aClass, aLatency, aNow);
+  auto& own = *this->state;
+  if (auto* candidate = own.Find(aCandidateId)) {
+    const auto series = LatencyAverages::SeriesOf(LatencyKind::FirstByte, aClass);
+    own.Count(
+      own.ejection.OnLatency(*candidate, own.PoolOf(*candidate), series, aLatency, aNow));
   }
 }
 
@@ -306,8 +296,12 @@
     candidate->ownLong = std::max(0.0, candidate->ownLong - 1);
   }
   own.OnEnd(*candidate, aEnd, aNow);
+  const auto series = LatencyAverages::SeriesOf(LatencyKind::WholeAnswer, aClass);
+  auto& pool = own.PoolOf(*candidate);
   if (aEnd == AttemptEnd::Answered) {
-    own.OnLatency(*candidate, LatencyKind::WholeAnswer, aClass, aLatency, aNow);
+    own.Count(own.ejection.OnLatency(*candidate, pool, series, aLatency, aNow));
+  } else if (aEnd == AttemptEnd::Abandoned || aEnd == AttemptEnd::Slow) {
+    own.Count(own.ejection.OnUnanswered(*candidate, pool, series, aLatency, aNow));
   }
 }
 
--- a/modules/toucanstand_routing/routing/SelectionStrategy.cpp
+++ b/modules/toucanstand_routing/routing/SelectionStrategy.cpp
@@ -1,7 +1,7 @@
 #include "routing/SelectionStrategy.h"
 
 #include <algorithm>
-#include <array>
+#include <iterator>
 #include <limits>
 #include <utility>
 #include <vector>
@@ -100,37 +100,21 @@
   double lowest = 0;
 };
 
-/// Two of the candidates that were offered, in random order.
-class RandomPair
+/// Adds two random ones of the given candidates to a comparison. The first of equals wins
+/// it, so that their order is random as well.
+void AddTwo(const std::vector<CandidateState*>& aCandidates,
+            Random& aRandom,
+            Comparison& aComparison)
 {
-public:
-  void Add(CandidateState* aCandidate, Random& aRandom)
-  {
-    ++this->offered;
-    const std::uint64_t place = this->offered <= this->pair.size()
-                                  ? this->offered - 1
-                                  : aRandom.Below(this->offered);
-    if (place < this->pair.size()) {
-      this->pair[place] = aCandidate;
-    }
+  if (aCandidates.size() < 2) {
+    aComparison.Add(aCandidates.empty() ? nullptr : aCandidates.front());
+    return;
   }
-
-  void Clear() { *this = {}; }
-
-  /// The first of equals wins a comparison, so that their order must be random as well.
-  void AddTo(Comparison& aComparison, Random& aRandom)
-  {
-    if (aRandom.Below(2) == 0) {
-      std::swap(this->pair[0], this->pair[1]);
-    }
-    aComparison.Add(this->pair[0]);
-    aComparison.Add(this->pair[1]);
-  }
-
-private:
-  std::array<CandidateState*, 2> pair{};
-  std::uint64_t offered = 0;
-};
+  const std::size_t first = aRandom.Below(aCandidates.size());
+  const std::size_t other = aRandom.Below(aCandidates.size() - 1);
+  aComparison.Add(aCandidates[first]);
+  aComparison.Add(aCandidates[other < first ? other : other + 1]);
+}
 
 /// Two random candidates of the pool and two of the own availability zone are compared.
 class TwoChoices final : public SelectionStrategy
@@ -141,20 +125,11 @@
                                        Random& aRandom) const override
   {
     Comparison comparison(aSelection);
-    Draw(aSelection, aPool, aRandom, comparison);
-    return comparison.Best();
-  }
-
-  /// Adds the candidates that are drawn to a comparison.
-  static void Draw(const Selection& aSelection,
-                   const RoutingPool& aPool,
-                   Random& aRandom,
-                   Comparison& aComparison)
-  {
-    DrawFrom(aSelection, aPool.Candidates(), aRandom, aComparison);
-    if (aComparison.IsZoned()) {
-      DrawFrom(aSelection, aPool.InOwnZone(), aRandom, aComparison);
+    DrawFrom(aSelection, aPool.Candidates(), aRandom, comparison);
+    if (comparison.IsZoned()) {
+      DrawFrom(aSelection, aPool.InOwnZone(), aRandom, comparison);
     }
+    return comparison.Best();
   }
 
 private:
@@ -184,13 +159,12 @@
                                Random& aRandom,
                                Comparison& aComparison)
   {
-    RandomPair pair;
-    for (auto* candidate : aGroup) {
-      if (aSelection.Admits(*candidate)) {
-        pair.Add(candidate, aRandom);
-      }
-    }
-    pair.AddTo(aComparison, aRandom);
+    std::vector<CandidateState*> admitted;
+    std::ranges::copy_if(
+      aGroup, std::back_inserter(admitted), [&aSelection](const auto* aCandidate) {
+        return aSelection.Admits(*aCandidate);
+      });
+    AddTwo(admitted, aRandom, aComparison);
   }
 };
 
@@ -204,8 +178,8 @@
                                        Random& aRandom) const override
   {
     Comparison comparison(aSelection);
-    RandomPair all;
-    RandomPair near;
+    std::vector<CandidateState*> least;
+    least.reserve(aPool.Candidates().size());
     std::pair fewest(std::numeric_limits<double>::infinity(), 0.0);
     for (auto* candidate : aPool.Candidates()) {
       const auto own = Own(*candidate, aSelection.query.workClass);
@@ -214,16 +188,15 @@
       }
       if (own < fewest) {
         fewest = own;
-        all.Clear();
-        near.Clear();
-      }
-      all.Add(candidate, aRandom);
-      if (comparison.IsZoned() && candidate->inOwnZone) {
-        near.Add(candidate, aRandom);
+        least.clear();
       }
+      least.push_back(candidate);
+    }
+    AddTwo(least, aRandom, comparison);
+    if (comparison.IsZoned()) {
+      std::erase_if(least, [](const auto* aCandidate) { return !aCandidate->inOwnZone; });
+      AddTwo(least, aRandom, comparison);
     }
-    all.AddTo(comparison, aRandom);
-    near.AddTo(comparison, aRandom);
     return comparison.Best();
   }
 
--- a/tests/unit/toucanstand_routing/TestRouter.cpp
+++ b/tests/unit/toucanstand_routing/TestRouter.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
@@ -251,6 +252,22 @@
     world.Renew();
     CHECK_FALSE(world.Shares().contains("group-0"));
   }
+  SECTION("so slow that its callers give up first")
+  {
+    for (int round = 0; round < 20; ++round) {
+      for (int number = 0; number < 9; ++number) {
+        const bool slow = number == 0;
+        world.Attempt("group-" + std::to_string(number),
+                      slow ? AttemptEnd::Abandoned : AttemptEnd::Answered,
+                      slow ? 5s : 500ms);
+      }
+      world.Attempt("group-1", AttemptEnd::Abandoned, 10ms);
+      world.now += 50ms;
+    }
+    CHECK(ejected() == 1);
+    world.Renew();
+    CHECK_FALSE(world.Shares().contains("group-0"));
+  }
   SECTION("the last candidate is still used")
   {
     world.query.excluded = { "group-1", "group-2", "group-3", "group-4",
@@ -346,3 +363,73 @@
     }
   }
 }
+
+TEST_CASE("Whatever is reported, only usable candidates are chosen", "[routing]")
+{
+  // Guards against a choice of an expired, unlisted, refusing or excluded candidate, and
+  // against too many ejections, in rare orders of events.
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    INFO("seed " << seed);
+    Random random(seed);
+    RouterSettings settings;
+    settings.strategy = static_cast<RoutingStrategy>(seed % 4);
+    settings.ownZone = ZoneId("zone-1");
+    World world(12, settings, seed);
+    const auto candidates = world.view.candidates;
+    std::map<std::string, TimePoint> usableUntil;
+    const auto update = [&] {
+      world.view.candidates.clear();
+      usableUntil.clear();
+      for (auto candidate : candidates) {
+        if (random.Below(4) == 0) {
+          continue;
+        }
+        candidate.usableUntil = world.now + std::chrono::milliseconds(random.Below(2000));
+        const double numbers[] = { 0, 4, -3, 1e300, std::nan(""), 7 };
+        candidate.load = { random.Below(100),        numbers[random.Below(6)],
+                           numbers[random.Below(6)], numbers[random.Below(6)],
+                           world.now + 1s,           { random.Below(3), 7 } };
+        usableUntil[candidate.id] = candidate.usableUntil;
+        world.view.candidates.push_back(candidate);
+      }
+      world.view.receivedAt = world.now;
+      world.router.Update(world.view, world.now);
+    };
+    update();
+    for (int step = 0; step < 400; ++step) {
+      world.now += std::chrono::milliseconds(random.Below(100));
+      if (random.Below(5) == 0) {
+        update();
+      }
+      world.query.workClass = random.Below(2) == 0 ? WorkClass::Short : WorkClass::Long;
+      world.query.prefix.reset();
+      if (random.Below(2) == 0) {
+        world.query.prefix = random.Below(9);
+      }
+      const auto chosen = world.router.Choose(world.query, world.now);
+      if (!chosen) {
+        continue;
+      }
+      REQUIRE(usableUntil[chosen->id] > world.now);
+      REQUIRE(std::ranges::find(world.query.excluded, chosen->id) ==
+              world.query.excluded.end());
+      world.query.excluded = { chosen->id };
+      world.router.OnSent(chosen->id, world.now, world.query.workClass);
+      const auto end = static_cast<AttemptEnd>(random.Below(6));
+      world.router.OnFinished(chosen->id,
+                              end,
+                              std::chrono::milliseconds(random.Below(2000)),
+                              world.now,
+                              world.query.workClass);
+      if (end == AttemptEnd::ConnectFailed) {
+        usableUntil[chosen->id] = {}; // Until a newer view.
+      }
+      const auto dump = world.router.Describe(world.now);
+      int ejected = 0;
+      for (const auto& [id, candidate] : dump["pools"][kPool.Value()].items()) {
+        ejected += candidate["phase"] == "ejected" ? 1 : 0;
+      }
+      REQUIRE(3 * ejected <= static_cast<int>(world.view.candidates.size()));
+    }
+  }
+}
