--- a/tests/unit/toucanstand_admission/TestAdmissionController.cpp
+++ b/tests/unit/toucanstand_admission/TestAdmissionController.cpp
@@ -51,7 +51,8 @@
     this->Take(this->controller.Offer(std::move(aArrival), this->now));
   }
 
-  void Finish(const std::string& aId, Duration aService)
+  /// By value: the id may be an element of `running`.
+  void Finish(std::string aId, Duration aService)
   {
     this->running.erase(aId);
     this->Take(this->controller.OnFinished(
