--- a/programs/toucanstand-ledger/ClaimService.cpp
+++ b/programs/toucanstand-ledger/ClaimService.cpp
@@ -74,7 +74,7 @@
   , store(aStore)
   , metrics(aMetrics)
   , settings(aSettings)
-  , random(std::move(aRandom))
+  , random(aRandom)
   , hooks(std::move(aHooks))
   , retention(aSettings.retention)
   , leaseTimer(aLoop)
--- a/tests/integration/TestLedger.cpp
+++ b/tests/integration/TestLedger.cpp
@@ -59,8 +59,8 @@
     REQUIRE(this->port.Listen({ "127.0.0.1", 0 }, [this](const Message& aMessage) {
       if (auto reply = ClaimReplyFromJson(aMessage.body)) {
         this->replies[reply->nonce] = *reply;
-      } else if (const auto recorded = OutcomeReplyFromJson(aMessage.body)) {
-        this->recorded[recorded->nonce] = recorded->recorded;
+      } else if (const auto ended = OutcomeReplyFromJson(aMessage.body)) {
+        this->recorded[ended->nonce] = ended->recorded;
       }
     }));
   }
