--- a/modules/toucanstand_configuration/document/ConfigurationText.h
+++ b/modules/toucanstand_configuration/document/ConfigurationText.h
@@ -7,6 +7,7 @@
 
 #include "document/ConfigurationDocument.h"
 #include "errors/Result.h"
+#include "serialization/BoundedJson.h"
 #include "settings/SettingsError.h"
 
 namespace toucanstand {
@@ -24,6 +25,9 @@
 [[nodiscard]] Result<ConfigurationDocument, std::vector<SettingsError>>
 ParseConfiguration(std::string_view aText);
 
+/// The error of a text that is not JSON within the bounds.
+[[nodiscard]] SettingsError DecodeError(DecodeFailure aFailure);
+
 /// Scopes in which an exception lets nodes serve while isolated. Acceptance does not
 /// cover them: they may work on an older revision.
 [[nodiscard]] std::vector<Scope> UncoveredScopes(const ConfigurationDocument& aDocument);
