--- a/modules/toucanstand_core/commandline/CommandLine.cpp
+++ b/modules/toucanstand_core/commandline/CommandLine.cpp
@@ -59,6 +59,17 @@
   return found == this->values.end() ? aDefault : found->second;
 }
 
+std::vector<std::string> CommandLine::AllValues(const std::string& aLongName) const
+{
+  std::vector<std::string> all;
+  for (const auto& [name, value] : this->given) {
+    if (name == aLongName) {
+      all.push_back(value);
+    }
+  }
+  return all;
+}
+
 std::optional<CommandLine> ParseCommandLine(int aArgumentCount,
                                             char** aArguments,
                                             const ProgramDescription& aDescription,
@@ -100,7 +111,9 @@
       std::cerr << "Try '" << aDescription.name << " --help'.\n";
       return std::nullopt;
     }
-    parsed.values[found->longName] = optarg == nullptr ? "true" : optarg;
+    const std::string value = optarg == nullptr ? "true" : optarg;
+    parsed.values[found->longName] = value;
+    parsed.given.emplace_back(found->longName, value);
   }
   parsed.positional.assign(aArguments + optind, aArguments + aArgumentCount);
 
--- a/modules/toucanstand_core/commandline/CommandLine.h
+++ b/modules/toucanstand_core/commandline/CommandLine.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace toucanstand {
@@ -42,10 +43,15 @@
   /// Values by long name; options without an argument have the value "true".
   std::map<std::string, std::string> values;
   std::vector<std::string> positional;
+  /// Every option that was given with its value, in order; of a repeated option the map
+  /// above keeps the last value.
+  std::vector<std::pair<std::string, std::string>> given;
 
   [[nodiscard]] bool Has(const std::string& aLongName) const;
   [[nodiscard]] std::string ValueOr(const std::string& aLongName,
                                     const std::string& aDefault) const;
+  /// All values of an option that may be repeated, in order.
+  [[nodiscard]] std::vector<std::string> AllValues(const std::string& aLongName) const;
 };
 
 /// Parses with getopt_long. Every program also takes --help, --version, --config,
--- a/standins/toucanstand-load/LoadPlan.cpp
+++ b/standins/toucanstand-load/LoadPlan.cpp
@@ -3,10 +3,6 @@
 #include <algorithm>
 #include <numeric>
 
-#include <nlohmann/json.hpp>
-
-#include "settings/SettingsReader.h"
-
 namespace toucanstand {
 
 namespace {
@@ -69,43 +65,39 @@
     [](Duration aSum, const LoadPhase& aPhase) { return aSum + aPhase.length; });
 }
 
-LoadPlan ReadLoadPlan(const nlohmann::json& aDocument,
-                      std::vector<SettingsError>& aErrors)
+LoadPlan ReadLoadPlan(SettingsReader& aReader)
 {
   LoadPlan plan;
-  SettingsReader reader(aDocument);
-  for (const auto& text : reader.TextList("targets")) {
+  for (const auto& text : aReader.TextList("targets")) {
     const auto target = Endpoint::Parse(text);
     if (target) {
       plan.targets.push_back(*target);
     } else {
-      reader.Reject("targets", SettingsRule::Consistent, "a list of ADDRESS:PORT");
+      aReader.Reject("targets", SettingsRule::Consistent, "a list of ADDRESS:PORT");
     }
   }
-  plan.seed = reader.Whole("seed", 0, INT64_MAX, 1);
-  plan.requireOutcome = reader.Flag("require_outcome", true);
-  reader.ObjectList("phases", [&plan](SettingsReader& aPhase) {
+  plan.seed = aReader.Whole("seed", 0, INT64_MAX, 1);
+  plan.requireOutcome = aReader.Flag("require_outcome", true);
+  aReader.ObjectList("phases", [&plan](SettingsReader& aPhase) {
     plan.phases.push_back(ReadPhase(aPhase));
   });
-  reader.ObjectList("accounts", [&plan](SettingsReader& aAccount) {
+  aReader.ObjectList("accounts", [&plan](SettingsReader& aAccount) {
     LoadAccount account;
     account.name = aAccount.Text("name");
     account.weight = aAccount.Number("weight", 0, kHighestWeight, 1);
     plan.accounts.push_back(std::move(account));
   });
-  reader.ObjectList("requests", [&plan](SettingsReader& aProfile) {
+  aReader.ObjectList("requests", [&plan](SettingsReader& aProfile) {
     plan.requests.push_back(ReadProfile(aProfile));
   });
-  const auto requireSome = [&reader](const char* aKey, bool aEmpty) {
+  const auto requireSome = [&aReader](const char* aKey, bool aEmpty) {
     if (aEmpty) {
-      reader.Reject(aKey, SettingsRule::Required, "at least one");
+      aReader.Reject(aKey, SettingsRule::Required, "at least one");
     }
   };
   requireSome("phases", plan.phases.empty());
   requireSome("accounts", plan.accounts.empty());
   requireSome("requests", plan.requests.empty());
-  reader.Finish();
-  aErrors = reader.Errors();
   return plan;
 }
 
--- a/standins/toucanstand-load/LoadPlan.h
+++ b/standins/toucanstand-load/LoadPlan.h
@@ -5,11 +5,9 @@
 #include <string>
 #include <vector>
 
-#include <nlohmann/json_fwd.hpp>
-
 #include "network/Endpoint.h"
 #include "random/Random.h"
-#include "settings/SettingsError.h"
+#include "settings/SettingsReader.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -74,9 +72,8 @@
   [[nodiscard]] Duration Length() const;
 };
 
-/// Reads a plan; on errors the plan must not be used.
-[[nodiscard]] LoadPlan ReadLoadPlan(const nlohmann::json& aDocument,
-                                    std::vector<SettingsError>& aErrors);
+/// Reads a plan; when the reader has errors the plan must not be used.
+[[nodiscard]] LoadPlan ReadLoadPlan(SettingsReader& aReader);
 
 /// Draws the arrivals of a plan: a Poisson process whose rate follows the phases.
 class ArrivalSchedule
--- a/standins/toucanstand-load/LoadResult.cpp
+++ b/standins/toucanstand-load/LoadResult.cpp
@@ -123,6 +123,7 @@
            { "total", std::move(total) },
            { "worth_in_time_per_second", worth / seconds },
            { "kinds", std::move(kinds) },
+           { "dispatch_lag", DescribeHistogram(this->dispatchLag) },
            { "accounts", this->accounts },
            { "statuses", this->statuses },
            { "worth_offered_by_second", this->worthOffered },
--- a/standins/toucanstand-load/LoadResult.h
+++ b/standins/toucanstand-load/LoadResult.h
@@ -45,6 +45,10 @@
 
   void Record(const LoadSample& aSample);
 
+  /// How late a request was sent. Latencies include it, because they count from the
+  /// intended start; a large one says that the generator itself was too slow.
+  void RecordDispatchLag(Duration aLag) { this->dispatchLag.Record(aLag); }
+
   /// True when any answer was wrong.
   [[nodiscard]] bool AnyWrong() const { return this->wrong > 0; }
 
@@ -72,6 +76,7 @@
   std::vector<double> worthInTime;
   std::vector<std::string> wrongReasons;
   std::map<std::string, std::uint64_t> otherReasons;
+  LatencyHistogram dispatchLag;
   std::uint64_t wrong = 0;
 };
 
--- a/tests/integration/support/HttpCaller.cpp
+++ b/tests/integration/support/HttpCaller.cpp
@@ -14,9 +14,11 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(10);
 constexpr std::size_t kMostBytes = 256U << 20U;
 
+/// Short, because tests wait for the silence of connections.
 HttpDeadlines Deadlines()
 {
   HttpDeadlines deadlines;
+  deadlines.head = std::chrono::seconds(1);
   deadlines.progress = std::chrono::seconds(1);
   return deadlines;
 }
--- a/tests/unit/standins/TestAnswerCheck.cpp
+++ b/tests/unit/standins/TestAnswerCheck.cpp
@@ -26,9 +26,10 @@
     "accounts": [{"name": "large", "weight": 3}, {"name": "small"}],
     "requests": [{"name": "chat", "kind": "chat", "max_tokens": 4, "timeout_ms": 100},
                  {"name": "order", "kind": "order", "timeout_ms": 100}]})");
-  std::vector<SettingsError> errors;
-  auto plan = ReadLoadPlan(document, errors);
-  REQUIRE(errors.empty());
+  SettingsReader reader(document);
+  auto plan = ReadLoadPlan(reader);
+  reader.Finish();
+  REQUIRE(reader.Errors().empty());
   return plan;
 }
 
