--- a/benchmarks/benchmark-decisions/Main.cpp
+++ b/benchmarks/benchmark-decisions/Main.cpp
@@ -151,6 +151,10 @@
       }
     }
   }
+  if (slowest[1] <= 0) {
+    std::printf("  no short work answered  %s\n", aPolicy.name);
+    return;
+  }
   std::printf("  %6.3f s / %6.3f s = %5.2f  short answered %5.1f%%  %s\n",
               slowest[1],
               slowest[0],
@@ -175,6 +179,52 @@
   }
 }
 
+/// Share of an account's offered tokens that was answered, in percent.
+double Answered(const ModelResults& aResults, std::size_t aAccount)
+{
+  return 100 * aResults.answeredByAccount[aAccount] / aResults.offeredByAccount[aAccount];
+}
+
+void MeasureFairness()
+{
+  std::printf(
+    "load 4: share of best, share of the offered tokens that was answered for the "
+    "largest and the smallest account\n");
+  for (const double fairShare : { 0.0, 0.25, 0.5, 1.0 }) {
+    double best = 0;
+    double largest = 0;
+    double smallest = 0;
+    for (const auto seed : kSeeds) {
+      auto settings = SettingsOf(kPolicies.front(), seed);
+      settings.admissionSettings.fairShare = fairShare;
+      settings.shortLoad = Constant(4 * (1 - kLongPart));
+      settings.longLoad = Constant(4 * kLongPart);
+      const auto results = QueueModel(std::move(settings)).Run();
+      best += 100 * results.worthRate / results.bestWorthRate / kSeeds.size();
+      largest += Answered(results, 0) / kSeeds.size();
+      smallest += Answered(results, 9) / kSeeds.size();
+    }
+    std::printf("  %5.1f%%  %5.1f%%  %5.1f%%  share of slots given out by account %.2f\n",
+                best,
+                largest,
+                smallest,
+                fairShare);
+  }
+}
+
+void MeasureNodes()
+{
+  std::printf("load 4, %s\n", kPolicies.front().name);
+  for (const int nodes : { 1, 3, 6, 9, 16 }) {
+    std::printf("%3d nodes", nodes);
+    PrintWorth(kPolicies.front(), [nodes](ModelSettings& aSettings) {
+      aSettings.nodes = nodes;
+      aSettings.shortLoad = Constant(4 * (1 - kLongPart));
+      aSettings.longLoad = Constant(4 * kLongPart);
+    });
+  }
+}
+
 void MeasureSlowServer()
 {
   std::printf(
@@ -217,6 +267,12 @@
   if (part == "all" || part == "slow-server") {
     MeasureSlowServer();
   }
+  if (part == "all" || part == "fairness") {
+    MeasureFairness();
+  }
+  if (part == "all" || part == "nodes") {
+    MeasureNodes();
+  }
   if (part == "all" || part == "cost") {
     MeasureDecisionCost();
   }
--- a/benchmarks/benchmark-decisions/QueueModel.cpp
+++ b/benchmarks/benchmark-decisions/QueueModel.cpp
@@ -81,9 +81,11 @@
       continue;
     }
     ++results.offered[IndexOf(job.workClass)];
+    results.offeredByAccount[job.account] += job.cost;
     if (job.answered) {
       ++results.answered[IndexOf(job.workClass)];
       results.worthRate += job.worth;
+      results.answeredByAccount[job.account] += job.cost;
       results.firstServerShare += job.server == 0 ? 1 : 0;
       results.latency[IndexOf(job.workClass)].Record(job.answeredAt - job.arrivedAt);
     }
--- a/benchmarks/benchmark-decisions/QueueModel.h
+++ b/benchmarks/benchmark-decisions/QueueModel.h
@@ -60,6 +60,9 @@
   double bestWorthRate = 0;
   std::array<std::uint64_t, 2> offered{};
   std::array<std::uint64_t, 2> answered{};
+  /// Tokens offered and answered by account, the largest account first.
+  std::array<double, 10> offeredByAccount{};
+  std::array<double, 10> answeredByAccount{};
   /// Latency of answered requests, from arrival.
   std::array<LatencyHistogram, 2> latency;
   /// Share of the measured answers given by the first server.
