--- a/modules/toucanstand_membership/members/Membership.cpp
+++ b/modules/toucanstand_membership/members/Membership.cpp
@@ -328,6 +328,8 @@
 void Membership::HandleContent(const Probe& aProbe, MembershipActions& aActions)
 {
   const auto& sender = aProbe.header.sender;
+  aActions.push_back(PeerHeard{
+    sender, aProbe.header.revision, aProbe.header.synchronized, std::nullopt });
   ProbeAck ack{ this->Header(sender.id), aProbe.sequence, this->self.id };
   if (aProbe.join) {
     this->AppendAllMembers(ack.header.deltas);
@@ -465,7 +467,7 @@
 void Membership::AppendAllMembers(std::vector<MemberDelta>& aDeltas) const
 {
   for (const auto& [id, entry] : this->members.Entries()) {
-    if (aDeltas.size() >= kMaximumDeltas) {
+    if (aDeltas.size() >= kMaximumMemberDeltas) {
       return;
     }
     aDeltas.push_back(entry.known);
--- a/modules/toucanstand_membership/messages/MembershipMessageText.cpp
+++ b/modules/toucanstand_membership/messages/MembershipMessageText.cpp
@@ -170,7 +170,7 @@
   header.leaving = aReader.Flag("leaving");
   header.revision = aReader.Whole("revision", 0, kMaximumWhole);
   header.synchronized = aReader.Flag("synchronized");
-  header.deltas = ReadList(aReader, "deltas", kMaximumDeltas, &ReadDelta);
+  header.deltas = ReadList(aReader, "deltas", kMaximumMemberDeltas, &ReadDelta);
   header.notices = ReadList(aReader, "notices", kMaximumNotices, &ReadNotice);
   return header;
 }
--- a/modules/toucanstand_membership/messages/MembershipMessageText.h
+++ b/modules/toucanstand_membership/messages/MembershipMessageText.h
@@ -16,7 +16,7 @@
 /// Longest identifier in a message.
 inline constexpr std::size_t kMaximumIdentifierBytes = 128;
 /// Most member deltas in one message.
-inline constexpr std::size_t kMaximumDeltas = 4096;
+inline constexpr std::size_t kMaximumMemberDeltas = 4096;
 /// Most notices in one message.
 inline constexpr std::size_t kMaximumNotices = 64;
 /// Longest lifetime of a notice.
--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -1,3 +1,5 @@
 toucanstand_program(toucanstand-entry programs toucanstand_routing toucanstand_admission
                     toucanstand_delivery toucanstand_configuration toucanstand_ledger
                     toucanstand_transport)
+toucanstand_program(toucanstand-node programs toucanstand_configuration toucanstand_delivery
+                    toucanstand_groups toucanstand_transport)
--- a/tests/unit/toucanstand_membership/TestMembership.cpp
+++ b/tests/unit/toucanstand_membership/TestMembership.cpp
@@ -183,7 +183,7 @@
   TimePoint now{ 1h };
   Membership membership(MakeVm(0), {}, random, now);
   const Probe probe{ { MakeVm(1), 1, false, 0, true, {}, {} }, 1, false };
-  CHECK(membership.Receive(probe, now).size() == 2);
+  CHECK(membership.Receive(probe, now).size() == 3);
   for (int pause = 0; pause < 4; ++pause) {
     static_cast<void>(membership.Tick(now += 2900ms));
   }
