--- a/modules/toucanstand_groups/control/GroupController.cpp
+++ b/modules/toucanstand_groups/control/GroupController.cpp
@@ -141,7 +141,6 @@
   auto& known = found->second;
   if (aEvent.outcome == OrderOutcome::Accepted) {
     known.refusals = 0;
-    known.sent->accepted = true;
     return;
   }
   if (aEvent.outcome == OrderOutcome::Stale) {
@@ -364,10 +363,9 @@
     }
     auto& sent = found->second.sent;
     if (!sent || sent->fence != order.fence) {
-      sent = SentOrder{ order.fence, {}, {}, false };
+      sent = SentOrder{ order.fence, {}, {} };
     }
     sent->sentAt = aNow;
-    sent->accepted = false;
     sent->expiresAt = this->held->confirmedAt + this->settings.orderLifetime;
     ++this->counters.orders;
     this->actions.emplace_back(
@@ -394,8 +392,11 @@
   }
   const auto& sent = *aServer.sent;
   if (sent.fence == aOrder.fence) {
+    // Unlike the reply, the reported fence also shows that a restart or an older order
+    // has undone the order since.
+    const bool taken = aServer.seen->fence == aOrder.fence;
     const auto pause =
-      sent.accepted ? this->settings.acceptedOrderRetry : this->settings.orderRetry;
+      taken ? this->settings.acceptedOrderRetry : this->settings.orderRetry;
     return aNow - sent.sentAt >= pause;
   }
   // An earlier order could still arrive after this one.
--- a/modules/toucanstand_groups/control/GroupController.h
+++ b/modules/toucanstand_groups/control/GroupController.h
@@ -35,9 +35,9 @@
   /// that it lost the lease may have written it.
   Duration refreshPeriod = std::chrono::seconds(10);
   Duration orderRetry = std::chrono::seconds(1);
-  /// Pause before an accepted order is sent again to a server that does not report the
-  /// group yet; it may be loading weights.
-  Duration acceptedOrderRetry = std::chrono::seconds(3);
+  /// Pause before an order that the server reports as taken is sent again; until then it
+  /// may be loading weights.
+  Duration acceptedOrderRetry = std::chrono::minutes(10);
   /// Orders refused in a row after which a server counts as unusable for refusalPeriod.
   std::uint32_t refusalLimit = 5;
   Duration refusalPeriod = std::chrono::seconds(60);
@@ -121,7 +121,6 @@
     /// When it can no longer take effect, whether it was answered or not: a copy of it
     /// may still be on its way.
     TimePoint expiresAt{};
-    bool accepted = false;
   };
   struct KnownServer
   {
--- a/modules/toucanstand_groups/planning/GroupPlanner.cpp
+++ b/modules/toucanstand_groups/planning/GroupPlanner.cpp
@@ -274,8 +274,11 @@
   }
   // Repairs with spares come before merges, those that load only as fast as the weight
   // store allows; what would have to wait for it is merged where that needs no load.
+  const bool isLoading = draft.IsLoading();
   ApplyAll(pools, &PoolPlan::RepairWithoutLoad);
-  bool mayLoad = aInput.mayLoadWeights || aInput.weightStoreUnlimited;
+  // Formations that broke in the middle of a load leave the store free before the budget
+  // says so; loads that take longer than expected do not block the others for ever.
+  bool mayLoad = aInput.mayLoadWeights || aInput.weightStoreUnlimited || !isLoading;
   while (mayLoad && ApplyBestLoad(pools)) {
     mayLoad = aInput.weightStoreUnlimited;
   }
--- a/modules/toucanstand_groups/planning/PlanDraft.cpp
+++ b/modules/toucanstand_groups/planning/PlanDraft.cpp
@@ -71,6 +71,16 @@
   return server != nullptr && server->holdsWeights;
 }
 
+bool PlanDraft::IsLoading() const
+{
+  return std::ranges::any_of(this->plan.record.groups, [this](const GroupEntry& aEntry) {
+    return aEntry.state == GroupState::Forming && !this->IsBroken(aEntry) &&
+           !std::ranges::all_of(aEntry.group.members, [this](const ServerId& aServer) {
+             return this->HoldsWeights(aServer);
+           });
+  });
+}
+
 void PlanDraft::Reform(const GroupId& aGroup,
                        const PoolTarget& aPool,
                        std::vector<ServerId> aMembers)
--- a/modules/toucanstand_groups/planning/PlanDraft.h
+++ b/modules/toucanstand_groups/planning/PlanDraft.h
@@ -37,6 +37,9 @@
 
   [[nodiscard]] bool HoldsWeights(const ServerId& aServer) const;
 
+  /// Whether a member of a forming group that is not broken has yet to load its weights.
+  [[nodiscard]] bool IsLoading() const;
+
   /// Gives an existing group new members and the next generation.
   void Reform(const GroupId& aGroup,
               const PoolTarget& aPool,
--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -1,3 +1,4 @@
 toucanstand_program(toucanstand-entry programs toucanstand_routing toucanstand_admission
                     toucanstand_delivery toucanstand_configuration toucanstand_ledger
                     toucanstand_transport)
+toucanstand_program(toucanstand-groups programs toucanstand_groups toucanstand_transport)
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -20,3 +20,7 @@
 
 toucanstand_integration_test(TestStandinEngine standins_library)
 toucanstand_integration_test(TestStandinService standins_library)
+
+# Prints the figures of docs/measurements/groups.md; not a test.
+add_executable(measure_groups tests/measurements/MeasureGroups.cpp)
+target_link_libraries(measure_groups PRIVATE toucanstand_groups)
