--- /dev/null
+++ b/benchmarks/benchmarks.cmake
@@ -0,0 +1,2 @@
+toucanstand_program(benchmark-decisions benchmarks toucanstand_routing toucanstand_admission)
+toucanstand_program(benchmark-groups benchmarks toucanstand_groups)
--- a/modules/toucanstand_configuration/change/ConfigurationEdit.cpp
+++ b/modules/toucanstand_configuration/change/ConfigurationEdit.cpp
@@ -9,7 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "document/ConfigurationText.h"
-#include "settings/JsonText.h"
+#include "serialization/BoundedJson.h"
 
 namespace toucanstand {
 
@@ -19,7 +19,7 @@
 
 json ParseValue(const std::string& aText)
 {
-  auto value = ParseBoundedJson(aText, kMaximumConfigurationBytes);
+  auto value = DecodeJson(aText, { kMaximumConfigurationBytes });
   return value ? std::move(*value) : json(aText);
 }
 
@@ -146,9 +146,9 @@
 ConfigurationEdit ReplaceConfiguration(std::string aText)
 {
   return [text = std::move(aText)](json& aDocument) -> std::vector<SettingsError> {
-    auto replacement = ParseBoundedJson(text, kMaximumConfigurationBytes);
+    auto replacement = DecodeJson(text, { kMaximumConfigurationBytes });
     if (!replacement) {
-      return { replacement.LastReason() };
+      return { DecodeError(replacement.LastReason()) };
     }
     if (!replacement->is_object()) {
       return { { "", "", SettingsRule::IsObject, "" } };
--- a/modules/toucanstand_configuration/document/ConfigurationText.cpp
+++ b/modules/toucanstand_configuration/document/ConfigurationText.cpp
@@ -7,7 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "settings/JsonText.h"
+#include "serialization/BoundedJson.h"
 #include "settings/SettingsReader.h"
 
 namespace toucanstand {
@@ -26,7 +26,8 @@
 
 constexpr std::array kStrategyNames = { "round-robin",
                                         "least-outstanding",
-                                        "two-choices" };
+                                        "two-choices",
+                                        "least-two-choices" };
 constexpr std::array<const char*, kScopeKinds> kScopeNames = { "account",
                                                                "pool",
                                                                "contract",
@@ -111,7 +112,10 @@
   contract.timeout = aReader.Milliseconds(
     "timeoutMs", kShortestTimeout, kLongestTimeout, contract.timeout);
   contract.worth = ReadFactor(aReader, "worth", contract.worth);
-  for (const auto status : aReader.WholeList("notRunStatuses", 400, 599)) {
+  for (const auto status : aReader.UnsignedList("notRunStatuses")) {
+    if (status < 400 || status > 599) {
+      aReader.Reject("notRunStatuses", SettingsRule::InRange, "400 to 599");
+    }
     contract.notRunStatuses.push_back(static_cast<int>(status));
   }
   return contract;
@@ -336,9 +340,9 @@
 Result<ConfigurationDocument, std::vector<SettingsError>> ParseConfiguration(
   std::string_view aText)
 {
-  const auto parsed = ParseBoundedJson(aText, kMaximumConfigurationBytes);
+  const auto parsed = DecodeJson(aText, { kMaximumConfigurationBytes });
   if (!parsed) {
-    return std::vector<SettingsError>{ parsed.LastReason() };
+    return std::vector<SettingsError>{ DecodeError(parsed.LastReason()) };
   }
   ConfigurationDocument document;
   SettingsReader reader(*parsed);
@@ -351,6 +355,16 @@
   return document;
 }
 
+SettingsError DecodeError(DecodeFailure aFailure)
+{
+  const bool tooLarge = aFailure == DecodeFailure::TooLarge;
+  return { "",
+           "",
+           tooLarge ? SettingsRule::InRange : SettingsRule::ValidJson,
+           tooLarge ? "at most " + std::to_string(kMaximumConfigurationBytes) + " bytes"
+                    : Name(aFailure) };
+}
+
 std::vector<Scope> UncoveredScopes(const ConfigurationDocument& aDocument)
 {
   std::vector<Scope> scopes;
