--- a/modules/toucanstand_membership/messages/MembershipMessageText.cpp
+++ b/modules/toucanstand_membership/messages/MembershipMessageText.cpp
@@ -4,7 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "settings/JsonText.h"
+#include "serialization/BoundedJson.h"
 #include "settings/SettingsReader.h"
 
 namespace toucanstand {
@@ -255,11 +255,10 @@
 
 Result<MembershipMessage, MessageError> ParseMembershipMessage(std::string_view aText)
 {
-  const auto document = ParseBoundedJson(aText, kMaximumMembershipBytes);
+  const auto document = DecodeJson(aText, { kMaximumMembershipBytes });
   if (!document) {
-    return document.LastReason().rule == SettingsRule::InRange
-             ? MessageError::TooLarge
-             : MessageError::MalformedJson;
+    return document.LastReason() == DecodeFailure::TooLarge ? MessageError::TooLarge
+                                                            : MessageError::MalformedJson;
   }
   if (!document->is_object()) {
     return MessageError::InvalidContent;
