Add a load measurement of the whole system

Cause: policies were compared only on decision classes. benchmark-system starts real processes, applies open-loop load with abandonment and re-asking, and compares with open admission and simpler strategies. A setting selects open admission as the baseline.

--- /dev/null
+++ b/benchmarks/benchmark-system/Main.cpp
@@ -0,0 +1,116 @@
+#include <iostream>
+
+#include "Scenario.h"
+#include "commandline/CommandLine.h"
+
+using namespace toucanstand;
+using nlohmann::json;
+
+namespace {
+
+json Phase(double aRate, int aMilliseconds)
+{
+  return { { "rate", aRate }, { "duration_ms", aMilliseconds } };
+}
+
+void Report(const std::string& aScenario, const json& aResult)
+{
+  const json& kinds = aResult["kinds"];
+  const auto latency = [&kinds](const char* aKind) {
+    return kinds.contains(aKind) ? kinds[aKind]["latency"]["p99_ms"].get<double>() : 0.0;
+  };
+  std::printf("%-24s %-22s worth/s %8.1f  short p99 %8.1f ms  long p99 %9.1f ms  "
+              "after leaving %5.2f%%  tries %.3f  wrong %s\n",
+              aScenario.c_str(),
+              aResult["policy"].get<std::string>().c_str(),
+              aResult["worth_in_time_per_second"].get<double>(),
+              latency("short"),
+              latency("long"),
+              100 * aResult["engine_after_leaving_ms"].get<double>() /
+                std::max(1.0, aResult["engine_busy_ms"].get<double>()),
+              1 + aResult["attempts_retry"].get<double>() /
+                    std::max(1.0, aResult["attempts_first"].get<double>()),
+              aResult["total"].dump().c_str());
+  std::fflush(stdout);
+}
+
+/// Worth answered in time at multiples of the servers' capacity, and through a swing.
+void MeasureOverload(const std::vector<Policy>& aPolicies, int aSeed)
+{
+  const ServerModel servers;
+  Mix mix;
+  mix.abandonShare = 0.3;
+  const double full = servers.Capacity() / mix.MeanTokens();
+  for (const auto& policy : aPolicies) {
+    for (const double factor : { 0.5, 1.0, 2.0, 4.0 }) {
+      const json plan =
+        MakePlan(mix, json::array({ Phase(full * factor, 5000) }), aSeed);
+      Report("load x" + std::to_string(factor).substr(0, 3),
+             RunLoad(servers, policy, plan));
+    }
+    json phases = json::array({ Phase(full * 0.1, 3000) });
+    phases.push_back(
+      { { "rate", full * 0.1 }, { "end_rate", full * 4 }, { "duration_ms", 2000 } });
+    phases.push_back(Phase(full * 4, 5000));
+    Report("swing x0.1 to x4", RunLoad(servers, policy, MakePlan(mix, phases, aSeed)));
+  }
+}
+
+/// Short work with and without long work, at the same rate of short work.
+void MeasureHeadOfLine(const std::vector<Policy>& aPolicies, int aSeed)
+{
+  const ServerModel servers;
+  Mix mix;
+  const double shortRate = 0.4 * servers.Capacity() / mix.shortTokens;
+  const double longRate = 0.6 * servers.Capacity() / mix.longTokens;
+  for (const auto& policy : aPolicies) {
+    Mix alone = mix;
+    alone.shortWeight = 1;
+    alone.longWeight = 0;
+    Report("short alone",
+           RunLoad(servers,
+                   policy,
+                   MakePlan(alone, json::array({ Phase(shortRate, 15000) }), aSeed)));
+    Mix both = mix;
+    both.shortWeight = shortRate;
+    both.longWeight = longRate;
+    Report("short with long",
+           RunLoad(
+             servers,
+             policy,
+             MakePlan(both, json::array({ Phase(shortRate + longRate, 15000) }), aSeed)));
+  }
+}
+
+} // namespace
+
+int main(int aArgumentCount, char** aArguments)
+{
+  const ProgramDescription description = {
+    "benchmark-system",
+    "Measures the whole system under load against baselines.",
+    "overload|head-of-line...",
+    { { "seed", 's', "N", "seed of the load (1)" } },
+  };
+  ExitCode code = ExitCode::Success;
+  const auto commandLine =
+    ParseCommandLine(aArgumentCount, aArguments, description, code);
+  if (!commandLine) {
+    return static_cast<int>(code);
+  }
+  const int seed = std::stoi(commandLine->ValueOr("seed", "1"));
+  const std::vector<Policy> policies = {
+    { "toucanstand", "least-two-choices", "weighted" },
+    { "no shedding", "least-two-choices", "open" },
+    { "round robin, open", "round-robin", "open" },
+    { "least outst., open", "least-outstanding", "open" },
+  };
+  for (const auto& scenario : commandLine->positional) {
+    if (scenario == "overload") {
+      MeasureOverload(policies, seed);
+    } else if (scenario == "head-of-line") {
+      MeasureHeadOfLine(policies, seed);
+    }
+  }
+  return 0;
+}
--- a/benchmarks/benchmarks.cmake
+++ b/benchmarks/benchmarks.cmake
@@ -1,2 +1,3 @@
 toucanstand_program(benchmark-decisions benchmarks toucanstand_routing toucanstand_admission)
 toucanstand_program(benchmark-groups benchmarks toucanstand_groups)
+toucanstand_program(benchmark-system benchmarks integration_support)
--- a/programs/toucanstand-entry/AdmissionGate.cpp
+++ b/programs/toucanstand-entry/AdmissionGate.cpp
@@ -25,8 +25,10 @@
 };
 
 AdmissionGate::AdmissionGate(boost::asio::io_context& aLoop,
+                             AdmissionMode aMode,
                              AdmissionController aController)
   : loop(aLoop)
+  , mode(aMode)
   , controller(std::move(aController))
   , wakeTimer(aLoop)
 {
@@ -34,6 +36,9 @@
 
 Task<AdmissionGate::Entry> AdmissionGate::Enter(Arrival aArrival)
 {
+  if (this->mode == AdmissionMode::Open) {
+    co_return Entry{ Verdict::Admitted, {} };
+  }
   const RequestId id = aArrival.id;
   const auto waiter = std::make_shared<Waiter>(this->loop);
   this->waiters[id] = waiter;
@@ -48,6 +53,9 @@
                           AttemptOutcome aOutcome,
                           Duration aService)
 {
+  if (this->mode == AdmissionMode::Open) {
+    return;
+  }
   this->Apply(this->controller.OnFinished(aId, aOutcome, aService, BootClock::now()));
 }
 
--- a/programs/toucanstand-entry/AdmissionGate.h
+++ b/programs/toucanstand-entry/AdmissionGate.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include "EntrySettings.h"
 #include "admission/AdmissionController.h"
 #include "http/Task.h"
 #include "observation/WorldView.h"
@@ -31,7 +32,9 @@
     Refusal refusal;
   };
 
-  AdmissionGate(boost::asio::io_context& aLoop, AdmissionController aController);
+  AdmissionGate(boost::asio::io_context& aLoop,
+                AdmissionMode aMode,
+                AdmissionController aController);
 
   /// Waits until the request is admitted, refused or abandoned.
   Task<Entry> Enter(Arrival aArrival);
@@ -58,6 +61,7 @@
   void ArmWake();
 
   boost::asio::io_context& loop;
+  AdmissionMode mode;
   AdmissionController controller;
   boost::asio::steady_timer wakeTimer;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters;
--- a/programs/toucanstand-entry/EntryContext.cpp
+++ b/programs/toucanstand-entry/EntryContext.cpp
@@ -35,7 +35,9 @@
   , port(aLoop, aMetrics)
   , claims(aLoop, this->port, this->settings.ledger)
   , suspects(aLoop, this->port, this->settings.node)
-  , gate(aLoop, AdmissionController(AdmissionSettings{}, Random(this->random.Engine()())))
+  , gate(aLoop,
+         this->settings.admission,
+         AdmissionController(AdmissionSettings{}, Random(this->random.Engine()())))
 {
 }
 
--- a/programs/toucanstand-entry/EntrySettings.cpp
+++ b/programs/toucanstand-entry/EntrySettings.cpp
@@ -60,6 +60,10 @@
   settings.longTokens = aReader.Whole("long_tokens", 1, 1000000, settings.longTokens);
   settings.subsetSize =
     static_cast<std::size_t>(aReader.Whole("subset_size", 0, 100000, 0));
+  settings.admission =
+    aReader.Choice("admission", { "weighted", "open" }, "weighted") == "open"
+      ? AdmissionMode::Open
+      : AdmissionMode::Weighted;
   settings.drainPeriod = aReader.Milliseconds(
     "drain_period_ms", Duration::zero(), minutes(60), settings.drainPeriod);
   settings.listenerWait = aReader.Milliseconds(
--- a/programs/toucanstand-entry/EntrySettings.h
+++ b/programs/toucanstand-entry/EntrySettings.h
@@ -8,6 +8,15 @@
 
 namespace toucanstand {
 
+/// How requests are admitted.
+enum class AdmissionMode
+{
+  /// By worth, account share and deadline, under adaptive limits.
+  Weighted,
+  /// Every request at once: the baseline of the load measurements.
+  Open,
+};
+
 /// Settings of one toucanstand-entry process.
 struct EntrySettings
 {
@@ -31,6 +40,7 @@
   std::int64_t longTokens = 512;
   /// Candidates of a pool that this node uses; 0 uses all of them.
   std::size_t subsetSize = 0;
+  AdmissionMode admission = AdmissionMode::Weighted;
   /// Longest time for calls in flight when the process stops.
   Duration drainPeriod = std::chrono::seconds(30);
   /// Time between readiness turning false and the listener closing, for balancers that
--- a/tests/integration/support/TestSystem.cpp
+++ b/tests/integration/support/TestSystem.cpp
@@ -43,6 +43,7 @@
   : configuration(DefaultConfiguration(aOptions.groupSize))
   , options(std::move(aOptions))
 {
+  this->configuration.update(this->options.configuration, true);
   this->StartStandins();
   for (int index = 0; index < this->options.entryVms; ++index) {
     this->MakeVm(index);
--- a/tests/integration/support/TestSystem.h
+++ b/tests/integration/support/TestSystem.h
@@ -27,6 +27,8 @@
   std::vector<std::string> engineArguments;
   /// Further settings of each toucanstand-entry process.
   nlohmann::json entrySettings = nlohmann::json::object();
+  /// Merged into the initial configuration.
+  nlohmann::json configuration = nlohmann::json::object();
 };
 
 /// A whole system of real processes on loopback: a store, one engine process for each
