--- a/modules/toucanstand_admission/admission/AdmissionSettings.h
+++ b/modules/toucanstand_admission/admission/AdmissionSettings.h
@@ -35,7 +35,7 @@
   /// Greatest share of a pool's slots that long work may take.
   double longShare = 0.5;
   /// Share that long work keeps however many slots short work needs.
-  double leastLongShare = 0.25;
+  double leastLongShare = 0.2;
   /// Share of the free slots given out in turn by account; the rest goes to the request
   /// with the highest worth per cost of any account.
   double fairShare = 0.25;
--- a/tests/unit/toucanstand_admission/TestAdmissionController.cpp
+++ b/tests/unit/toucanstand_admission/TestAdmissionController.cpp
@@ -183,6 +183,7 @@
   // against long work that never runs.
   AdmissionSettings settings;
   settings.limit.adaptive = false;
+  settings.leastLongShare = 0.25;
   Desk desk(16, settings);
   for (int round = 0; round < 200; ++round) {
     for (int number = 0; number < 9; ++number) {
