Report plausible capacity, tell dead connections from slow servers

Cause: a caller that sums reported capacities takes over absurd ones; a connection that went silent on a healthy server had no end of its own, so that its waiting time would have counted against the server; each Configure() led to new subsets. Change: Router::CapacityOf(), AttemptEnd::DeadConnection, and subsets that are computed again only when their inputs changed. Conclusion: unit tests pass; they now cover subsets and the spread of long work as well.

--- a/modules/toucanstand_routing/routing/RouteQuery.cpp
+++ b/modules/toucanstand_routing/routing/RouteQuery.cpp
@@ -49,6 +49,8 @@
       return "slow";
     case AttemptEnd::Abandoned:
       return "abandoned";
+    case AttemptEnd::DeadConnection:
+      return "dead-connection";
   }
   return "unknown";
 }
--- a/modules/toucanstand_routing/routing/RouteQuery.h
+++ b/modules/toucanstand_routing/routing/RouteQuery.h
@@ -49,6 +49,9 @@
   Slow,
   /// The caller gave up; counts against the candidate only if that took unusually long.
   Abandoned,
+  /// The connection went silent while the server answered on another one; says nothing
+  /// about the candidate.
+  DeadConnection,
 };
 
 /// Names for metrics, logs and state dumps.
--- a/modules/toucanstand_routing/routing/Router.cpp
+++ b/modules/toucanstand_routing/routing/Router.cpp
@@ -194,6 +194,7 @@
       this->Count(this->ejection.OnFailure(aCandidate, pool, aNow));
       break;
     case AttemptEnd::Abandoned:
+    case AttemptEnd::DeadConnection:
       break;
   }
 }
@@ -210,10 +211,14 @@
 void Router::Configure(RouterSettings aSettings)
 {
   auto& own = *this->state;
+  // Subsets of many nodes take milliseconds to compute; other settings do not change
+  // them.
+  own.subsetsOutdated =
+    own.subsetsOutdated || own.settings.subsetSize != aSettings.subsetSize ||
+    own.settings.self != aSettings.self || own.settings.peers != aSettings.peers;
   own.settings = std::move(aSettings);
   own.strategy = MakeStrategy(own.settings.strategy);
   own.ejection = Ejection(own.settings.ejection);
-  own.subsetsOutdated = true;
 }
 
 void Router::Update(const WorldView& aView, TimePoint aNow)
@@ -305,6 +310,22 @@
   }
 }
 
+double Router::CapacityOf(const PoolId& aPool, TimePoint aNow) const
+{
+  const auto found = this->state->pools.find(aPool);
+  if (found == this->state->pools.end()) {
+    return 0;
+  }
+  double sum = 0;
+  for (const auto* candidate : found->second.routing.Candidates()) {
+    sum += candidate->IsUsable(aNow) ? candidate->capacity : 0.0;
+  }
+  const auto& pool = found->second;
+  return pool.subset.empty() ? 0.0
+                             : sum * static_cast<double>(pool.ids.size()) /
+                                 static_cast<double>(pool.subset.size());
+}
+
 nlohmann::json Router::Describe(TimePoint aNow) const
 {
   const auto& own = *this->state;
--- a/modules/toucanstand_routing/routing/Router.h
+++ b/modules/toucanstand_routing/routing/Router.h
@@ -55,6 +55,12 @@
                   TimePoint aNow,
                   WorkClass aClass = WorkClass::Short);
 
+  /// Requests that the usable candidates of a pool can run at once, for all nodes
+  /// together. Each reported capacity is bounded by what is usual in the pool; zero when
+  /// the pool is unknown. The share of this node is what AdmissionController::OnSlots()
+  /// expects.
+  [[nodiscard]] double CapacityOf(const PoolId& aPool, TimePoint aNow) const;
+
   /// State dump: pools with their candidates, and counters.
   [[nodiscard]] nlohmann::json Describe(TimePoint aNow) const;
 
--- a/tests/unit/toucanstand_routing/TestRouter.cpp
+++ b/tests/unit/toucanstand_routing/TestRouter.cpp
@@ -173,6 +173,9 @@
     world.Report(0, 0, 1e6);
     world.Renew();
     CHECK(share() < bound);
+    // Nine candidates of 16 and one that counts as at most four times as large.
+    CHECK(world.router.CapacityOf(kPool, world.now) <= 13 * 16);
+    CHECK(world.router.CapacityOf(kPool, world.now + 2s) == 0);
   }
   SECTION("a missing report counts as the usual load")
   {
@@ -262,6 +265,7 @@
                       slow ? 5s : 500ms);
       }
       world.Attempt("group-1", AttemptEnd::Abandoned, 10ms);
+      world.Attempt("group-2", AttemptEnd::DeadConnection, 5s);
       world.now += 50ms;
     }
     CHECK(ejected() == 1);
@@ -364,6 +368,38 @@
   }
 }
 
+TEST_CASE("Long work is spread by long work, short work by all of it", "[routing]")
+{
+  // Guards against candidates whose slots are all taken by long work.
+  World world(6);
+  for (const char* id : { "group-0", "group-1", "group-2" }) {
+    world.router.OnSent(id, world.now, WorkClass::Long);
+  }
+  for (const char* id : { "group-3", "group-4", "group-5" }) {
+    world.router.OnSent(id, world.now);
+    world.router.OnSent(id, world.now);
+  }
+  CHECK_FALSE(world.Shares().contains("group-3"));
+  world.query.workClass = WorkClass::Long;
+  CHECK_FALSE(world.Shares().contains("group-0"));
+}
+
+TEST_CASE("A node with a subset uses no other candidate", "[routing]")
+{
+  // Guards against connections from all nodes to all groups of a large fleet.
+  RouterSettings settings;
+  settings.subsetSize = 5;
+  settings.self = VmId("vm-1");
+  settings.peers = { VmId("vm-1"), VmId("vm-2") };
+  World world(20, settings);
+  CHECK(world.Shares().size() == 5);
+  CHECK(world.router.CapacityOf(kPool, world.now) == Approx(20));
+  settings.subsetSize = 7;
+  world.router.Configure(settings);
+  world.Renew();
+  CHECK(world.Shares().size() == 7);
+}
+
 TEST_CASE("Whatever is reported, only usable candidates are chosen", "[routing]")
 {
   // Guards against a choice of an expired, unlisted, refusing or excluded candidate, and
@@ -415,7 +451,7 @@
               world.query.excluded.end());
       world.query.excluded = { chosen->id };
       world.router.OnSent(chosen->id, world.now, world.query.workClass);
-      const auto end = static_cast<AttemptEnd>(random.Below(6));
+      const auto end = static_cast<AttemptEnd>(random.Below(7));
       world.router.OnFinished(chosen->id,
                               end,
                               std::chrono::milliseconds(random.Below(2000)),
