--- a/benchmarks/benchmarks.cmake
+++ b/benchmarks/benchmarks.cmake
@@ -1,1 +1,2 @@
 toucanstand_program(benchmark-decisions benchmarks toucanstand_routing toucanstand_admission)
+toucanstand_program(benchmark-claims benchmarks toucanstand_ledger)
