--- a/benchmarks/benchmark-decisions/Main.cpp
+++ b/benchmarks/benchmark-decisions/Main.cpp
@@ -151,6 +151,10 @@
       }
     }
   }
+  if (slowest[1] <= 0) {
+    std::printf("  no short work answered  %s\n", aPolicy.name);
+    return;
+  }
   std::printf("  %6.3f s / %6.3f s = %5.2f  short answered %5.1f%%  %s\n",
               slowest[1],
               slowest[0],
@@ -175,26 +179,77 @@
   }
 }
 
+/// Share of an account's offered tokens that was answered, in percent.
+double Answered(const ModelResults& aResults, std::size_t aAccount)
+{
+  return 100 * aResults.answeredByAccount[aAccount] / aResults.offeredByAccount[aAccount];
+}
+
+void MeasureFairness()
+{
+  std::printf(
+    "load 4: share of best, share of the offered tokens that was answered for the "
+    "largest and the smallest account\n");
+  for (const double fairShare : { 0.0, 0.25, 0.5, 1.0 }) {
+    double best = 0;
+    double largest = 0;
+    double smallest = 0;
+    for (const auto seed : kSeeds) {
+      auto settings = SettingsOf(kPolicies.front(), seed);
+      settings.admissionSettings.fairShare = fairShare;
+      settings.shortLoad = Constant(4 * (1 - kLongPart));
+      settings.longLoad = Constant(4 * kLongPart);
+      const auto results = QueueModel(std::move(settings)).Run();
+      best += 100 * results.worthRate / results.bestWorthRate / kSeeds.size();
+      largest += Answered(results, 0) / kSeeds.size();
+      smallest += Answered(results, 9) / kSeeds.size();
+    }
+    std::printf("  %5.1f%%  %5.1f%%  %5.1f%%  share of slots given out by account %.2f\n",
+                best,
+                largest,
+                smallest,
+                fairShare);
+  }
+}
+
+void MeasureNodes()
+{
+  std::printf("load 4, %s\n", kPolicies.front().name);
+  for (const int nodes : { 1, 3, 6, 9, 16 }) {
+    std::printf("%3d nodes", nodes);
+    PrintWorth(kPolicies.front(), [nodes](ModelSettings& aSettings) {
+      aSettings.nodes = nodes;
+      aSettings.shortLoad = Constant(4 * (1 - kLongPart));
+      aSettings.longLoad = Constant(4 * kLongPart);
+    });
+  }
+}
+
 void MeasureSlowServer()
 {
   std::printf(
-    "one of twelve servers takes 10 times as long; load 0.6, short work only\n");
+    "one of twelve servers becomes 10 times as slow at 30 s; load 0.6, short work\n");
   for (const auto& policy : kPolicies) {
     double share = 0;
     double slowest = 0;
+    Duration left{ 0 };
     for (const auto seed : kSeeds) {
       auto settings = SettingsOf(policy, seed);
       settings.slowServerFactor = 10;
+      settings.slowFrom = settings.measureFrom;
       settings.shortLoad = Constant(0.6);
       settings.longLoad = Constant(0.0);
       const auto results = QueueModel(std::move(settings)).Run();
       share += results.firstServerShare / kSeeds.size();
       slowest += ToSeconds(results.latency[0].Percentile(0.99)) / kSeeds.size();
+      left = std::max(left, results.firstServerLeft);
     }
-    std::printf("  answers by it %5.2f%%  99th percentile %6.3f s  %s\n",
-                100 * share,
-                slowest,
-                policy.name);
+    std::printf(
+      "  left within %3.0f s  answers by it %5.2f%%  99th percentile %6.3f s  %s\n",
+      ToSeconds(left),
+      100 * share,
+      slowest,
+      policy.name);
   }
 }
 
@@ -212,6 +267,12 @@
   if (part == "all" || part == "slow-server") {
     MeasureSlowServer();
   }
+  if (part == "all" || part == "fairness") {
+    MeasureFairness();
+  }
+  if (part == "all" || part == "nodes") {
+    MeasureNodes();
+  }
   if (part == "all" || part == "cost") {
     MeasureDecisionCost();
   }
--- a/benchmarks/benchmarks.cmake
+++ b/benchmarks/benchmarks.cmake
@@ -1,2 +1,3 @@
 toucanstand_program(benchmark-decisions benchmarks toucanstand_routing toucanstand_admission)
 toucanstand_program(benchmark-claims benchmarks toucanstand_ledger)
+toucanstand_program(benchmark-groups benchmarks toucanstand_groups)
