Measure delivery and let home servers follow a conversation

Cause: the home servers of a request were a hash of all of it, so that the turns of a conversation met different prompt caches, and the cost for load balancing was not known. Every comparison in the sort hashed both servers.

Change: Place() takes a home key, which may be a hash of the part that the turns share; the bound holds because copies of a request have the same key. Weights are computed once per server. benchmark-delivery measures the times per call and the choice between two home servers.

--- a/benchmarks/benchmarks.cmake
+++ b/benchmarks/benchmarks.cmake
@@ -1,3 +1,4 @@
 toucanstand_program(benchmark-decisions benchmarks toucanstand_routing toucanstand_admission)
 toucanstand_program(benchmark-claims benchmarks toucanstand_ledger)
 toucanstand_program(benchmark-groups benchmarks toucanstand_groups)
+toucanstand_program(benchmark-delivery benchmarks toucanstand_delivery)
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -144,7 +144,8 @@
 
 Placement CrashQuarantine::Place(std::uint64_t aFingerprint,
                                  const std::vector<ServerId>& aServers,
-                                 TimePoint aNow) const
+                                 TimePoint aNow,
+                                 std::optional<std::uint64_t> aHomeKey) const
 {
   const SuspicionLevel level = this->Level(aFingerprint, aNow);
   if (level == SuspicionLevel::Quarantined) {
@@ -152,7 +153,7 @@
   }
   // A suspect waits as well: until the other reports have arrived, a copy that another
   // entry VM sent earlier may still be about to crash the suspect's second home server.
-  const auto homes = HomeServers(aFingerprint, aServers);
+  const auto homes = HomeServers(aHomeKey.value_or(aFingerprint), aServers);
   const TimePoint hold = this->HoldUntil(homes);
   if (hold > aNow) {
     return { PlacementKind::Wait, {}, hold };
@@ -160,7 +161,7 @@
   if (level == SuspicionLevel::Clear && !homes.empty()) {
     return { PlacementKind::Run, homes, {} };
   }
-  const auto server = this->TrialServer(aFingerprint, aServers);
+  const auto server = this->TrialServer(aFingerprint, homes);
   if (!server || !this->MayRunOn(aFingerprint, *server, aNow)) {
     return { PlacementKind::Wait, {}, aNow + kWaitStep };
   }
@@ -169,7 +170,7 @@
 
 std::optional<ServerId> CrashQuarantine::TrialServer(
   std::uint64_t aFingerprint,
-  const std::vector<ServerId>& aServers) const
+  const std::vector<ServerId>& aHomes) const
 {
   const Record* record = this->Find(aFingerprint);
   const auto crashedHere = [record](const ServerId& aServer) {
@@ -178,9 +179,8 @@
              return aMark.server == aServer;
            });
   };
-  const auto homes = HomeServers(aFingerprint, aServers);
-  const auto found = std::ranges::find_if_not(homes, crashedHere);
-  return found == homes.end() ? std::nullopt : std::optional(*found);
+  const auto found = std::ranges::find_if_not(aHomes, crashedHere);
+  return found == aHomes.end() ? std::nullopt : std::optional(*found);
 }
 
 bool CrashQuarantine::Merge(const SuspectDelta& aDelta, TimePoint aNow)
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.h
@@ -126,15 +126,12 @@
   /// @param aServers the usable servers of the pool, including those that refused a
   /// connection but are still in the snapshot; otherwise the home servers would change
   /// before the reports have arrived.
+  /// @param aHomeKey selects the home servers, see HomeServers(); the fingerprint unless
+  /// given.
   [[nodiscard]] Placement Place(std::uint64_t aFingerprint,
                                 const std::vector<ServerId>& aServers,
-                                TimePoint aNow) const;
-
-  /// The server on which a suspect runs alone: of its home servers the first that did not
-  /// crash with it. Nothing when there is none.
-  [[nodiscard]] std::optional<ServerId> TrialServer(
-    std::uint64_t aFingerprint,
-    const std::vector<ServerId>& aServers) const;
+                                TimePoint aNow,
+                                std::optional<std::uint64_t> aHomeKey = {}) const;
 
   /// Merges what another node knows. True when it was new here.
   bool Merge(const SuspectDelta& aDelta, TimePoint aNow);
@@ -178,6 +175,10 @@
     bool quarantinedByNode = false;
   };
 
+  /// The home server on which a suspect runs alone: the first that did not crash with it.
+  [[nodiscard]] std::optional<ServerId> TrialServer(
+    std::uint64_t aFingerprint,
+    const std::vector<ServerId>& aHomes) const;
   [[nodiscard]] static SuspicionLevel LevelOf(const Record& aRecord);
   [[nodiscard]] const Record* Find(std::uint64_t aFingerprint) const;
   Record& FindOrInsert(std::uint64_t aFingerprint, TimePoint aNow);
--- a/modules/toucanstand_delivery/crashes/HomeServers.cpp
+++ b/modules/toucanstand_delivery/crashes/HomeServers.cpp
@@ -1,27 +1,35 @@
 #include "crashes/HomeServers.h"
 
 #include <algorithm>
-#include <string>
 #include <utility>
 
 #include "hashing/Fingerprint.h"
 
 namespace toucanstand {
 
-std::vector<ServerId> HomeServers(std::uint64_t aFingerprint,
-                                  std::vector<ServerId> aServers,
+std::vector<ServerId> HomeServers(std::uint64_t aHomeKey,
+                                  const std::vector<ServerId>& aServers,
                                   std::size_t aCount)
 {
-  const std::string key = std::to_string(aFingerprint);
-  const auto heavier = [&key](const ServerId& aLeft, const ServerId& aRight) {
-    return std::pair(RendezvousWeight(key, aLeft.Value()), aLeft) >
-           std::pair(RendezvousWeight(key, aRight.Value()), aRight);
+  // Computed once, because the sort compares a server several times.
+  using Weighted = std::pair<std::uint64_t, const ServerId*>;
+  std::vector<Weighted> weighted;
+  weighted.reserve(aServers.size());
+  for (const auto& server : aServers) {
+    weighted.emplace_back(Hash64(server.Value(), aHomeKey), &server);
+  }
+  const auto heavier = [](const Weighted& aLeft, const Weighted& aRight) {
+    return aLeft.first != aRight.first ? aLeft.first > aRight.first
+                                       : *aRight.second < *aLeft.second;
   };
-  const auto count =
-    static_cast<std::ptrdiff_t>(std::min<std::size_t>(aCount, aServers.size()));
-  std::ranges::partial_sort(aServers, aServers.begin() + count, heavier);
-  aServers.resize(static_cast<std::size_t>(count));
-  return aServers;
+  const auto count = std::min(aCount, weighted.size());
+  std::ranges::partial_sort(
+    weighted, weighted.begin() + static_cast<std::ptrdiff_t>(count), heavier);
+  std::vector<ServerId> homes;
+  for (std::size_t index = 0; index < count; ++index) {
+    homes.push_back(*weighted[index].second);
+  }
+  return homes;
 }
 
 VmId ArbiterVm(const std::vector<VmId>& aLiveVms)
--- a/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
+++ b/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
@@ -334,6 +334,27 @@
   CHECK(peer.Level(7, now) == SuspicionLevel::Clear);
 }
 
+TEST_CASE("Requests with one home key share their home servers, crashed ones excepted",
+          "[crashes]")
+{
+  // Guards against turns of a conversation losing their prompt cache, and against a
+  // suspect running again on the server that crashed with it while the other home server
+  // is there.
+  CrashQuarantine quarantine;
+  const std::vector<ServerId> servers = { ServerId("a"), ServerId("b"), ServerId("c") };
+  const TimePoint now{};
+  const auto homes = quarantine.Place(1, servers, now, 42).servers;
+  REQUIRE(homes.size() == kHomeServers);
+  CHECK(quarantine.Place(2, servers, now, 42).servers == homes);
+  quarantine.OnSent(RequestId("r"), 1, homes.front());
+  quarantine.OnServerCrashed(homes.front(), now);
+  const TimePoint later = now + CrashQuarantine::kReportDelay;
+  CHECK(quarantine.Place(1, servers, now, 42).kind == PlacementKind::Wait);
+  const auto placement = quarantine.Place(1, servers, later, 42);
+  CHECK(placement.kind == PlacementKind::RunAlone);
+  CHECK(placement.servers == std::vector{ homes.back() });
+}
+
 TEST_CASE("The number of remembered fingerprints is bounded", "[crashes]")
 {
   CrashQuarantine quarantine;
