Add toucanstandctl

Operators see and change defaults and exceptions, and see nodes, groups and revisions. Reading asks a node, so that it works while the store is down; changing writes to the store. `apply` takes the revision in the file as the one its author looked at, so that a change made meanwhile is a conflict and is not undone.

--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -3,3 +3,4 @@
                     toucanstand_transport)
 toucanstand_program(toucanstand-node programs toucanstand_configuration toucanstand_delivery
                     toucanstand_groups toucanstand_transport)
+toucanstand_program(toucanstandctl programs toucanstand_configuration toucanstand_transport)
--- /dev/null
+++ b/programs/toucanstandctl/Commands.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "Connections.h"
+#include "ControlSettings.h"
+#include "commandline/CommandLine.h"
+
+namespace toucanstand {
+
+/// The commands of toucanstandctl.
+class Commands
+{
+public:
+  explicit Commands(ControlSettings aSettings);
+
+  /// Runs the command of the positional arguments.
+  ExitCode Run(const std::vector<std::string>& aArguments);
+
+  /// One line per command, for the help.
+  [[nodiscard]] static std::string Usage();
+
+private:
+  using Arguments = std::vector<std::string>;
+  struct Command;
+
+  [[nodiscard]] static const std::vector<Command>& All();
+
+  ExitCode ShowDefaults(const Arguments& aArguments);
+  ExitCode ChangeDefault(const Arguments& aArguments);
+  ExitCode ListExceptions(const Arguments& aArguments);
+  ExitCode AddException(const Arguments& aArguments);
+  ExitCode DropException(const Arguments& aArguments);
+  ExitCode Apply(const Arguments& aArguments);
+  ExitCode ShowNodes(const Arguments& aArguments);
+  ExitCode ShowGroups(const Arguments& aArguments);
+  ExitCode ShowRevisions(const Arguments& aArguments);
+  ExitCode Dump(const Arguments& aArguments);
+  ExitCode Drain(const Arguments& aArguments);
+
+  /// JSON answer of an endpoint; null after a failure, which is printed.
+  nlohmann::json Fetch(const Endpoint& aEndpoint,
+                       const std::string& aTarget,
+                       const std::string& aMethod = "GET");
+  ExitCode Change(ConfigurationEdit aEdit, std::optional<std::int64_t> aBase = {});
+  ExitCode Report(const ChangeOutcome& aOutcome);
+  ExitCode AwaitAcceptance(std::int64_t aRevision);
+
+  ControlSettings settings;
+  Connections connections;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/programs/toucanstandctl/Connections.cpp
@@ -0,0 +1,103 @@
+#include "Connections.h"
+
+#include <exception>
+#include <utility>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "random/Random.h"
+
+namespace toucanstand {
+
+namespace {
+
+constexpr auto kRetryPause = std::chrono::milliseconds(200);
+
+} // namespace
+
+Connections::Connections(const ControlSettings& aSettings)
+  : client(this->loop, this->metrics)
+  , store(this->loop,
+          EtcdStoreSettings{ aSettings.store },
+          this->metrics,
+          Random(SystemSeed()))
+{
+}
+
+Result<HttpResponse, HttpFailure> Connections::Call(const Endpoint& aEndpoint,
+                                                    const std::string& aMethod,
+                                                    const std::string& aTarget)
+{
+  std::optional<Result<HttpResponse, HttpFailure>> result;
+  const auto task = [&]() -> Task<> {
+    HttpRequest request;
+    request.method = aMethod;
+    request.target = aTarget;
+    const HttpDeadlines deadlines;
+    result = co_await this->client.Fetch(aEndpoint, std::move(request), deadlines);
+  };
+  this->Run(task());
+  return std::move(*result);
+}
+
+ChangeOutcome Connections::Change(ConfigurationChange& aChange)
+{
+  ChangeAction action = aChange.Start();
+  const auto task = [&]() -> Task<> {
+    while (!std::holds_alternative<ChangeOutcome>(action)) {
+      action = co_await this->Perform(aChange, action);
+    }
+  };
+  this->Run(task());
+  return std::get<ChangeOutcome>(action);
+}
+
+void Connections::Pause(Duration aTime)
+{
+  boost::asio::steady_timer timer(this->loop, aTime);
+  timer.async_wait([](const boost::system::error_code&) {});
+  this->loop.restart();
+  this->loop.run();
+}
+
+void Connections::Run(Task<> aTask)
+{
+  boost::asio::co_spawn(this->loop, std::move(aTask), [this](std::exception_ptr aError) {
+    this->loop.stop();
+    if (aError) {
+      std::rethrow_exception(aError);
+    }
+  });
+  this->loop.restart();
+  this->loop.run();
+}
+
+Task<ChangeAction> Connections::Perform(ConfigurationChange& aChange,
+                                        ChangeAction aAction)
+{
+  if (const auto* swap = std::get_if<SwapConfiguration>(&aAction)) {
+    const auto written =
+      swap->modRevision == 0
+        ? co_await this->store.CreateIfAbsent(kConfigurationKey, swap->text, 0)
+        : co_await this->store.ReplaceIf(
+            kConfigurationKey, swap->modRevision, swap->text, 0);
+    if (written || written.LastReason() == StoreFailure::Conflict) {
+      co_return aChange.OnSwapped(written.HasValue());
+    }
+    co_return aChange.OnSwapUnanswered();
+  }
+  const auto value = co_await this->store.Read(kConfigurationKey);
+  StoredConfiguration stored;
+  if (value) {
+    stored = { value->value, value->modRevision };
+  } else if (value.LastReason() != StoreFailure::NotFound) {
+    boost::asio::steady_timer timer(this->loop, kRetryPause);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    co_return aChange.OnReadFailed();
+  }
+  co_return aChange.OnRead(stored);
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/programs/toucanstandctl/Table.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace toucanstand {
+
+/// Text table with columns as wide as their widest cell.
+class Table
+{
+public:
+  explicit Table(std::vector<std::string> aHeader);
+
+  void Add(std::vector<std::string> aRow);
+  void Print(std::ostream& aOut) const;
+
+private:
+  std::vector<std::vector<std::string>> rows;
+};
+
+} // namespace toucanstand
