Share the lagging load of the stand-ins and split the store's gateway

The engine and the service kept the same history of their load for reports that lag; LaggedLoad replaces both copies. No behaviour changes.

The unit tests and the integration tests of the stand-ins pass.

--- a/standins/standin-engine/EngineModel.cpp
+++ b/standins/standin-engine/EngineModel.cpp
@@ -39,6 +39,7 @@
 
 EngineModel::EngineModel(EngineSettings aSettings)
   : settings(std::move(aSettings))
+  , load(this->settings.reportLag)
 {
 }
 
@@ -161,7 +162,7 @@
   this->model.clear();
   this->pendingOrder.reset();
   this->prefixes.clear();
-  this->loadHistory.clear();
+  this->load.Clear();
   this->reports = 0;
   this->nextStep.reset();
   ++this->crashes;
@@ -178,13 +179,7 @@
 
 nlohmann::json EngineModel::State(TimePoint aNow)
 {
-  const TimePoint reported = aNow - this->settings.reportLag;
-  while (this->loadHistory.size() > 1 && this->loadHistory[1].at <= reported) {
-    this->loadHistory.pop_front();
-  }
-  const bool known =
-    !this->loadHistory.empty() && this->loadHistory.front().at <= reported;
-  const LoadSample load = known ? this->loadHistory.front() : LoadSample{};
+  const auto reported = this->load.Reported(aNow);
   return {
     { "server", this->settings.server },
     { "group", this->group },
@@ -192,8 +187,8 @@
     { "fence", this->fence },
     { "model", this->model },
     { "leaving", this->leaving },
-    { "running", load.running },
-    { "queued", load.queued },
+    { "running", reported.running },
+    { "queued", reported.queued },
     { "capacity", this->settings.slots },
     { "sequence", ++this->reports },
     { "cached_prefixes", this->prefixes },
@@ -356,17 +351,7 @@
 
 void EngineModel::RecordLoad(TimePoint aNow)
 {
-  const bool same = !this->loadHistory.empty() &&
-                    this->loadHistory.back().running == this->running.size() &&
-                    this->loadHistory.back().queued == this->queue.size();
-  if (same) {
-    return;
-  }
-  this->loadHistory.push_back({ aNow, this->running.size(), this->queue.size() });
-  const TimePoint reported = aNow - this->settings.reportLag;
-  while (this->loadHistory.size() > 1 && this->loadHistory[1].at <= reported) {
-    this->loadHistory.pop_front();
-  }
+  this->load.Record({ this->running.size(), this->queue.size() }, aNow);
 }
 
 nlohmann::json EngineModel::DescribeRun(const Run& aRun) const
--- a/standins/standin-engine/EngineModel.h
+++ b/standins/standin-engine/EngineModel.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <map>
 #include <optional>
@@ -10,6 +9,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "common/LaggedLoad.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -169,12 +169,6 @@
     std::uint64_t produced = 0;
     RunEnd end = RunEnd::Running;
   };
-  struct LoadSample
-  {
-    TimePoint at{};
-    std::size_t running = 0;
-    std::size_t queued = 0;
-  };
 
   [[nodiscard]] Duration StepDuration() const;
   void FillSlots(TimePoint aNow);
@@ -209,7 +203,7 @@
 
   /// Reports given since the engine started.
   std::uint64_t reports = 0;
-  std::deque<LoadSample> loadHistory;
+  LaggedLoad load;
 
   std::vector<Run> endedRuns;
   std::vector<std::pair<EngineOrder, OrderReply>> orders;
--- a/standins/standin-service/ServiceInstance.cpp
+++ b/standins/standin-service/ServiceInstance.cpp
@@ -18,6 +18,7 @@
 
 ServiceInstance::ServiceInstance(ServiceSettings aSettings)
   : settings(std::move(aSettings))
+  , load(this->settings.reportLag)
 {
 }
 
@@ -67,27 +68,21 @@
 {
   this->running.clear();
   this->queue.clear();
-  this->loadHistory.clear();
+  this->load.Clear();
   this->reports = 0;
 }
 
 nlohmann::json ServiceInstance::State(TimePoint aNow)
 {
-  const TimePoint reported = aNow - this->settings.reportLag;
-  while (this->loadHistory.size() > 1 && this->loadHistory[1].at <= reported) {
-    this->loadHistory.pop_front();
-  }
-  const bool known =
-    !this->loadHistory.empty() && this->loadHistory.front().at <= reported;
-  const LoadSample load = known ? this->loadHistory.front() : LoadSample{};
+  const auto reported = this->load.Reported(aNow);
   return {
     { "server", this->settings.server },
     { "group", "" },
     { "generation", 0 },
     { "fence", 0 },
     { "leaving", this->faults.leaving },
-    { "running", load.running },
-    { "queued", load.queued },
+    { "running", reported.running },
+    { "queued", reported.queued },
     { "capacity", this->settings.slots },
     { "sequence", ++this->reports },
     { "cached_prefixes", nlohmann::json::array() },
@@ -129,16 +124,7 @@
     }
     this->running.push_back(std::move(run));
   }
-  this->RecordLoad(aNow);
-}
-
-void ServiceInstance::RecordLoad(TimePoint aNow)
-{
-  this->loadHistory.push_back({ aNow, this->running.size(), this->queue.size() });
-  const TimePoint reported = aNow - this->settings.reportLag;
-  while (this->loadHistory.size() > 1 && this->loadHistory[1].at <= reported) {
-    this->loadHistory.pop_front();
-  }
+  this->load.Record({ this->running.size(), this->queue.size() }, aNow);
 }
 
 } // namespace toucanstand
--- a/standins/standin-service/ServiceInstance.h
+++ b/standins/standin-service/ServiceInstance.h
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "common/LaggedLoad.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -101,15 +102,8 @@
     std::string bodyHash;
     TimePoint started{};
   };
-  struct LoadSample
-  {
-    TimePoint at{};
-    std::size_t running = 0;
-    std::size_t queued = 0;
-  };
 
   void FillSlots(TimePoint aNow);
-  void RecordLoad(TimePoint aNow);
 
   ServiceSettings settings;
   ServiceFaults faults;
@@ -119,7 +113,7 @@
   std::vector<LoggedRun> log;
   std::map<std::string, std::uint64_t> rejections;
   std::uint64_t reports = 0;
-  std::deque<LoadSample> loadHistory;
+  LaggedLoad load;
 };
 
 } // namespace toucanstand
--- a/standins/standin-store/StoreGateway.cpp
+++ b/standins/standin-store/StoreGateway.cpp
@@ -1,13 +1,10 @@
 #include "StoreGateway.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
-#include <stdexcept>
 
 #include <nlohmann/json.hpp>
 
-#include "store/Base64.h"
+#include "GatewayJson.h"
 
 namespace toucanstand {
 
@@ -20,211 +17,6 @@
 constexpr const char* kClusterId = "14841639068965178418";
 constexpr const char* kMemberId = "10276657743932975437";
 
-/// A request that the gateway cannot translate.
-class MalformedRequest : public std::runtime_error
-{
-public:
-  using std::runtime_error::runtime_error;
-};
-
-std::string CamelCase(const std::string& aName)
-{
-  std::string camel;
-  for (std::size_t index = 0; index < aName.size(); ++index) {
-    const bool joint = aName[index] == '_' && index + 1 < aName.size();
-    camel += joint ? static_cast<char>(std::toupper(aName[++index])) : aName[index];
-  }
-  return camel;
-}
-
-/// A field in either spelling; null when it is missing.
-const json& Field(const json& aObject, const std::string& aName)
-{
-  static const json kNull;
-  if (!aObject.is_object()) {
-    throw MalformedRequest("json: cannot unmarshal a value that is not an object");
-  }
-  for (const auto& name : { aName, CamelCase(aName) }) {
-    if (const auto found = aObject.find(name); found != aObject.end()) {
-      return *found;
-    }
-  }
-  return kNull;
-}
-
-std::int64_t Number(const json& aObject, const std::string& aName)
-{
-  const json& field = Field(aObject, aName);
-  if (field.is_null()) {
-    return 0;
-  }
-  if (field.is_number_integer()) {
-    return field.get<std::int64_t>();
-  }
-  const auto text = field.is_string() ? field.get<std::string>() : std::string();
-  std::int64_t number = 0;
-  const auto [end, error] =
-    std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || error != std::errc{} || end != text.data() + text.size()) {
-    throw MalformedRequest("json: cannot unmarshal field " + aName + " into int64");
-  }
-  return number;
-}
-
-bool Flag(const json& aObject, const std::string& aName)
-{
-  const json& field = Field(aObject, aName);
-  return field.is_boolean() && field.get<bool>();
-}
-
-std::string Bytes(const json& aObject, const std::string& aName)
-{
-  const json& field = Field(aObject, aName);
-  if (field.is_null()) {
-    return "";
-  }
-  const auto bytes =
-    field.is_string() ? DecodeBase64(field.get<std::string>()) : std::nullopt;
-  if (!bytes) {
-    throw MalformedRequest("illegal base64 data in field " + aName);
-  }
-  return *bytes;
-}
-
-/// An enumeration, by name or by number as protobuf's JSON mapping allows.
-template<typename Enum, std::size_t Count>
-Enum Choice(const json& aObject,
-            const std::string& aName,
-            const std::array<const char*, Count>& aNames)
-{
-  const json& field = Field(aObject, aName);
-  if (field.is_null()) {
-    return Enum{};
-  }
-  for (std::size_t index = 0; index < Count; ++index) {
-    if (field == json(aNames.at(index)) || field == json(index)) {
-      return static_cast<Enum>(index);
-    }
-  }
-  throw MalformedRequest("unknown value for enum in field " + aName);
-}
-
-KeyRange ReadRange(const json& aRequest)
-{
-  return { Bytes(aRequest, "key"), Bytes(aRequest, "range_end") };
-}
-
-PutOperation ReadPut(const json& aRequest)
-{
-  return { Bytes(aRequest, "key"), Bytes(aRequest, "value"), Number(aRequest, "lease") };
-}
-
-RangeOperation ReadRangeOperation(const json& aRequest)
-{
-  if (Number(aRequest, "revision") != 0) {
-    throw MalformedRequest("reading at an old revision is not supported");
-  }
-  return { ReadRange(aRequest),
-           Number(aRequest, "limit"),
-           Flag(aRequest, "count_only"),
-           Flag(aRequest, "keys_only") };
-}
-
-std::vector<StoreOperation> ReadOperations(const json& aList)
-{
-  std::vector<StoreOperation> operations;
-  for (const auto& item : aList) {
-    if (const auto& put = Field(item, "request_put"); !put.is_null()) {
-      operations.emplace_back(ReadPut(put));
-    } else if (const auto& range = Field(item, "request_range"); !range.is_null()) {
-      operations.emplace_back(ReadRangeOperation(range));
-    } else if (const auto& gone = Field(item, "request_delete_range"); !gone.is_null()) {
-      operations.emplace_back(DeleteOperation{ ReadRange(gone) });
-    } else {
-      throw MalformedRequest("unknown operation in a transaction");
-    }
-  }
-  return operations;
-}
-
-Comparison ReadComparison(const json& aItem)
-{
-  // In protobuf's numbering, and in the order of the enumerations.
-  constexpr std::array kTargets = { "VERSION", "CREATE", "MOD", "VALUE", "LEASE" };
-  constexpr std::array kResults = { "EQUAL", "GREATER", "LESS", "NOT_EQUAL" };
-  constexpr std::array kNumbers = {
-    "version", "create_revision", "mod_revision", "", "lease"
-  };
-  Comparison comparison;
-  comparison.target = Choice<CompareTarget>(aItem, "target", kTargets);
-  comparison.result = Choice<CompareResult>(aItem, "result", kResults);
-  comparison.key = Bytes(aItem, "key");
-  if (comparison.target == CompareTarget::Value) {
-    comparison.value = Bytes(aItem, "value");
-  } else {
-    comparison.number =
-      Number(aItem, kNumbers.at(static_cast<std::size_t>(comparison.target)));
-  }
-  return comparison;
-}
-
-StoreTransaction ReadTransaction(const json& aRequest)
-{
-  StoreTransaction transaction;
-  for (const auto& item : Field(aRequest, "compare")) {
-    transaction.comparisons.push_back(ReadComparison(item));
-  }
-  transaction.success = ReadOperations(Field(aRequest, "success"));
-  transaction.failure = ReadOperations(Field(aRequest, "failure"));
-  return transaction;
-}
-
-void AddNumber(json& aObject, const char* aName, std::int64_t aNumber)
-{
-  if (aNumber != 0) {
-    aObject[aName] = std::to_string(aNumber);
-  }
-}
-
-json Describe(const KeyValue& aKeyValue)
-{
-  json described = { { "key", EncodeBase64(aKeyValue.key) } };
-  AddNumber(described, "create_revision", aKeyValue.createRevision);
-  AddNumber(described, "mod_revision", aKeyValue.modRevision);
-  AddNumber(described, "version", aKeyValue.version);
-  AddNumber(described, "lease", aKeyValue.lease);
-  if (!aKeyValue.value.empty()) {
-    described["value"] = EncodeBase64(aKeyValue.value);
-  }
-  return described;
-}
-
-json Describe(const OperationReply& aReply, const json& aHeader)
-{
-  json described = { { "header", aHeader } };
-  if (const auto* range = std::get_if<RangeReply>(&aReply)) {
-    for (const auto& keyValue : range->keyValues) {
-      described["kvs"].push_back(Describe(keyValue));
-    }
-    AddNumber(described, "count", range->count);
-    const auto shown = static_cast<std::int64_t>(range->keyValues.size());
-    if (shown > 0 && shown < range->count) {
-      described["more"] = true;
-    }
-  } else if (const auto* deleted = std::get_if<DeleteReply>(&aReply)) {
-    AddNumber(described, "deleted", deleted->deleted);
-  }
-  return described;
-}
-
-const char* ResponseField(const OperationReply& aReply)
-{
-  constexpr std::array kNames = { "response_put",
-                                  "response_range",
-                                  "response_delete_range" };
-  return kNames.at(aReply.index());
-}
-
 GatewayReply ErrorReply(unsigned aStatus, int aCode, const std::string& aMessage)
 {
   const json body = { { "error", aMessage }, { "code", aCode }, { "message", aMessage } };
@@ -274,9 +66,9 @@
     if (aPath == "/v3/kv/range") {
       reply = this->ServeTransaction({ {}, { ReadRangeOperation(request) }, {} }, true);
     } else if (aPath == "/v3/kv/put") {
-      reply = this->ServeTransaction({ {}, { ReadPut(request) }, {} }, true);
+      reply = this->ServeTransaction({ {}, { ReadPutOperation(request) }, {} }, true);
     } else if (aPath == "/v3/kv/deleterange") {
-      const DeleteOperation deletion{ ReadRange(request) };
+      const DeleteOperation deletion{ ReadKeyRange(request) };
       reply = this->ServeTransaction({ {}, { deletion }, {} }, true);
     } else if (aPath == "/v3/kv/txn") {
       reply = this->ServeTransaction(ReadTransaction(request), false);
@@ -301,8 +93,8 @@
 {
   try {
     const json request = json::parse(aBody);
-    const json& create = Field(request, "create_request");
-    WatchRequest watch{ ReadRange(create), Number(create, "start_revision") };
+    const json& create = ReadField(request, "create_request");
+    WatchRequest watch{ ReadKeyRange(create), ReadNumber(create, "start_revision") };
     if (watch.startRevision == 0) {
       watch.startRevision = this->state.Revision() + 1;
     }
@@ -337,7 +129,7 @@
     return "";
   }
   for (const auto& event : *events) {
-    json described = { { "kv", Describe(event.keyValue) } };
+    json described = { { "kv", DescribeKeyValue(event.keyValue) } };
     if (event.deletion) {
       described["type"] = "DELETE";
     }
@@ -369,7 +161,7 @@
   }
   const json header = this->Header();
   if (aSingle) {
-    return { 200, Describe(reply->replies.front(), header).dump() };
+    return { 200, DescribeReply(reply->replies.front(), header).dump() };
   }
   json body = { { "header", header } };
   if (reply->succeeded) {
@@ -377,7 +169,7 @@
   }
   const json inner = { { "revision", header["revision"] } };
   for (const auto& part : reply->replies) {
-    body["responses"].push_back({ { ResponseField(part), Describe(part, inner) } });
+    body["responses"].push_back({ { ResponseField(part), DescribeReply(part, inner) } });
   }
   return { 200, body.dump() };
 }
@@ -386,10 +178,10 @@
                                       const json& aRequest,
                                       TimePoint aNow)
 {
-  const auto id = Number(aRequest, "ID");
+  const auto id = ReadNumber(aRequest, "ID");
   json body;
   if (aKind == "grant") {
-    const auto ttl = std::chrono::seconds(Number(aRequest, "TTL"));
+    const auto ttl = std::chrono::seconds(ReadNumber(aRequest, "TTL"));
     const auto granted = this->state.GrantLease(id, ttl, aNow);
     if (!granted) {
       return ErrorReply(granted.LastReason());
--- a/standins/standins.cmake
+++ b/standins/standins.cmake
@@ -4,6 +4,7 @@
   standins_library STATIC
   standins/common/ConnectionSilence.cpp
   standins/common/FaultyServer.cpp
+  standins/common/LaggedLoad.cpp
   standins/common/ModelTimer.cpp
   standins/common/OptionReader.cpp
   standins/common/ServiceAnswer.cpp
@@ -11,6 +12,7 @@
   standins/common/TokenFunction.cpp
   standins/standin-engine/EngineModel.cpp
   standins/standin-service/ServiceInstance.cpp
+  standins/standin-store/GatewayJson.cpp
   standins/standin-store/KeyValueState.cpp
   standins/standin-store/StoreGateway.cpp
   standins/toucanstand-load/AnswerCheck.cpp
