--- a/tests/integration/support/HttpCaller.cpp
+++ b/tests/integration/support/HttpCaller.cpp
@@ -18,6 +18,7 @@
 HttpDeadlines Deadlines()
 {
   HttpDeadlines deadlines;
+  deadlines.connect = std::chrono::seconds(5);
   deadlines.head = std::chrono::seconds(1);
   deadlines.progress = std::chrono::seconds(1);
   return deadlines;
