Explain the bound on the expected service time

Cause: the bound in AdmissionPool::Prepare() looked superfluous. Change: a comment that names the overflow it prevents. Ruled out: a lower bound on costs, since large costs are valid. Conclusion: no change of behaviour; unit tests pass.

--- a/modules/toucanstand_admission/admission/AdmissionPool.cpp
+++ b/modules/toucanstand_admission/admission/AdmissionPool.cpp
@@ -161,6 +161,7 @@
   request.density = aArrival.worth * account.granted.worth / request.cost;
   request.service = this->model.Predict(aArrival.workClass, request.cost);
   request.sequence = this->nextSequence++;
+  // Bounded, because a huge announced cost would exceed the range of a duration.
   const double patience =
     std::min(request.service, ToSeconds(aArrival.deadline.time_since_epoch()));
   request.giveUpAt = aArrival.deadline - FromSeconds(patience);
