Pass work classes to the router and take its capacity figures

Cause: the router spreads long work only when it is told the class on sending, a silent connection counted against its server, and absurd capacity reports reached admission. The router's plausible capacity is now the base of this VM's slots.

--- a/programs/toucanstand-entry/AdmissionGate.cpp
+++ b/programs/toucanstand-entry/AdmissionGate.cpp
@@ -65,18 +65,10 @@
   this->Apply(this->controller.OnAbandoned(aId, BootClock::now()));
 }
 
-void AdmissionGate::UpdateSlots(const WorldView& aView)
+void AdmissionGate::UpdateSlots(const PoolId& aPool, double aSlots)
 {
   const auto now = BootClock::now();
-  const auto sharers =
-    static_cast<double>(std::max<std::size_t>(1, aView.liveEntryVms.size()));
-  std::map<PoolId, double> slots;
-  for (const auto& candidate : aView.candidates) {
-    slots[candidate.pool] += std::max(0.0, candidate.load.capacity);
-  }
-  for (const auto& [pool, capacity] : slots) {
-    this->controller.OnSlots(pool, std::max(1.0, capacity / sharers), now);
-  }
+  this->controller.OnSlots(aPool, aSlots, now);
   this->Apply(this->controller.Advance(now));
 }
 
--- a/programs/toucanstand-entry/AdmissionGate.h
+++ b/programs/toucanstand-entry/AdmissionGate.h
@@ -10,7 +10,6 @@
 #include "EntrySettings.h"
 #include "admission/AdmissionController.h"
 #include "http/Task.h"
-#include "observation/WorldView.h"
 
 namespace toucanstand {
 
@@ -45,8 +44,8 @@
   /// The caller left: ends the waiting, or gives the slot back.
   void Abandon(const RequestId& aId);
 
-  /// Takes over the slots of the pools in a view, as this VM's equal part.
-  void UpdateSlots(const WorldView& aView);
+  /// Takes over the requests that a pool runs at once, as this VM's equal part.
+  void UpdateSlots(const PoolId& aPool, double aSlots);
 
   void Configure(AdmissionSettings aSettings);
   void StartDrain();
--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -21,16 +21,16 @@
 
 /// What an attempt's failure says about the candidate, in the order of AttemptFailure.
 constexpr std::array kEnds = {
-  AttemptEnd::ConnectFailed, // ConnectRefused
-  AttemptEnd::ConnectFailed, // ConnectTimedOut
-  AttemptEnd::Broken,        // SendBroken
-  AttemptEnd::Slow,          // NoAnswerBeforeDeadline
-  AttemptEnd::Broken,        // BrokenBeforeHead
-  AttemptEnd::Broken,        // BrokenInBody
-  AttemptEnd::Abandoned,     // SilentConnection: the server is not to blame
-  AttemptEnd::Refused,       // RefusedAsNotRun
-  AttemptEnd::Broken,        // ServerError
-  AttemptEnd::Abandoned,     // CallerLeft
+  AttemptEnd::ConnectFailed,  // ConnectRefused
+  AttemptEnd::ConnectFailed,  // ConnectTimedOut
+  AttemptEnd::Broken,         // SendBroken
+  AttemptEnd::Slow,           // NoAnswerBeforeDeadline
+  AttemptEnd::Broken,         // BrokenBeforeHead
+  AttemptEnd::Broken,         // BrokenInBody
+  AttemptEnd::DeadConnection, // SilentConnection: the server is not to blame
+  AttemptEnd::Refused,        // RefusedAsNotRun
+  AttemptEnd::Broken,         // ServerError
+  AttemptEnd::Abandoned,      // CallerLeft
 };
 
 AttemptFailure WithoutBlame(HttpFailure aFailure)
@@ -75,7 +75,8 @@
     const auto number = this->tracker.OnAttemptStarted(candidate.id);
     this->context.metrics.Count(number == 1 ? "attempts_first_total"
                                             : "attempts_retry_total");
-    this->context.RouterFor(candidate.pool).OnSent(candidate.id, sentAt);
+    this->context.RouterFor(candidate.pool)
+      .OnSent(candidate.id, sentAt, this->state.request.workClass);
     this->context.quarantine.OnSent(
       this->state.request.id, this->state.request.fingerprint, candidate.server);
     this->state.sent = true;
--- a/programs/toucanstand-entry/EntryContext.cpp
+++ b/programs/toucanstand-entry/EntryContext.cpp
@@ -71,13 +71,19 @@
   for (const auto& entry : this->view.quarantine) {
     this->quarantine.Merge(entry, aNow);
   }
+  for (const auto& candidate : this->view.candidates) {
+    (void)this->RouterFor(candidate.pool);
+  }
+  const auto sharers =
+    static_cast<double>(std::max<std::size_t>(1, this->view.liveEntryVms.size()));
   for (auto& [pool, router] : this->routers) {
     if (peersChanged) {
       router.Configure(this->SettingsFor(pool));
     }
     router.Update(this->view, aNow);
+    // A pool whose candidates have all gone keeps its router and has no slots.
+    this->gate.UpdateSlots(pool, router.CapacityOf(pool, aNow) / sharers);
   }
-  this->gate.UpdateSlots(this->view);
 }
 
 void EntryContext::OnConfiguration(EffectiveConfiguration aConfiguration)
