Record outcomes of claims that an earlier run of the ledger granted

Cause: a ledger process keeps its open claims in memory. After its restart the outcome of a call in flight was dropped, and a repeat of the key was answered "outcome unknown" although the entry had the answer.

Change: `outcome` carries account and key; a ledger that doesn't know the nonce reads the record and writes the outcome if the nonce is in it. A finished record is never changed. TestLedger kills the ledger, and the outcome is stored afterwards. The entry fills in the two fields.

--- a/modules/toucanstand_ledger/claims/ClaimMachine.cpp
+++ b/modules/toucanstand_ledger/claims/ClaimMachine.cpp
@@ -110,16 +110,7 @@
     return { { .kind = ClaimActionKind::ReplyOutcome,
                .outcomeReply = { this->own.nonce, false } } };
   }
-  this->hasOutcome = true;
-  this->outcomeAsked = true;
-  this->replied = true;
-  if (release) {
-    this->wanted = Wanted::Release;
-  } else if (aOutcome.outcome == ClaimOutcome::Answered) {
-    this->own.Finish(aOutcome.status, aOutcome.body);
-  } else {
-    this->own.state = ClaimState::Unknown;
-  }
+  this->Want(aOutcome);
   if (this->state != State::Granted) {
     return {};
   }
@@ -127,6 +118,15 @@
   return this->WriteOutcome();
 }
 
+ClaimActions ClaimMachine::OnOutcomeRecovered(const OutcomeMessage& aOutcome)
+{
+  if (this->state != State::Idle) {
+    return {};
+  }
+  this->Want(aOutcome);
+  return this->Read(State::ReadingOutcome);
+}
+
 ClaimActions ClaimMachine::OnOwnerGone()
 {
   if (this->hasOutcome || this->state == State::Idle || this->state == State::Done ||
@@ -244,9 +244,16 @@
 ClaimActions ClaimMachine::OutcomeReadReply(const std::optional<StoredClaim>& aFound)
 {
   if (aFound && this->IsOwn(*aFound)) {
+    // A machine that recovers an outcome doesn't know them.
+    this->own.fingerprint = aFound->record->fingerprint;
+    this->own.owner = aFound->record->owner;
     if (this->wanted == Wanted::Outcome && aFound->record == this->own) {
       return this->EndOutcome(true);
     }
+    if (aFound->record->state == ClaimState::Finished) {
+      // A stored answer stays, whatever an outcome that was sent twice says.
+      return this->EndOutcome(false);
+    }
     this->revision = aFound->revision;
     return this->WriteOutcome();
   }
@@ -323,6 +330,20 @@
   return actions;
 }
 
+void ClaimMachine::Want(const OutcomeMessage& aOutcome)
+{
+  this->hasOutcome = true;
+  this->outcomeAsked = true;
+  this->replied = true;
+  if (aOutcome.outcome == ClaimOutcome::NotRun) {
+    this->wanted = Wanted::Release;
+  } else if (aOutcome.outcome == ClaimOutcome::Answered) {
+    this->own.Finish(aOutcome.status, aOutcome.body);
+  } else {
+    this->own.state = ClaimState::Unknown;
+  }
+}
+
 bool ClaimMachine::IsOwn(const StoredClaim& aClaim) const
 {
   return aClaim.record && aClaim.record->nonce == this->own.nonce;
--- a/modules/toucanstand_ledger/claims/ClaimMachine.h
+++ b/modules/toucanstand_ledger/claims/ClaimMachine.h
@@ -105,6 +105,10 @@
   /// The entry reports what the call came to, or that it no longer wants the claim.
   [[nodiscard]] ClaimActions OnOutcomeKnown(const OutcomeMessage& aOutcome);
 
+  /// The entry reports the outcome of a claim that an earlier run of the ledger granted;
+  /// for a new machine whose request lacks the fingerprint.
+  [[nodiscard]] ClaimActions OnOutcomeRecovered(const OutcomeMessage& aOutcome);
+
   /// The entry that holds the grant is gone, or its longest time has passed.
   [[nodiscard]] ClaimActions OnOwnerGone();
 
@@ -154,6 +158,8 @@
   [[nodiscard]] ClaimActions RetryOutcome();
   [[nodiscard]] ClaimActions EndOutcome(bool aRecorded);
   [[nodiscard]] ClaimActions EndClaim(ClaimAnswer aAnswer);
+  /// Sets what the record is to become.
+  void Want(const OutcomeMessage& aOutcome);
   [[nodiscard]] bool IsOwn(const StoredClaim& aClaim) const;
   [[nodiscard]] bool HasTries(std::size_t aLimit);
 
--- a/modules/toucanstand_ledger/messages/ClaimMessages.cpp
+++ b/modules/toucanstand_ledger/messages/ClaimMessages.cpp
@@ -100,7 +100,9 @@
   return { { "nonce", aMessage.nonce },
            { "outcome", WireName(aMessage.outcome) },
            { "status", aMessage.status },
-           { "body", ToBinary(aMessage.body) } };
+           { "body", ToBinary(aMessage.body) },
+           { "account", aMessage.account.Value() },
+           { "key", aMessage.key } };
 }
 
 json ToJson(const OutcomeReplyMessage& aMessage)
@@ -149,10 +151,14 @@
   message.nonce = ShortText(reader, "nonce");
   const auto outcome = FromName<ClaimOutcome>(kOutcomeNames, reader.Text("outcome"));
   message.status = ReadStatus(reader);
+  message.account = AccountId(reader.Text("account", ""));
+  message.key = reader.Text("key", "");
   reader.Finish();
   // A body above the record's limit is accepted, bounded by the size of an envelope; the
   // record omits it.
-  if (!reader.Errors().empty() || !outcome || !body) {
+  const bool bounded = message.account.Value().size() <= ClaimRecord::kMaximumTextBytes &&
+                       message.key.size() <= ClaimRecord::kMaximumTextBytes;
+  if (!reader.Errors().empty() || !outcome || !body || !bounded) {
     return std::nullopt;
   }
   message.outcome = *outcome;
--- a/modules/toucanstand_ledger/messages/ClaimMessages.h
+++ b/modules/toucanstand_ledger/messages/ClaimMessages.h
@@ -76,6 +76,10 @@
   /// Status and body of the answer; 0 and empty unless answered.
   int status = 0;
   std::string body;
+  /// Those of the claim. They let a ledger that was restarted after the claim find the
+  /// record; without them its outcome is lost.
+  AccountId account{};
+  std::string key{};
 
   friend bool operator==(const OutcomeMessage&, const OutcomeMessage&) = default;
 };
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -166,7 +166,7 @@
   }
   deadline.cancel();
   if (claimed) {
-    this->ReportOutcome(nonce, *end);
+    this->ReportOutcome(request, nonce, *end);
   }
   this->NoteEnd(aState, *end);
   const bool delivered = request.isChat && end->errorType.empty();
@@ -195,7 +195,7 @@
     }
     CallEnd given = MakeError(
       CallOutcome::NotRun, 499, "caller_left", "the caller left before the call");
-    this->ReportOutcome(aNonce, given);
+    this->ReportOutcome(request, aNonce, given);
     co_return given;
   }
   co_return EndWithoutGrant(reply);
@@ -233,10 +233,14 @@
                       entry.refusal.retryAfter);
 }
 
-void CallHandler::ReportOutcome(const std::string& aNonce, const CallEnd& aEnd)
+void CallHandler::ReportOutcome(const CallRequest& aRequest,
+                                const std::string& aNonce,
+                                const CallEnd& aEnd)
 {
   OutcomeMessage outcome;
   outcome.nonce = aNonce;
+  outcome.account = aRequest.account.id;
+  outcome.key = aRequest.idempotencyKey;
   outcome.outcome = ToClaimOutcome(aEnd.outcome);
   if (aEnd.answer && aEnd.outcome == CallOutcome::Answered) {
     outcome.status = aEnd.status;
--- a/programs/toucanstand-entry/CallHandler.h
+++ b/programs/toucanstand-entry/CallHandler.h
@@ -28,7 +28,9 @@
   Task<std::optional<CallEnd>> Claim(const CallState& aState, const std::string& aNonce);
   /// Waits for admission. @returns the end of the call, or nothing when it was admitted.
   Task<std::optional<CallEnd>> Admit(const CallState& aState);
-  void ReportOutcome(const std::string& aNonce, const CallEnd& aEnd);
+  void ReportOutcome(const CallRequest& aRequest,
+                     const std::string& aNonce,
+                     const CallEnd& aEnd);
   void NoteEnd(const CallState& aState, const CallEnd& aEnd);
   std::optional<CallEnd> RefuseNewWork();
 
--- a/programs/toucanstand-entry/ClaimLink.cpp
+++ b/programs/toucanstand-entry/ClaimLink.cpp
@@ -37,6 +37,8 @@
     OutcomeMessage giveBack;
     giveBack.nonce = aClaim.nonce;
     giveBack.outcome = ClaimOutcome::NotRun;
+    giveBack.account = aClaim.account;
+    giveBack.key = aClaim.key;
     this->Report(giveBack);
   }
   co_return waiter->reply;
--- a/programs/toucanstand-ledger/ClaimService.cpp
+++ b/programs/toucanstand-ledger/ClaimService.cpp
@@ -152,9 +152,7 @@
                       WireName(aOutcome.outcome) + "\"}");
   const auto found = this->open.find(aOutcome.nonce);
   if (found == this->open.end()) {
-    // Already finished, or claimed before this process was started.
-    this->hooks.send(
-      aFrom, "outcome-reply", ToJson(OutcomeReplyMessage{ aOutcome.nonce, false }));
+    this->Recover(aOutcome, aFrom);
     return;
   }
   const ClaimPointer claim = found->second;
@@ -162,6 +160,22 @@
   this->Take(claim, claim->machine.OnOutcomeKnown(aOutcome));
 }
 
+void ClaimService::Recover(const OutcomeMessage& aOutcome, const Endpoint& aFrom)
+{
+  if (aOutcome.key.empty() || this->open.size() >= kMaximumOpen) {
+    this->hooks.send(
+      aFrom, "outcome-reply", ToJson(OutcomeReplyMessage{ aOutcome.nonce, false }));
+    return;
+  }
+  // Claimed before this process was started, or already finished.
+  this->metrics.Count("outcomes_recovered_total");
+  ClaimMessage request{ aOutcome.account, aOutcome.key, {}, aOutcome.nonce };
+  const auto claim =
+    std::make_shared<Claim>(this->loop, std::move(request), this->settings.id, aFrom);
+  this->open.emplace(aOutcome.nonce, claim);
+  this->Take(claim, claim->machine.OnOutcomeRecovered(aOutcome));
+}
+
 void ClaimService::Take(const ClaimPointer& aClaim, const ClaimActions& aActions)
 {
   for (const auto& action : aActions) {
--- a/programs/toucanstand-ledger/ClaimService.h
+++ b/programs/toucanstand-ledger/ClaimService.h
@@ -63,6 +63,8 @@
 
   void OnClaim(ClaimMessage aRequest, const Endpoint& aFrom);
   void OnOutcome(const OutcomeMessage& aOutcome, const Endpoint& aFrom);
+  /// Records the outcome of a claim that this process doesn't know.
+  void Recover(const OutcomeMessage& aOutcome, const Endpoint& aFrom);
   void Take(const ClaimPointer& aClaim, const ClaimActions& aActions);
   void TakeOne(const ClaimPointer& aClaim, const ClaimAction& aAction);
   Task<> CallStore(ClaimPointer aClaim, ClaimAction aAction);
--- a/tests/integration/TestLedger.cpp
+++ b/tests/integration/TestLedger.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+const AccountId kAccount("kelani");
+
 /// A ledger process whose store calls are retried quickly.
 struct Ledger
 {
@@ -80,10 +82,10 @@
                           const std::string& aFingerprint = "body")
   {
     this->nonce = "nonce-" + std::to_string(++this->claims);
-    this->port.Send(
-      aLedger.messages,
-      "claim",
-      ToJson(ClaimMessage{ AccountId("kelani"), aKey, aFingerprint, this->nonce }));
+    this->key = aKey;
+    this->port.Send(aLedger.messages,
+                    "claim",
+                    ToJson(ClaimMessage{ kAccount, aKey, aFingerprint, this->nonce }));
     this->RunUntil([this] { return this->replies.contains(this->nonce); });
     return this->replies.at(this->nonce);
   }
@@ -93,7 +95,8 @@
   {
     this->port.Send(aLedger.messages,
                     "outcome",
-                    ToJson(OutcomeMessage{ this->nonce, aOutcome, 201, "created" }));
+                    ToJson(OutcomeMessage{
+                      this->nonce, aOutcome, 201, "created", kAccount, this->key }));
     this->RunUntil([this] { return this->recorded.contains(this->nonce); });
     return this->recorded.at(this->nonce);
   }
@@ -112,7 +115,9 @@
   MessagePort port;
   std::map<std::string, ClaimReplyMessage> replies;
   std::map<std::string, bool> recorded;
+  /// Of the last claim.
   std::string nonce;
+  std::string key;
   int claims = 0;
 };
 
@@ -178,7 +183,11 @@
   first->process.Signal(SIGKILL);
   first->process.Wait();
   const Ledger again("vm-1", fixture.storeEndpoint, fixture.node);
+  const std::string granted = fixture.nonce;
   CHECK(fixture.Claim(again, "k").answer == ClaimAnswer::OutcomeUnknown);
+  fixture.nonce = granted;
+  CHECK(fixture.Report(again, ClaimOutcome::Answered));
+  CHECK(fixture.Claim(again, "k").answer == ClaimAnswer::StoredAnswer);
 }
 
 TEST_CASE("A stopping ledger waits for the outcomes of granted calls", "[ledger]")
--- a/tests/unit/toucanstand_ledger/TestClaimMachine.cpp
+++ b/tests/unit/toucanstand_ledger/TestClaimMachine.cpp
@@ -234,6 +234,12 @@
       this->ReachEntry(item);
     } else if (item.leg == Leg::OutcomeToLedger && !lost && machine != nullptr) {
       this->Take(item.call, machine->OnOutcomeKnown(item.outcome));
+    } else if (item.leg == Leg::OutcomeToLedger && !lost) {
+      auto& restarted = this->calls[item.call].machine;
+      auto request = Message(item.outcome.nonce);
+      request.fingerprint.clear();
+      restarted = std::make_unique<ClaimMachine>(request, VmId("restarted"));
+      this->Take(item.call, restarted->OnOutcomeRecovered(item.outcome));
     } else if (item.leg == Leg::Timer && machine != nullptr) {
       this->Take(item.call, machine->OnRetryTime());
     } else if (item.leg == Leg::FromStore && machine != nullptr) {
@@ -427,6 +433,31 @@
   CHECK(machine.OnReplaceReply(StoreResult::Done).front().outcomeReply.recorded);
 }
 
+TEST_CASE("A restarted ledger records the outcome of a claim it doesn't know", "[claims]")
+{
+  // Guards against "outcome unknown" for an answer that the entry has, and against
+  // replacing the record of another claim.
+  ModelStore store;
+  ClaimMachine first(Message("n1"), VmId("vm-1"));
+  REQUIRE(store.Apply(first.OnClaimAsked().front()) == StoreResult::Done);
+  const auto recover = [&store](const std::string& aNonce) {
+    ClaimMachine machine({ AccountId("account"), "key", "", aNonce }, VmId("vm-1"));
+    const OutcomeMessage outcome{ aNonce, ClaimOutcome::Answered, 201, "done" };
+    REQUIRE(machine.OnOutcomeRecovered(outcome).front().kind ==
+            ClaimActionKind::ReadRecord);
+    return machine.OnReadReply(StoreResult::Done, store.Read(false)).front();
+  };
+  CHECK(recover("another").kind == ClaimActionKind::ReplyOutcome);
+  REQUIRE(store.Apply(recover("n1")) == StoreResult::Done);
+  CHECK(store.Read(false)->record->body == "done");
+  CHECK(store.Read(false)->record->fingerprint == "fingerprint");
+
+  ClaimMachine repeated({ AccountId("account"), "key", "", "n1" }, VmId("vm-1"));
+  static_cast<void>(repeated.OnOutcomeRecovered({ "n1", ClaimOutcome::NotRun, 0, "" }));
+  const auto kept = repeated.OnReadReply(StoreResult::Done, store.Read(false));
+  CHECK(kept.front().kind == ClaimActionKind::ReplyOutcome);
+}
+
 TEST_CASE("A repeated claim message with the same nonce is not granted again", "[claims]")
 {
   // Guards against two grants for one claim when a message is delivered twice.
