--- a/modules/toucanstand_membership/members/Membership.cpp
+++ b/modules/toucanstand_membership/members/Membership.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kMaximumOutstanding = 4096;
 // Members that a leaving process tells itself; they spread it further.
 constexpr std::size_t kFarewells = 4;
+// Deltas on each message besides those in the queue: the receiver and one in turn.
+constexpr std::size_t kRepeatedDeltas = 2;
 constexpr std::uint64_t kFirstSequences = 1ULL << 52U;
 
 } // namespace
@@ -382,8 +384,14 @@
   this->Apply(
     { aHeader.sender, aHeader.incarnation, MemberState::Alive, aHeader.leaving },
     aActions);
+  // A whole list answers this node's own request to join. It is not news to the others.
+  const bool isList =
+    aHeader.deltas.size() > this->settings.deltasPerMessage + kRepeatedDeltas;
   for (const auto& delta : aHeader.deltas) {
     this->Apply(delta, aActions);
+    if (isList && delta.vm.id != this->self.id) {
+      this->deltas.Remove(delta.vm.id);
+    }
   }
   for (const auto& notice : aHeader.notices) {
     if (this->notices.Learn(notice, this->realNow)) {
--- a/programs/programs.cmake
+++ b/programs/programs.cmake
@@ -5,3 +5,4 @@
 toucanstand_program(toucanstand-ledger programs toucanstand_ledger toucanstand_transport)
 toucanstand_program(toucanstand-node programs toucanstand_configuration toucanstand_delivery
                     toucanstand_groups toucanstand_transport)
+toucanstand_program(toucanstandctl programs toucanstand_configuration toucanstand_transport)
