Collect observations for 200 ms and evaluate permissions on change or when due

In a trial with nine nodes, 50 stand-in engines and 3 services on one machine (load average 29, 15 s each) a node used 2.3 to 2.7% of a core and sent 23.7 kB/s on average, mostly observations in up to 107 messages a second: every 50 ms those just polled went to every peer, and the candidates were evaluated 20 times a second. A change of state is still spread and published at once. Ruled out as the cause: the membership protocol, which sends 4 messages a second.

--- a/modules/toucanstand_membership/observers/ObservationTable.cpp
+++ b/modules/toucanstand_membership/observers/ObservationTable.cpp
@@ -20,7 +20,7 @@
   const bool isKnown = held != this->observations.end() &&
                        !this->own.contains(aObservation.server) &&
                        HasSameState(held->second, aObservation) &&
-                       aNow - held->second.observedAt < kSpreadInterval;
+                       aNow - held->second.observedAt < kRepeatAfter;
   const bool changed = this->Record(aObservation);
   if (!isKnown) {
     this->own.insert(aObservation.server);
--- a/modules/toucanstand_membership/observers/ObservationTable.h
+++ b/modules/toucanstand_membership/observers/ObservationTable.h
@@ -24,8 +24,10 @@
 public:
   /// Time for which an unanswered poll does not outweigh a report of the server.
   static constexpr Duration kReportPrecedence = std::chrono::seconds(2);
-  /// An observation of another observer that is younger is not sent once more.
-  static constexpr Duration kSpreadInterval = std::chrono::milliseconds(450);
+  /// An observation of another observer that is younger is not sent once more. Above a
+  /// poll interval and the time for which observations are collected, and far enough
+  /// below kReportPrecedence for a silent observer to be replaced in time.
+  static constexpr Duration kRepeatAfter = std::chrono::milliseconds(750);
 
   /// Takes over the answer to an own poll. @returns whether the state changed, other
   /// than the load
--- a/programs/toucanstand-node/NodeProcess.cpp
+++ b/programs/toucanstand-node/NodeProcess.cpp
@@ -25,6 +25,8 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(50);
 /// Time between two requests for a configuration that a peer has and this node lacks.
 constexpr Duration kRequestInterval = std::chrono::milliseconds(250);
+/// Time for which observations without a change of state are collected into one message.
+constexpr Duration kSpreadInterval = std::chrono::milliseconds(200);
 /// Time between two full copies of the suspects to one random peer, for lost deltas.
 constexpr Duration kSuspectsInterval = std::chrono::seconds(2);
 /// Time in which the messages about leaving go out before the process ends.
@@ -80,7 +82,10 @@
              this->metrics,
              this->observations,
              Random(this->random.Engine()()),
-             [this] { this->PublishIfChanged(); })
+             [this] {
+               this->spreadUrgently = true;
+               this->PublishIfChanged();
+             })
   , publisher(this->port, this->settings.snapshotInterval)
   , arbiter(this->quarantine)
 {
@@ -161,7 +166,10 @@
   this->SpreadObservations(now);
   this->SpreadSuspects(now);
   this->quarantine.OnTime(now);
-  this->PublishIfChanged();
+  // Changes are published by the events that cause them; this is the renewal.
+  if (this->publisher.IsDue(now)) {
+    this->PublishIfChanged();
+  }
 }
 
 void NodeProcess::WatchStore()
@@ -531,6 +539,11 @@
 
 void NodeProcess::SpreadObservations(TimePoint aNow)
 {
+  if (!this->spreadUrgently && aNow - this->spreadAt < kSpreadInterval) {
+    return;
+  }
+  this->spreadUrgently = false;
+  this->spreadAt = aNow;
   json list = json::array();
   for (const auto& observation : this->observations.TakeSpread()) {
     list.push_back(ObservationToJson(observation, aNow));
--- a/programs/toucanstand-node/NodeProcess.h
+++ b/programs/toucanstand-node/NodeProcess.h
@@ -98,6 +98,8 @@
   CrashQuarantine quarantine;
   SuspectArbiter arbiter;
   bool assignmentOutdated = false;
+  bool spreadUrgently = false;
+  TimePoint spreadAt{};
   TimePoint requestedAt{};
   TimePoint suspectsSpreadAt{};
   TimePoint leftAt{};
