Place chats by conversation and tell not-run attempts from survived ones

Cause: a refused attempt cleared the suspicion against a request although no server had run it, and home servers were chosen by the whole request, which scattered the turns of a conversation. Servers that answered without taking a request no longer count as its home servers for this call, so that two busy servers do not end it. Ruled out: clearing by any answer, since a 429 proves nothing about a run.

--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -60,7 +60,7 @@
   }
   const auto record = this->records.find(found->second.fingerprint);
   // A run that was sent before the crash says nothing about a later state of the server.
-  if (record != this->records.end() &&
+  if (aEnd == RunEnd::Survived && record != this->records.end() &&
       found->second.priorMarks >= record->second.marks.size() &&
       LevelOf(record->second) == SuspicionLevel::RunAlone) {
     record->second.cleared = record->second.marks;
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.h
@@ -31,8 +31,11 @@
 /// How a run on a server ended.
 enum class RunEnd
 {
-  /// The server answered, with any status: this request did not crash it.
+  /// The server ran it and answered: this request did not crash it.
   Survived,
+  /// The server did not run it: it refused the connection or the request. Says nothing
+  /// about what a run would do.
+  NotRun,
   /// The caller left, or the connection was lost while the server answers probes. The
   /// server may still be working on the request.
   Abandoned,
--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -50,6 +50,15 @@
   }
 }
 
+/// What the end of an attempt says about the request's effect on its server.
+RunEnd RunEndOf(const std::optional<AttemptFailure>& aFailure)
+{
+  if (!aFailure || *aFailure == AttemptFailure::ServerError) {
+    return RunEnd::Survived;
+  }
+  return ProvesNotRun(*aFailure) ? RunEnd::NotRun : RunEnd::Abandoned;
+}
+
 } // namespace
 
 BackendCall::BackendCall(EntryContext& aContext, CallState& aState)
@@ -89,6 +98,9 @@
     }
     const auto failure = std::get<AttemptFailure>(result);
     this->NoteEnd(candidate, failure, sentAt);
+    if (failure == AttemptFailure::RefusedAsNotRun) {
+      this->declined.push_back(candidate.server);
+    }
     this->context.metrics.Count(std::string("attempt_failures_total{reason=\"") +
                                 Name(failure) + "\"}");
     const auto step = this->tracker.OnFailure(failure, candidate.id, BootClock::now());
@@ -156,13 +168,15 @@
     std::vector<ServerId> servers;
     for (const auto* candidate :
          this->context.UsableCandidates(request.contract.pool, now)) {
-      servers.push_back(candidate->server);
+      if (std::ranges::find(this->declined, candidate->server) == this->declined.end()) {
+        servers.push_back(candidate->server);
+      }
     }
     if (!request.isChat) {
       co_return this->ChooseAmong(servers, now);
     }
-    const auto placement =
-      this->context.quarantine.Place(request.fingerprint, servers, now);
+    const auto placement = this->context.quarantine.Place(
+      request.fingerprint, servers, now, request.conversation);
     switch (placement.kind) {
       case PlacementKind::Run:
         co_return this->ChooseAmong(placement.servers, now);
@@ -267,10 +281,7 @@
   this->context.RouterFor(aCandidate.pool)
     .OnFinished(aCandidate.id, end, now - aSentAt, now, request.workClass);
   if (!this->serverCrashed) {
-    const bool survived = !aFailure || *aFailure == AttemptFailure::RefusedAsNotRun ||
-                          *aFailure == AttemptFailure::ServerError;
-    this->context.quarantine.OnEnded(
-      request.id, survived ? RunEnd::Survived : RunEnd::Abandoned, now);
+    this->context.quarantine.OnEnded(request.id, RunEndOf(aFailure), now);
   }
   if (this->granted) {
     this->context.suspects.ReportRunEnded(
--- a/programs/toucanstand-entry/BackendCall.h
+++ b/programs/toucanstand-entry/BackendCall.h
@@ -62,6 +62,9 @@
   [[nodiscard]] CallEnd NoServer() const;
   [[nodiscard]] Endpoint ArbiterEndpoint() const;
 
+  /// Servers that answered and did not take the request; another one may become a home
+  /// server of it instead.
+  std::vector<ServerId> declined;
   /// Server on which the arbiter lets the call run alone.
   std::optional<ServerId> granted;
   bool serverCrashed = false;
--- a/programs/toucanstand-entry/CallReader.cpp
+++ b/programs/toucanstand-entry/CallReader.cpp
@@ -39,14 +39,25 @@
   return { aStatus, aType, std::move(aMessage) };
 }
 
-/// First content of the conversation's messages as the key of prefix affinity.
-std::uint64_t PrefixOf(const json& aMessages)
+std::string_view ContentOf(const json& aMessage)
 {
-  const auto& first = aMessages.front();
-  const auto content = first.find("content");
+  const auto content = aMessage.find("content");
   const auto* text =
-    content == first.end() ? nullptr : content->get_ptr<const json::string_t*>();
-  return Hash64(text == nullptr ? std::string_view() : std::string_view(*text));
+    content == aMessage.end() ? nullptr : content->get_ptr<const json::string_t*>();
+  return text == nullptr ? std::string_view() : std::string_view(*text);
+}
+
+/// Hash of the messages up to the first one of the user, which later turns repeat.
+std::uint64_t ConversationOf(const json& aMessages)
+{
+  std::uint64_t hash = 0;
+  for (const auto& message : aMessages) {
+    hash = Hash64(ContentOf(message), hash);
+    if (message.value("role", json("")) == "user") {
+      break;
+    }
+  }
+  return hash;
 }
 
 std::optional<CallRejection> CheckMessages(const json& aBody)
@@ -166,7 +177,8 @@
   const bool isLong =
     aCall.contract.workClass == WorkClass::Long || count >= this->longTokens;
   aCall.workClass = isLong ? WorkClass::Long : WorkClass::Short;
-  aCall.prefix = PrefixOf((*document)["messages"]);
+  aCall.prefix = Hash64(ContentOf((*document)["messages"].front()));
+  aCall.conversation = ConversationOf((*document)["messages"]);
 
   // The form of the answer and the caller's name don't change what an engine runs, so a
   // request that crashes engines keeps its fingerprint when they change.
--- a/programs/toucanstand-entry/CallRequest.h
+++ b/programs/toucanstand-entry/CallRequest.h
@@ -29,6 +29,8 @@
   std::uint64_t fingerprint = 0;
   /// Hash of the beginning of the prompt.
   std::optional<std::uint64_t> prefix;
+  /// Hash of what all turns of a conversation share; selects its home servers.
+  std::optional<std::uint64_t> conversation;
   std::string idempotencyKey;
   bool isChat = false;
   AnswerForm form = AnswerForm::Whole;
