--- a/programs/toucanstand-groups/DomainLease.cpp
+++ b/programs/toucanstand-groups/DomainLease.cpp
@@ -31,10 +31,13 @@
     } else {
       co_await this->Renew();
     }
-    // The random part keeps the processes of a fleet from trying at the same time.
-    const Duration period = this->duration;
-    co_await this->Wait(period / 4 +
-                        FromSeconds(ToSeconds(period) / 8 * this->random.Fraction()));
+    // A process without the lease asks less often: all entry VMs but one are such, and
+    // every call counts towards the store's rate. The random part keeps them from asking
+    // at the same time.
+    const Duration whole = this->duration;
+    const Duration period = this->lease == 0 ? whole : whole / 4;
+    co_await this->Wait(period +
+                        FromSeconds(ToSeconds(period) / 2 * this->random.Fraction()));
   }
 }
 
