--- a/programs/toucanstand-entry/AdmissionGate.cpp
+++ b/programs/toucanstand-entry/AdmissionGate.cpp
@@ -25,8 +25,10 @@
 };
 
 AdmissionGate::AdmissionGate(boost::asio::io_context& aLoop,
+                             AdmissionMode aMode,
                              AdmissionController aController)
   : loop(aLoop)
+  , mode(aMode)
   , controller(std::move(aController))
   , wakeTimer(aLoop)
 {
@@ -34,6 +36,9 @@
 
 Task<AdmissionGate::Entry> AdmissionGate::Enter(Arrival aArrival)
 {
+  if (this->mode == AdmissionMode::Open) {
+    co_return Entry{ Verdict::Admitted, {} };
+  }
   const RequestId id = aArrival.id;
   const auto waiter = std::make_shared<Waiter>(this->loop);
   this->waiters[id] = waiter;
@@ -48,6 +53,9 @@
                           AttemptOutcome aOutcome,
                           Duration aService)
 {
+  if (this->mode == AdmissionMode::Open) {
+    return;
+  }
   this->Apply(this->controller.OnFinished(aId, aOutcome, aService, BootClock::now()));
 }
 
@@ -57,18 +65,10 @@
   this->Apply(this->controller.OnAbandoned(aId, BootClock::now()));
 }
 
-void AdmissionGate::UpdateSlots(const WorldView& aView)
+void AdmissionGate::UpdateSlots(const PoolId& aPool, double aSlots)
 {
   const auto now = BootClock::now();
-  const auto sharers =
-    static_cast<double>(std::max<std::size_t>(1, aView.liveEntryVms.size()));
-  std::map<PoolId, double> slots;
-  for (const auto& candidate : aView.candidates) {
-    slots[candidate.pool] += std::max(0.0, candidate.load.capacity);
-  }
-  for (const auto& [pool, capacity] : slots) {
-    this->controller.OnSlots(pool, std::max(1.0, capacity / sharers), now);
-  }
+  this->controller.OnSlots(aPool, aSlots, now);
   this->Apply(this->controller.Advance(now));
 }
 
--- a/programs/toucanstand-entry/AdmissionGate.h
+++ b/programs/toucanstand-entry/AdmissionGate.h
@@ -7,9 +7,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
 
+#include "EntrySettings.h"
 #include "admission/AdmissionController.h"
 #include "http/Task.h"
-#include "observation/WorldView.h"
 
 namespace toucanstand {
 
@@ -31,7 +31,9 @@
     Refusal refusal;
   };
 
-  AdmissionGate(boost::asio::io_context& aLoop, AdmissionController aController);
+  AdmissionGate(boost::asio::io_context& aLoop,
+                AdmissionMode aMode,
+                AdmissionController aController);
 
   /// Waits until the request is admitted, refused or abandoned.
   Task<Entry> Enter(Arrival aArrival);
@@ -42,8 +44,8 @@
   /// The caller left: ends the waiting, or gives the slot back.
   void Abandon(const RequestId& aId);
 
-  /// Takes over the slots of the pools in a view, as this VM's equal part.
-  void UpdateSlots(const WorldView& aView);
+  /// Takes over the requests that a pool runs at once, as this VM's equal part.
+  void UpdateSlots(const PoolId& aPool, double aSlots);
 
   void Configure(AdmissionSettings aSettings);
   void StartDrain();
@@ -58,6 +60,7 @@
   void ArmWake();
 
   boost::asio::io_context& loop;
+  AdmissionMode mode;
   AdmissionController controller;
   boost::asio::steady_timer wakeTimer;
   std::map<RequestId, std::shared_ptr<Waiter>> waiters;
