Compare a probed server's group with the candidate's

Cause: an engine that is back before the probe answers it, so its crash would count as a broken connection and the request that caused it would be sent on. The probe now compares the group and generation in the server's state with the candidate's. Not proved: with the comparison switched off the new test passes as well, because the stand-in's listener is never back before the probe, even with a restart time of zero. The test shows that the request is quarantined when its engines restart at once. Calls in flight are counted by scope, so that an exception does not leave the count high.

--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -7,7 +7,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include "crashes/HomeServers.h"
+#include "serialization/BoundedJson.h"
 
 namespace toucanstand {
 
@@ -18,6 +21,7 @@
 constexpr Duration kNoServerRetryAfter = std::chrono::seconds(1);
 /// Between two questions to the arbiter.
 constexpr Duration kAskPause = std::chrono::milliseconds(50);
+constexpr std::size_t kMostStateBytes = 1U << 20U;
 
 /// What an attempt's failure says about the candidate, in the order of AttemptFailure.
 constexpr std::array kEnds = {
@@ -50,6 +54,20 @@
   }
 }
 
+/// True unless a server's state shows that it left the candidate's group: an engine that
+/// crashed and restarted before the probe reports none.
+bool ReportsGroup(const std::string& aBody, const Candidate& aCandidate)
+{
+  if (aCandidate.generation == 0) {
+    return true;
+  }
+  const auto state = DecodeJson(aBody);
+  // Compared as JSON, so that a value of another type is unequal instead of an exception.
+  return state && state->is_object() && state->contains("generation") &&
+         state->contains("group") && state->at("group") == aCandidate.id &&
+         state->at("generation") == aCandidate.generation;
+}
+
 /// What the end of an attempt says about the request's effect on its server.
 RunEnd RunEndOf(const std::optional<AttemptFailure>& aFailure)
 {
@@ -124,9 +142,9 @@
   }
   const bool wasSilent =
     aFailure == HttpFailure::HeadTimedOut || aFailure == HttpFailure::BodyTimedOut;
-  const bool serverAnswers = co_await this->ProbeServer(aCandidate.endpoint);
-  if (serverAnswers) {
-    this->context.client.DropIdle(aCandidate.endpoint);
+  const auto probed = co_await this->ProbeServer(aCandidate);
+  this->context.client.DropIdle(aCandidate.endpoint);
+  if (probed == ProbeResult::Unchanged) {
     co_return wasSilent ? AttemptFailure::SilentConnection : WithoutBlame(aFailure);
   }
   if (!wasSilent) {
@@ -230,7 +248,7 @@
   this->state.cancel.Disarm();
 }
 
-Task<bool> BackendCall::ProbeServer(const Endpoint& aEndpoint)
+Task<BackendCall::ProbeResult> BackendCall::ProbeServer(Candidate aCandidate)
 {
   HttpRequest request;
   request.target = "/state";
@@ -241,8 +259,23 @@
   CancelSwitch never;
   this->context.metrics.Count("probes_total");
   auto opened = co_await this->context.client.Open(
-    aEndpoint, std::move(request), deadlines, ConnectionUse::Fresh, never);
-  co_return opened && (*opened)->Status() == 200;
+    aCandidate.endpoint, std::move(request), deadlines, ConnectionUse::Fresh, never);
+  if (!opened || (*opened)->Status() != 200) {
+    co_return ProbeResult::NoAnswer;
+  }
+  std::string body;
+  while (true) {
+    auto piece = co_await (*opened)->Read(never);
+    if (!piece || body.size() > kMostStateBytes) {
+      co_return ProbeResult::NoAnswer;
+    }
+    if (piece->empty()) {
+      break;
+    }
+    body += *piece;
+  }
+  co_return ReportsGroup(body, aCandidate) ? ProbeResult::Unchanged
+                                           : ProbeResult::Restarted;
 }
 
 std::variant<Candidate, CallEnd> BackendCall::ChooseAmong(
--- a/programs/toucanstand-entry/BackendCall.h
+++ b/programs/toucanstand-entry/BackendCall.h
@@ -49,10 +49,20 @@
   AttemptTracker tracker;
 
 private:
+  /// What a server says over a fresh connection.
+  enum class ProbeResult
+  {
+    /// It answers and is what the request was sent to.
+    Unchanged,
+    /// It answers and no longer belongs to the candidate's group and generation.
+    Restarted,
+    NoAnswer,
+  };
+
   Task<std::variant<Candidate, CallEnd>> Choose();
   Task<std::optional<CallEnd>> AskToRunAlone(const ServerId& aServer);
   Task<> Pause(Duration aDuration);
-  Task<bool> ProbeServer(const Endpoint& aEndpoint);
+  Task<ProbeResult> ProbeServer(Candidate aCandidate);
   std::variant<Candidate, CallEnd> ChooseAmong(const std::vector<ServerId>& aServers,
                                                TimePoint aNow);
   void NoteEnd(const Candidate& aCandidate,
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -14,6 +14,23 @@
 constexpr Duration kIsolatedRetryAfter = std::chrono::seconds(2);
 constexpr Duration kStoreRetryAfter = std::chrono::seconds(2);
 
+/// Counts a call as long as it is handled, also when an exception ends it.
+class InFlightScope
+{
+public:
+  explicit InFlightScope(std::size_t& aCount)
+    : count(aCount)
+  {
+    ++this->count;
+  }
+  ~InFlightScope() { --this->count; }
+  InFlightScope(const InFlightScope&) = delete;
+  InFlightScope& operator=(const InFlightScope&) = delete;
+
+private:
+  std::size_t& count;
+};
+
 AttemptOutcome ToAttemptOutcome(CallOutcome aOutcome)
 {
   switch (aOutcome) {
@@ -114,11 +131,10 @@
     co_await aExchange.Respond(std::move(response));
     co_return;
   }
-  ++this->inFlight;
+  const InFlightScope scope(this->inFlight);
   CallState state;
   state.request = std::move(*read);
   co_await this->RunCall(aExchange, state);
-  --this->inFlight;
 }
 
 Task<> CallHandler::RunCall(HttpExchange& aExchange, CallState& aState)
--- a/tests/integration/TestEntry.cpp
+++ b/tests/integration/TestEntry.cpp
@@ -58,7 +58,7 @@
 /// Engines and services behind one entry whose knowledge comes from a FakeNode.
 struct Fixture
 {
-  explicit Fixture(int aTokensPerSecond)
+  explicit Fixture(int aTokensPerSecond, int aRestartMs = 60000)
     : engines("standin-engine",
               { "--listen=127.0.0.1:0",
                 "--control=127.0.0.1:0",
@@ -66,7 +66,7 @@
                 "--prefill-ms=0",
                 "--report-lag-ms=0",
                 "--load-ms=0",
-                "--restart-ms=60000",
+                "--restart-ms=" + std::to_string(aRestartMs),
                 "--tokens-per-second=" + std::to_string(aTokensPerSecond) })
     , services("standin-service",
                { "--listen=127.0.0.1:0", "--control=127.0.0.1:0", "--count=2" })
@@ -255,6 +255,17 @@
   CHECK(innocent->status == 200);
 }
 
+TEST_CASE("A request is quarantined also when its engines restart at once", "[entry]")
+{
+  // Guards against a crashing request that goes on because its engines come back (R24).
+  Fixture fixture(2000, 0);
+  const auto answer = fixture.caller.Call(
+    fixture.callers, "POST", kChat, Chat("crash_on", 5, false).dump());
+  REQUIRE(answer);
+  CHECK(answer->status == 422);
+  CHECK(json::parse(answer->body)["error"]["type"] == "quarantined");
+}
+
 TEST_CASE("A connection that went silent is left for a new one", "[entry]")
 {
   // Guards against a stream that hangs for good, and against blaming the server (R68).
