--- a/tests/unit/toucanstand_groups/TestGroupController.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupController.cpp
@@ -34,15 +34,19 @@
       std::vector<SendOrder> more;
       if (const auto* read = std::get_if<ReadRecord>(&action)) {
         ++this->reads;
+        this->confirmedAt = this->now;
         more = this->Send(RecordRead{ read->ticket, true, this->revision, this->text });
       } else if (const auto* write = std::get_if<WriteRecord>(&action)) {
         REQUIRE(write->expectedRevision == this->revision);
         this->text = write->text;
         ++this->revision;
+        this->confirmedAt = this->now;
         const auto outcome =
           this->loseReplies ? WriteOutcome::Unknown : WriteOutcome::Committed;
         more = this->Send(WriteReply{ write->ticket, outcome, this->revision });
       } else if (const auto* order = std::get_if<SendOrder>(&action)) {
+        CHECK(this->now - this->confirmedAt < 2s);
+        CHECK(order->expiresAt == this->confirmedAt + 5s);
         more = { *order };
       } else {
         this->gaveUp = true;
@@ -76,6 +80,8 @@
   TimePoint now{ 100s };
   std::string text;
   std::int64_t revision = 0;
+  /// When the store last answered.
+  TimePoint confirmedAt{};
   int reads = 0;
   bool loseReplies = false;
   bool gaveUp = false;
@@ -96,6 +102,15 @@
   CHECK(orders[0].fence == harness.revision);
 }
 
+TEST_CASE("Orders are repeated only from a record confirmed recently", "[groups]")
+{
+  // Guards against a controller that lost the domain and keeps sending its old orders;
+  // the harness checks each order's time and expiry.
+  Harness harness(FencingSupport::Checked);
+  harness.Send(LeaseGained{});
+  CHECK(harness.Run(8s).size() >= 6);
+}
+
 TEST_CASE("Servers that ignore fences get orders after the lifetime of earlier ones",
           "[groups]")
 {
