Describe every setting on a page that a test compares with the code

Cause: CONTRIBUTING.md names docs/settings.md and its comparison, and neither existed. A page that is kept by hand alone drifts from the code.

Change: SettingsReader can describe each key that it is asked for (path, type, bounds, default). The test runs every Read<Name>Settings with these descriptions and compares them with the rows of the page. It also checks that each key rejects a wrong type and each object an unknown key. Without a list to describe into, the reader does no extra work; messages are read with it as well.

--- a/modules/toucanstand_core/settings/SettingsReader.cpp
+++ b/modules/toucanstand_core/settings/SettingsReader.cpp
@@ -45,6 +45,7 @@
 std::string SettingsReader::Text(std::string_view aKey,
                                  std::optional<std::string> aDefault)
 {
+  this->Describe(aKey, "string", "", aDefault);
   const auto* value = this->Find(aKey, !aDefault);
   if (value == nullptr) {
     return aDefault.value_or("");
@@ -61,11 +62,14 @@
                                    std::optional<std::string> aDefault)
 {
   const std::string text = this->Text(aKey, std::move(aDefault));
+  std::string expectation;
+  for (const auto& choice : aChoices) {
+    expectation += (expectation.empty() ? "" : ", ") + choice;
+  }
+  if (this->descriptions != nullptr) {
+    this->descriptions->back().bounds = expectation;
+  }
   if (this->Has(aKey) && std::ranges::find(aChoices, text) == aChoices.end()) {
-    std::string expectation;
-    for (const auto& choice : aChoices) {
-      expectation += (expectation.empty() ? "" : ", ") + choice;
-    }
     this->RejectValue(aKey, nlohmann::json(text), SettingsRule::OneOf, expectation);
   }
   return text;
@@ -76,6 +80,14 @@
                                    std::int64_t aHighest,
                                    std::optional<std::int64_t> aDefault)
 {
+  if (this->descriptions != nullptr) {
+    const std::string bounds =
+      std::to_string(aLowest) + " to " + std::to_string(aHighest);
+    this->Describe(aKey,
+                   "whole",
+                   bounds,
+                   aDefault ? std::optional(std::to_string(*aDefault)) : std::nullopt);
+  }
   const auto* value = this->Find(aKey, !aDefault);
   if (value == nullptr) {
     return aDefault.value_or(aLowest);
@@ -103,6 +115,13 @@
                               double aHighest,
                               std::optional<double> aDefault)
 {
+  if (this->descriptions != nullptr) {
+    this->Describe(aKey,
+                   "number",
+                   RangeText(aLowest, aHighest),
+                   aDefault ? std::optional(nlohmann::json(*aDefault).dump())
+                            : std::nullopt);
+  }
   const auto* value = this->Find(aKey, !aDefault);
   if (value == nullptr) {
     return aDefault.value_or(aLowest);
@@ -121,6 +140,13 @@
 
 bool SettingsReader::Flag(std::string_view aKey, std::optional<bool> aDefault)
 {
+  if (this->descriptions != nullptr) {
+    this->Describe(aKey,
+                   "flag",
+                   "",
+                   aDefault ? std::optional(nlohmann::json(*aDefault).dump())
+                            : std::nullopt);
+  }
   const auto* value = this->Find(aKey, !aDefault);
   if (value == nullptr) {
     return aDefault.value_or(false);
@@ -149,6 +175,7 @@
 
 std::vector<std::string> SettingsReader::TextList(std::string_view aKey)
 {
+  this->Describe(aKey, "list of strings", "", "[]");
   const auto* value = this->Find(aKey, false);
   if (value == nullptr) {
     return {};
@@ -163,6 +190,7 @@
 
 std::vector<std::uint64_t> SettingsReader::UnsignedList(std::string_view aKey)
 {
+  this->Describe(aKey, "list of whole numbers", "", "[]");
   const auto* value = this->Find(aKey, false);
   if (value == nullptr) {
     return {};
@@ -180,11 +208,12 @@
 void SettingsReader::Object(std::string_view aKey,
                             const std::function<void(SettingsReader&)>& aRead)
 {
+  this->Describe(aKey, "object", "", "{}");
   const auto* value = this->Find(aKey, false);
   if (value == nullptr) {
     return;
   }
-  SettingsReader nested(*value, this->PathOf(aKey), *this->errors);
+  auto nested = this->Nested(*value, this->PathOf(aKey));
   aRead(nested);
   nested.Finish();
 }
@@ -192,6 +221,7 @@
 void SettingsReader::ObjectList(std::string_view aKey,
                                 const std::function<void(SettingsReader&)>& aRead)
 {
+  this->Describe(aKey, "list of objects", "", "[]");
   const auto* value = this->Find(aKey, false);
   if (value == nullptr) {
     return;
@@ -201,8 +231,8 @@
     return;
   }
   for (std::size_t index = 0; index < value->size(); ++index) {
-    SettingsReader nested(
-      (*value)[index], this->PathOf(aKey) + "/" + std::to_string(index), *this->errors);
+    auto nested =
+      this->Nested((*value)[index], this->PathOf(aKey) + "/" + std::to_string(index));
     aRead(nested);
     nested.Finish();
   }
@@ -212,6 +242,7 @@
   std::string_view aKey,
   const std::function<void(const std::string&, SettingsReader&)>& aRead)
 {
+  this->Describe(aKey, "object of objects", "", "{}");
   const auto* value = this->Find(aKey, false);
   if (value == nullptr) {
     return;
@@ -221,7 +252,7 @@
     return;
   }
   for (const auto& [name, member] : value->items()) {
-    SettingsReader nested(member, this->PathOf(aKey) + "/" + name, *this->errors);
+    auto nested = this->Nested(member, this->PathOf(aKey) + "/" + name);
     aRead(name, nested);
     nested.Finish();
   }
@@ -282,6 +313,26 @@
   return this->path + "/" + std::string(aKey);
 }
 
+void SettingsReader::Describe(std::string_view aKey,
+                              std::string_view aType,
+                              std::string_view aBounds,
+                              std::optional<std::string> aDefault)
+{
+  if (this->descriptions != nullptr) {
+    this->descriptions->push_back({ this->PathOf(aKey),
+                                    std::string(aType),
+                                    std::string(aBounds),
+                                    std::move(aDefault) });
+  }
+}
+
+SettingsReader SettingsReader::Nested(const nlohmann::json& aDocument, std::string aPath)
+{
+  SettingsReader nested(aDocument, std::move(aPath), *this->errors);
+  nested.descriptions = this->descriptions;
+  return nested;
+}
+
 Result<nlohmann::json, SettingsError> ReadJsonFile(const std::string& aPath)
 {
   std::ifstream file(aPath);
--- a/modules/toucanstand_core/settings/SettingsReader.h
+++ b/modules/toucanstand_core/settings/SettingsReader.h
@@ -17,6 +17,17 @@
 
 namespace toucanstand {
 
+/// What a program accepts for one key; compared with the page of settings.
+struct SettingDescription
+{
+  std::string path;
+  std::string type;
+  /// Lowest and highest value or the choices; empty without bounds.
+  std::string bounds;
+  /// Empty when the key is required.
+  std::optional<std::string> defaultText;
+};
+
 /// Reads one JSON object key by key and collects every broken rule.
 ///
 /// A key that was never asked for is an error of Finish(). Nested readers share the
@@ -80,6 +91,13 @@
 
   [[nodiscard]] bool Has(std::string_view aKey) const;
 
+  /// Adds a description of every key that is asked for from now on, also by nested
+  /// readers, to a list that outlives them.
+  void DescribeInto(std::vector<SettingDescription>& aDescriptions)
+  {
+    this->descriptions = &aDescriptions;
+  }
+
   /// Marks keys that nobody asked for as errors.
   void Finish();
 
@@ -92,12 +110,19 @@
                    SettingsRule aRule,
                    std::string aExpectation);
   [[nodiscard]] std::string PathOf(std::string_view aKey) const;
+  void Describe(std::string_view aKey,
+                std::string_view aType,
+                std::string_view aBounds,
+                std::optional<std::string> aDefault);
+  SettingsReader Nested(const nlohmann::json& aDocument, std::string aPath);
 
   const nlohmann::json& document;
   std::string path;
   std::vector<SettingsError> ownErrors;
   std::vector<SettingsError>* errors;
   std::set<std::string, std::less<>> known;
+  /// Null unless descriptions were asked for: messages are read with this class as well.
+  std::vector<SettingDescription>* descriptions = nullptr;
 };
 
 /// Reads a JSON file. A missing file or malformed JSON is a SettingsError.
--- a/programs/toucanstandctl/ControlSettings.cpp
+++ b/programs/toucanstandctl/ControlSettings.cpp
@@ -10,6 +10,20 @@
 
 namespace toucanstand {
 
+ControlSettings ReadControlSettings(SettingsReader& aReader)
+{
+  ControlSettings settings;
+  settings.node = ReadEndpoint(aReader, "node", Endpoint{ "127.0.0.1", 7001 });
+  settings.store = ReadEndpoint(aReader, "store", Endpoint{ "127.0.0.1", 2379 });
+  const char* const user = std::getenv("USER");
+  settings.author = aReader.Text("author", user == nullptr ? "" : user);
+  settings.waitTimeout = aReader.Milliseconds("wait_timeout_ms",
+                                              std::chrono::milliseconds(100),
+                                              std::chrono::hours(1),
+                                              settings.waitTimeout);
+  return settings;
+}
+
 std::optional<ControlSettings> ReadControlSettings(const CommandLine& aCommandLine)
 {
   nlohmann::json document = nlohmann::json::object();
@@ -27,15 +41,7 @@
     }
   }
   SettingsReader reader(document);
-  ControlSettings settings;
-  settings.node = ReadEndpoint(reader, "node", Endpoint{ "127.0.0.1", 7001 });
-  settings.store = ReadEndpoint(reader, "store", Endpoint{ "127.0.0.1", 2379 });
-  const char* const user = std::getenv("USER");
-  settings.author = reader.Text("author", user == nullptr ? "" : user);
-  settings.waitTimeout = reader.Milliseconds("wait_timeout_ms",
-                                             std::chrono::milliseconds(100),
-                                             std::chrono::hours(1),
-                                             settings.waitTimeout);
+  auto settings = ReadControlSettings(reader);
   settings.reason = aCommandLine.ValueOr("reason", "");
   settings.json = aCommandLine.Has("json");
   settings.wait = aCommandLine.Has("wait");
--- a/programs/toucanstandctl/ControlSettings.h
+++ b/programs/toucanstandctl/ControlSettings.h
@@ -6,7 +6,7 @@
 
 #include "commandline/CommandLine.h"
 #include "network/Endpoint.h"
-#include "settings/SettingsError.h"
+#include "settings/SettingsReader.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -25,6 +25,9 @@
   Duration waitTimeout = std::chrono::seconds(30);
 };
 
+/// Reads the settings of the file; broken rules are in the reader's list.
+ControlSettings ReadControlSettings(SettingsReader& aReader);
+
 /// Reads the file of --config, if given, and the options, which override it.
 ///
 /// @returns nothing when a setting broke a rule; each is printed on standard error
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -1,3 +1,21 @@
+# Reading of the programs' settings and inputs; the sources have no entry point.
+file(GLOB program_settings CONFIGURE_DEPENDS programs/*/*Settings.cpp)
+file(GLOB program_tests CONFIGURE_DEPENDS tests/unit/programs/*.cpp)
+add_executable(test_toucanstand_programs tests/CatchMain.cpp ${program_tests} ${program_settings}
+                                         programs/toucanstand-entry/EventStreamReader.cpp)
+target_include_directories(
+  test_toucanstand_programs
+  PRIVATE programs/toucanstand-entry programs/toucanstand-groups programs/toucanstand-ledger
+          programs/toucanstand-node programs/toucanstandctl)
+target_compile_definitions(test_toucanstand_programs
+                           PRIVATE TOUCANSTAND_DOCS_DIRECTORY="${CMAKE_SOURCE_DIR}/docs")
+target_link_libraries(
+  test_toucanstand_programs
+  PRIVATE toucanstand_configuration toucanstand_delivery toucanstand_groups toucanstand_ledger
+          toucanstand_membership toucanstand_transport)
+add_test(NAME unit/programs COMMAND test_toucanstand_programs)
+set_tests_properties(unit/programs PROPERTIES LABELS unit TIMEOUT 120)
+
 # All unit test programs, so that the sanitizer build need not build anything else.
 get_property(directory_targets DIRECTORY PROPERTY BUILDSYSTEM_TARGETS)
 list(FILTER directory_targets INCLUDE REGEX "^test_toucanstand_")
--- /dev/null
+++ b/tests/unit/programs/TestSettingsPage.cpp
@@ -0,0 +1,139 @@
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "ControlSettings.h"
+#include "EntrySettings.h"
+#include "GroupsSettings.h"
+#include "LedgerSettings.h"
+#include "NodeSettings.h"
+
+using namespace toucanstand;
+using nlohmann::json;
+
+namespace {
+
+using Read = std::function<void(SettingsReader&)>;
+
+const std::map<std::string, Read>& Programs()
+{
+  static const std::map<std::string, Read> kPrograms = {
+    { "toucanstand-entry", [](auto& aReader) { (void)ReadEntrySettings(aReader); } },
+    { "toucanstand-groups", [](auto& aReader) { (void)ReadGroupsSettings(aReader); } },
+    { "toucanstand-ledger", [](auto& aReader) { (void)ReadLedgerSettings(aReader); } },
+    { "toucanstand-node", [](auto& aReader) { (void)ReadNodeSettings(aReader); } },
+    { "toucanstandctl", [](auto& aReader) { (void)ReadControlSettings(aReader); } },
+  };
+  return kPrograms;
+}
+
+std::vector<SettingDescription> DescriptionsOf(const Read& aRead, const json& aDocument)
+{
+  std::vector<SettingDescription> descriptions;
+  SettingsReader reader(aDocument);
+  reader.DescribeInto(descriptions);
+  aRead(reader);
+  return descriptions;
+}
+
+/// The smallest document in which every object and list of objects is present, because
+/// the keys of an absent object are not asked for.
+json FullDocument(const Read& aRead)
+{
+  json document = json::object();
+  for (std::size_t before = 0; before != document.flatten().size() + 1;) {
+    before = document.flatten().size() + 1;
+    for (const auto& setting : DescriptionsOf(aRead, document)) {
+      const json::json_pointer pointer(setting.path);
+      if (setting.type == "object" && !document.contains(pointer)) {
+        document[pointer] = json::object();
+      } else if (setting.type == "list of objects" && !document.contains(pointer)) {
+        document[pointer] = json::array({ json::object() });
+      }
+    }
+  }
+  return document;
+}
+
+std::string Row(const SettingDescription& aSetting)
+{
+  auto path = aSetting.path;
+  if (const auto index = path.find("/0/"); index != std::string::npos) {
+    path.replace(index, 3, "/N/");
+  }
+  std::string fallback = "required";
+  if (aSetting.defaultText) {
+    fallback = aSetting.defaultText->empty() ? "" : "`" + *aSetting.defaultText + "`";
+  }
+  return "| `" + path + "` | " + aSetting.type + " | " + aSetting.bounds + " | " +
+         fallback + " | ";
+}
+
+/// The rows of each program's table, without the meaning.
+std::map<std::string, std::set<std::string>> PageRows()
+{
+  std::map<std::string, std::set<std::string>> rows;
+  std::ifstream page(TOUCANSTAND_DOCS_DIRECTORY "/settings.md");
+  std::string program;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("## ")) {
+      program = line.substr(3);
+    } else if (line.starts_with("| `/")) {
+      const auto meaning = line.rfind(" | ");
+      rows[program].insert(line.substr(0, meaning + 3));
+    }
+  }
+  return rows;
+}
+
+} // namespace
+
+TEST_CASE("The page of settings states what the programs read", "[settings]")
+{
+  // Guards against a page that names other keys, types, bounds or defaults than the code.
+  setenv("USER", "$USER", 1);
+  auto page = PageRows();
+  for (const auto& [program, read] : Programs()) {
+    INFO(program);
+    std::set<std::string> rows;
+    for (const auto& setting : DescriptionsOf(read, FullDocument(read))) {
+      rows.insert(Row(setting));
+    }
+    CHECK(page[program] == rows);
+  }
+}
+
+TEST_CASE("Every setting rejects a wrong type and every object an unknown key",
+          "[settings]")
+{
+  // Guards against a mistyped setting that silently leaves the default in force.
+  for (const auto& [program, read] : Programs()) {
+    const auto full = FullDocument(read);
+    for (const auto& setting : DescriptionsOf(read, full)) {
+      INFO(program << ' ' << setting.path);
+      auto document = full;
+      document[json::json_pointer(setting.path)] = nullptr;
+      SettingsReader reader(document);
+      read(reader);
+      CHECK(std::ranges::any_of(reader.Errors(), [&](const SettingsError& aError) {
+        return aError.path == setting.path && aError.rule != SettingsRule::Required;
+      }));
+      if (setting.type == "object" || setting.type == "list of objects") {
+        document = full;
+        const auto inside = setting.path + (setting.type == "object" ? "" : "/0");
+        document[json::json_pointer(inside + "/surplus")] = 1;
+        SettingsReader second(document);
+        read(second);
+        CHECK(std::ranges::any_of(second.Errors(), [&](const SettingsError& aError) {
+          return aError.path == inside + "/surplus" &&
+                 aError.rule == SettingsRule::KnownKey;
+        }));
+      }
+    }
+  }
+}
