Keep a process alive when its readiness is asked before it is ready

Cause: GET /readyz answered with a conditional of two temporaries inside a co_await expression. Every program serves this endpoint.

A search of every co_await expression for a conditional found no other one whose operands have a destructor.

Change: the response is a named local.

Conclusion: put conditionals into named locals before a co_await.

--- a/modules/toucanstand_transport/operators/OperatorEndpoint.cpp
+++ b/modules/toucanstand_transport/operators/OperatorEndpoint.cpp
@@ -1,5 +1,7 @@
 #include "operators/OperatorEndpoint.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 #include <unistd.h>
 
@@ -55,8 +57,9 @@
   }
   if (request.method == "GET" && request.target == "/readyz") {
     const bool ready = this->hooks.isReady();
-    co_await aExchange.Respond(ready ? TextResponse(200, "ready\n")
-                                     : TextResponse(503, "not ready\n"));
+    // GCC 12 destroys both operands of a conditional inside a co_await expression.
+    auto response = TextResponse(ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    co_await aExchange.Respond(std::move(response));
     co_return;
   }
   if (request.method == "GET" && request.target == "/metrics") {
