--- /dev/null
+++ b/tests/unit/programs/TestExampleConfigurations.cpp
@@ -0,0 +1,22 @@
+#include <fstream>
+#include <sstream>
+
+#include <catch2/catch.hpp>
+
+#include "document/ConfigurationText.h"
+
+using namespace toucanstand;
+
+TEST_CASE("The example configurations are valid", "[configuration]")
+{
+  // Guards against examples that an operator copies and that `apply` then rejects.
+  for (const auto* name : { "kelani.json", "tsagaan.json" }) {
+    std::ifstream file(std::string(TOUCANSTAND_DOCS_DIRECTORY "/examples/") + name);
+    REQUIRE(file);
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto document = ParseConfiguration(text.str());
+    INFO(name << ": " << (document ? "" : Describe(document.LastReason().front())));
+    CHECK(document);
+  }
+}
