--- a/modules/toucanstand_core/settings/SettingsReader.cpp
+++ b/modules/toucanstand_core/settings/SettingsReader.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "serialization/BoundedJson.h"
+
 namespace toucanstand {
 
 namespace {
@@ -26,7 +28,7 @@
   , errors(&this->ownErrors)
 {
   if (!aDocument.is_object()) {
-    this->errors->push_back({ "", aDocument.dump(), SettingsRule::IsObject, "" });
+    this->errors->push_back({ "", EncodeJson(aDocument), SettingsRule::IsObject, "" });
   }
 }
 
@@ -38,7 +40,8 @@
   , errors(&aErrors)
 {
   if (!aDocument.is_object()) {
-    this->errors->push_back({ this->path, aDocument.dump(), SettingsRule::IsObject, "" });
+    this->errors->push_back(
+      { this->path, EncodeJson(aDocument), SettingsRule::IsObject, "" });
   }
 }
 
@@ -264,7 +267,7 @@
 {
   const auto* value = this->Find(aKey, false);
   this->errors->push_back({ this->PathOf(aKey),
-                            value == nullptr ? "" : value->dump(),
+                            value == nullptr ? "" : EncodeJson(*value),
                             aRule,
                             std::move(aExpectation) });
 }
@@ -282,7 +285,7 @@
   for (const auto& [key, value] : this->document.items()) {
     if (!this->known.contains(key)) {
       this->errors->push_back(
-        { this->PathOf(key), value.dump(), SettingsRule::KnownKey, "" });
+        { this->PathOf(key), EncodeJson(value), SettingsRule::KnownKey, "" });
     }
   }
 }
@@ -305,7 +308,7 @@
                                  std::string aExpectation)
 {
   this->errors->push_back(
-    { this->PathOf(aKey), aValue.dump(), aRule, std::move(aExpectation) });
+    { this->PathOf(aKey), EncodeJson(aValue), aRule, std::move(aExpectation) });
 }
 
 std::string SettingsReader::PathOf(std::string_view aKey) const
--- a/modules/toucanstand_membership/messages/MembershipMessageText.cpp
+++ b/modules/toucanstand_membership/messages/MembershipMessageText.cpp
@@ -250,7 +250,7 @@
       WriteContent(aContent, object);
     },
     aMessage);
-  return object.dump();
+  return EncodeJson(object);
 }
 
 Result<MembershipMessage, MessageError> ParseMembershipMessage(std::string_view aText)
