--- a/benchmarks/benchmark-system/Main.cpp
+++ b/benchmarks/benchmark-system/Main.cpp
@@ -43,8 +43,7 @@
   const double full = servers.Capacity() / mix.MeanTokens();
   for (const auto& policy : aPolicies) {
     for (const double factor : { 0.5, 1.0, 2.0, 4.0 }) {
-      const json plan =
-        MakePlan(mix, json::array({ Phase(full * factor, 5000) }), aSeed);
+      const json plan = MakePlan(mix, json::array({ Phase(full * factor, 5000) }), aSeed);
       Report("load x" + std::to_string(factor).substr(0, 3),
              RunLoad(servers, policy, plan));
     }
--- a/tests/unit/toucanstand_membership/TestMembership.cpp
+++ b/tests/unit/toucanstand_membership/TestMembership.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 
@@ -248,6 +249,37 @@
   }
 }
 
+TEST_CASE("An answer to a probe of an earlier run does not count as contact",
+          "[membership]")
+{
+  // Guards against a restarted node that takes a late answer for one to its own question.
+  const TimePoint now{ 1h };
+  const auto probeOf = [&now](Membership& aMembership) {
+    aMembership.SetContacts({ MakeVm(1) });
+    const auto actions = aMembership.Tick(now);
+    REQUIRE(actions.size() == 1);
+    return std::get<Probe>(std::get<SendMessage>(actions.front()).message);
+  };
+  Random firstRandom(1);
+  Random secondRandom(2);
+  Membership first(MakeVm(0), {}, firstRandom, now);
+  Membership second(MakeVm(0), {}, secondRandom, now);
+  const auto old = probeOf(first);
+  const auto current = probeOf(second);
+  const auto hasContact = [&](std::uint64_t aSequence) {
+    const ProbeAck ack{ { MakeVm(1), 1, false, 0, true, {}, {} },
+                        aSequence,
+                        VmId("vm-1") };
+    return std::ranges::any_of(second.Receive(ack, now), [](const auto& aAction) {
+      const auto* heard = std::get_if<PeerHeard>(&aAction);
+      return heard != nullptr && heard->askedAt.has_value();
+    });
+  };
+  CHECK_FALSE(hasContact(old.sequence));
+  CHECK(hasContact(current.sequence));
+  CHECK_FALSE(hasContact(current.sequence));
+}
+
 TEST_CASE("A notice reaches every node and then stops being sent", "[membership]")
 {
   Fleet fleet(4, 9);
