--- a/tests/integration/support/TestSystem.cpp
+++ b/tests/integration/support/TestSystem.cpp
@@ -107,6 +107,11 @@
                     aFault.dump());
 }
 
+void TestSystem::SetServiceFault(const json& aFault)
+{
+  this->caller.Json(this->serviceControl, "POST", "/fault", aFault.dump());
+}
+
 json TestSystem::EngineLog(int aDomain)
 {
   return this->caller.Json(
@@ -236,6 +241,7 @@
     settings["messages"] = aVm.messages.at(aProgram).Text();
     settings["node"] = aVm.node.Text();
     settings["store"] = { { "address", this->store.Text() } };
+    settings["store"].update(this->options.ledgerStore);
   } else {
     settings["zone"] = zone;
     settings["listen"] = aVm.callers.Text();
--- a/tests/integration/support/TestSystem.h
+++ b/tests/integration/support/TestSystem.h
@@ -27,6 +27,8 @@
   std::vector<std::string> engineArguments;
   /// Further settings of each toucanstand-entry process.
   nlohmann::json entrySettings = nlohmann::json::object();
+  /// Further settings of each toucanstand-ledger process under `store`.
+  nlohmann::json ledgerStore = nlohmann::json::object();
   /// Merged into the initial configuration.
   nlohmann::json configuration = nlohmann::json::object();
 };
@@ -67,6 +69,8 @@
   /// Sets the faults of the store, for example `{"down":true}`.
   void SetStoreFault(const nlohmann::json& aFault);
   void SetEngineFault(int aDomain, const nlohmann::json& aFault);
+  /// Sets the faults of the services, for example `{"close_after_effect":1}`.
+  void SetServiceFault(const nlohmann::json& aFault);
 
   /// Log of one engine process.
   nlohmann::json EngineLog(int aDomain);
