Test a VM that is cut off from the store and its peers

A node advertised the endpoint that it listened on, so no forwarder could stand between it and its peers.

Change: optional node setting 'listen' for the endpoint listened on where peers reach 'node' through a forwarder; MessagePort::Advertise. TestSystem routes what peers send to one VM, and that VM's store calls, through fault-proxy.

Partial: what the cut-off VM sends to its peers goes past the proxy. A VM that hears its peers but is not heard is not tested.

--- a/modules/toucanstand_transport/messages/MessagePort.cpp
+++ b/modules/toucanstand_transport/messages/MessagePort.cpp
@@ -112,6 +112,8 @@
     return this->address;
   }
 
+  void Advertise(Endpoint aEndpoint) { this->address = std::move(aEndpoint); }
+
   void Send(const Endpoint& aTo,
             const std::string& aType,
             const nlohmann::json& aBody,
@@ -235,6 +237,11 @@
   return this->implementation->Listen(aEndpoint, std::move(aListener));
 }
 
+void MessagePort::Advertise(Endpoint aEndpoint)
+{
+  this->implementation->Advertise(std::move(aEndpoint));
+}
+
 void MessagePort::Send(const Endpoint& aTo,
                        const std::string& aType,
                        const nlohmann::json& aBody,
--- a/modules/toucanstand_transport/messages/MessagePort.h
+++ b/modules/toucanstand_transport/messages/MessagePort.h
@@ -47,6 +47,9 @@
   /// which becomes the `from` of sent messages.
   Result<Endpoint, ListenFailure> Listen(const Endpoint& aEndpoint, Listener aListener);
 
+  /// Sets the `from` of sent messages, where it differs from the endpoint listened on.
+  void Advertise(Endpoint aEndpoint);
+
   void Send(const Endpoint& aTo,
             const std::string& aType,
             const nlohmann::json& aBody,
--- a/programs/toucanstand-node/NodeProcess.cpp
+++ b/programs/toucanstand-node/NodeProcess.cpp
@@ -102,7 +102,7 @@
 bool NodeProcess::Listen()
 {
   const auto node =
-    this->port.Listen(this->settings.self.nodeEndpoint,
+    this->port.Listen(this->settings.listen.value_or(this->settings.self.nodeEndpoint),
                       [this](const Message& aMessage) { this->OnMessage(aMessage); });
   const auto operatorEndpoint = this->operators.Listen(this->settings.operatorEndpoint);
   if (!node || !operatorEndpoint) {
@@ -111,7 +111,11 @@
                   operatorEndpoint ? "ok" : this->settings.operatorEndpoint.Text());
     return false;
   }
-  this->settings.self.nodeEndpoint = *node;
+  if (this->settings.listen) {
+    this->port.Advertise(this->settings.self.nodeEndpoint);
+  } else {
+    this->settings.self.nodeEndpoint = *node;
+  }
   std::cout << "node " << node->Text() << "\noperator " << operatorEndpoint->Text()
             << std::endl;
   return true;
--- a/programs/toucanstand-node/NodeSettings.cpp
+++ b/programs/toucanstand-node/NodeSettings.cpp
@@ -44,6 +44,9 @@
   NodeSettings settings;
   settings.self = ReadVm(aReader);
   settings.operatorEndpoint = ReadEndpoint(aReader, "operator");
+  if (aReader.Has("listen")) {
+    settings.listen = ReadEndpoint(aReader, "listen");
+  }
   aReader.ObjectList("seeds", [&settings](SettingsReader& aSeed) {
     settings.seeds.push_back(ReadVm(aSeed));
   });
--- a/programs/toucanstand-node/NodeSettings.h
+++ b/programs/toucanstand-node/NodeSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "machines/Vm.h"
@@ -15,6 +16,8 @@
   /// Id, availability zone and message endpoint of this VM.
   Vm self;
   Endpoint operatorEndpoint;
+  /// Where messages arrive, when other VMs reach `node` through a forwarder.
+  std::optional<Endpoint> listen;
   /// Entry VMs to contact at start; also counted in majorities. @see EntryQuorum
   std::vector<Vm> seeds;
   Endpoint store;
--- a/tests/integration/support/TestSystem.cpp
+++ b/tests/integration/support/TestSystem.cpp
@@ -48,6 +48,9 @@
   for (int index = 0; index < this->options.entryVms; ++index) {
     this->MakeVm(index);
   }
+  if (this->options.proxiedVm >= 0) {
+    this->StartProxy();
+  }
   this->DescribeBackends();
   this->Put("/toucanstand/configuration", this->configuration.dump());
   this->Put("/platform/vms", this->platformList.dump());
@@ -107,11 +110,21 @@
                     aFault.dump());
 }
 
+void TestSystem::SignalEngines(int aDomain, int aSignal)
+{
+  this->engineProcesses.at(static_cast<std::size_t>(aDomain))->Signal(aSignal);
+}
+
 void TestSystem::SetServiceFault(const json& aFault)
 {
   this->caller.Json(this->serviceControl, "POST", "/fault", aFault.dump());
 }
 
+void TestSystem::SetProxyFault(const json& aFault)
+{
+  this->caller.Json(this->proxyControl, "POST", "/fault", aFault.dump());
+}
+
 json TestSystem::EngineLog(int aDomain)
 {
   return this->caller.Json(
@@ -192,6 +205,19 @@
   this->platformList["servers"] = std::move(servers);
 }
 
+void TestSystem::StartProxy()
+{
+  auto& vm = this->vms.at(static_cast<std::size_t>(this->options.proxiedVm));
+  this->proxyProcess = std::make_unique<ProcessLauncher>(
+    "fault-proxy",
+    std::vector<std::string>{ "--control=127.0.0.1:0",
+                              "--map=127.0.0.1:0=" + vm.node.Text(),
+                              "--map=127.0.0.1:0=" + this->store.Text() });
+  vm.node = this->proxyProcess->ReadEndpoint();
+  vm.store = this->proxyProcess->ReadEndpoint();
+  this->proxyControl = this->proxyProcess->ReadEndpoint("control");
+}
+
 void TestSystem::DescribeBackends()
 {
   json entryVms = json::array();
@@ -208,6 +234,7 @@
   EntryVm vm;
   vm.id = "vm-" + std::to_string(aIndex);
   vm.node = this->ports.Reserve();
+  vm.store = this->store;
   vm.callers = this->ports.Reserve();
   for (const std::string program : kPrograms) {
     vm.operators[program] = this->ports.Reserve();
@@ -220,14 +247,18 @@
 json TestSystem::SettingsOf(const EntryVm& aVm, const std::string& aProgram) const
 {
   const std::string zone = kZones.at(static_cast<std::size_t>(aVm.id.back() - '0') % 3);
+  const auto& local = aVm.messages.at("toucanstand-node");
   json settings = { { "id", aVm.id }, { "operator", aVm.operators.at(aProgram).Text() } };
   if (aProgram == "toucanstand-node") {
     settings["zone"] = zone;
     settings["node"] = aVm.node.Text();
-    settings["store"] = this->store.Text();
+    if (aVm.node != local) {
+      settings["listen"] = local.Text();
+    }
+    settings["store"] = aVm.store.Text();
     settings["seeds"] = this->platformList["entry_vms"];
   } else if (aProgram == "toucanstand-groups") {
-    settings["store"] = this->store.Text();
+    settings["store"] = aVm.store.Text();
     settings["domains"] = json::array();
     for (int domain = 0; domain < this->options.domains; ++domain) {
       settings["domains"].push_back("d" + std::to_string(domain));
@@ -239,14 +270,14 @@
                                         { "model", "m-1" } } });
   } else if (aProgram == "toucanstand-ledger") {
     settings["messages"] = aVm.messages.at(aProgram).Text();
-    settings["node"] = aVm.node.Text();
-    settings["store"] = { { "address", this->store.Text() } };
+    settings["node"] = local.Text();
+    settings["store"] = { { "address", aVm.store.Text() } };
     settings["store"].update(this->options.ledgerStore);
   } else {
     settings["zone"] = zone;
     settings["listen"] = aVm.callers.Text();
     settings["messages"] = aVm.messages.at(aProgram).Text();
-    settings["node"] = aVm.node.Text();
+    settings["node"] = local.Text();
     settings["ledger"] = aVm.messages.at("toucanstand-ledger").Text();
     settings.update(this->options.entrySettings);
   }
--- a/tests/integration/support/TestSystem.h
+++ b/tests/integration/support/TestSystem.h
@@ -23,6 +23,9 @@
   int enginesPerDomain = 5;
   int groupSize = 2;
   int services = 3;
+  /// Index of the entry VM that other VMs reach, and that reaches the store, through a
+  /// fault-proxy; -1 for none.
+  int proxiedVm = -1;
   /// Further arguments of each standin-engine process.
   std::vector<std::string> engineArguments;
   /// Further settings of each toucanstand-entry process.
@@ -44,7 +47,10 @@
   struct EntryVm
   {
     std::string id;
+    /// Where other VMs reach the node; it listens on its messages endpoint.
     Endpoint node;
+    /// Where this VM reaches the store.
+    Endpoint store;
     Endpoint callers;
     std::map<std::string, Endpoint> operators;
     std::map<std::string, Endpoint> messages;
@@ -68,10 +74,16 @@
   void Put(const std::string& aKey, const std::string& aValue);
   /// Sets the faults of the store, for example `{"down":true}`.
   void SetStoreFault(const nlohmann::json& aFault);
+  /// Sends a signal to the engine process of a domain.
+  void SignalEngines(int aDomain, int aSignal);
   void SetEngineFault(int aDomain, const nlohmann::json& aFault);
   /// Sets the faults of the services, for example `{"close_after_effect":1}`.
   void SetServiceFault(const nlohmann::json& aFault);
 
+  /// Sets the faults of the proxied VM's mappings. Mapping 0 brings it the messages of
+  /// the other nodes, mapping 1 is its way to the store.
+  void SetProxyFault(const nlohmann::json& aFault);
+
   /// Log of one engine process.
   nlohmann::json EngineLog(int aDomain);
   nlohmann::json ServiceLog();
@@ -93,6 +105,7 @@
 
 private:
   void StartStandins();
+  void StartProxy();
   void DescribeBackends();
   void MakeVm(int aIndex);
   [[nodiscard]] nlohmann::json SettingsOf(const EntryVm& aVm,
@@ -103,6 +116,8 @@
   std::unique_ptr<ProcessLauncher> storeProcess;
   std::vector<std::unique_ptr<ProcessLauncher>> engineProcesses;
   std::vector<Endpoint> engineControls;
+  std::unique_ptr<ProcessLauncher> proxyProcess;
+  Endpoint proxyControl;
   std::unique_ptr<ProcessLauncher> serviceProcess;
   Endpoint serviceControl;
 };
