--- a/tests/integration/support/HttpCaller.cpp
+++ b/tests/integration/support/HttpCaller.cpp
@@ -14,21 +14,21 @@
 constexpr Duration kPollInterval = std::chrono::milliseconds(10);
 constexpr std::size_t kMostBytes = 256U << 20U;
 
-/// Short, because tests wait for the silence of connections.
-HttpDeadlines Deadlines()
+HttpDeadlines DeadlinesFor(Duration aSilence)
 {
   HttpDeadlines deadlines;
   deadlines.connect = std::chrono::seconds(5);
-  deadlines.head = std::chrono::seconds(1);
-  deadlines.progress = std::chrono::seconds(1);
+  deadlines.head = aSilence;
+  deadlines.progress = aSilence;
   return deadlines;
 }
 
 } // namespace
 
-HttpCaller::HttpCaller()
+HttpCaller::HttpCaller(Duration aSilence)
   : loop(1)
   , client(this->loop, this->metrics)
+  , silence(aSilence)
 {
 }
 
@@ -45,8 +45,8 @@
   request.headers = aHeaders;
   Result<HttpResponse, HttpFailure> result(HttpFailure::Cancelled);
   this->Run([&]() -> Task<> {
-    result =
-      co_await this->client.Fetch(aEndpoint, std::move(request), Deadlines(), kMostBytes);
+    result = co_await this->client.Fetch(
+      aEndpoint, std::move(request), DeadlinesFor(this->silence), kMostBytes);
   }());
   return result;
 }
@@ -97,8 +97,11 @@
   request.headers = aHeaders;
   std::unique_ptr<HttpClientStream> stream;
   this->Run([&]() -> Task<> {
-    auto opened = co_await this->client.Open(
-      aEndpoint, std::move(request), Deadlines(), ConnectionUse::MayReuse, this->never);
+    auto opened = co_await this->client.Open(aEndpoint,
+                                             std::move(request),
+                                             DeadlinesFor(this->silence),
+                                             ConnectionUse::MayReuse,
+                                             this->never);
     if (!opened) {
       co_return;
     }
--- a/tests/integration/support/HttpCaller.h
+++ b/tests/integration/support/HttpCaller.h
@@ -14,7 +14,9 @@
 class HttpCaller
 {
 public:
-  HttpCaller();
+  /// @param aSilence time without a byte after which an exchange fails; short, because
+  /// tests wait for the silence of connections
+  explicit HttpCaller(Duration aSilence = std::chrono::seconds(1));
 
   /// @returns the answer, or how the exchange failed
   Result<HttpResponse, HttpFailure> Call(const Endpoint& aEndpoint,
@@ -42,7 +44,8 @@
                                                const HttpHeaders& aHeaders,
                                                std::string& aFirstBytes);
 
-  /// Reads on; empty at the end. A silence of 1 s is HttpFailure::BodyTimedOut.
+  /// Reads on; empty at the end. A silence ends the stream with
+  /// HttpFailure::BodyTimedOut.
   Result<std::string, HttpFailure> Read(HttpClientStream& aStream);
 
 private:
@@ -51,6 +54,7 @@
   boost::asio::io_context loop;
   MetricsRegistry metrics;
   HttpClient client;
+  Duration silence;
   CancelSwitch never;
 };
 
