--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: run test deps build format tidy unit sanitize integration
+.PHONY: run test deps build format tidy unit sanitize integration capacity
 
 run: deps build
 	@scripts/run-demonstration $(BUILD)
@@ -42,3 +42,18 @@
 integration: build
 	@echo "== integration tests"
 	@ctest --test-dir $(BUILD) -L integration --output-on-failure -j 4
+
+# The figures of docs/CAPACITY.md. One program after the other: they measure time.
+capacity: build
+	@echo "== footprint of real processes"
+	@$(BUILD)/bin/benchmark-footprint
+	@echo "== membership and configuration"
+	@$(BUILD)/bin/benchmark-membership
+	@echo "== routing and admission"
+	@$(BUILD)/bin/benchmark-decisions cost
+	@echo "== group plans"
+	@$(BUILD)/bin/benchmark-groups
+	@echo "== claims"
+	@$(BUILD)/bin/benchmark-claims
+	@echo "== delivery"
+	@$(BUILD)/bin/benchmark-delivery
--- a/benchmarks/benchmark-delivery/Main.cpp
+++ b/benchmarks/benchmark-delivery/Main.cpp
@@ -49,7 +49,7 @@
 {
   std::printf("## Time per call\n\n| what | ns |\n|---|---|\n");
   CrashQuarantine quarantine;
-  for (const std::size_t count : { std::size_t{ 50 }, std::size_t{ 6300 } }) {
+  for (const std::size_t count : { 50U, 394U, 1575U, 6300U }) {
     const auto servers = MakeServers(count);
     const std::string name = "Place, " + std::to_string(count) + " servers";
     Measure(name.c_str(), 2'000'000 / count, [&](std::size_t aIndex) {
