Keep two observers of a server from both staying silent

Cause: the second observer of a server stays silent while the first one's observations arrive. Whether they arrive was taken from the age of the held observation, which the own polls renew every 500 ms, and since kRepeatAfter became 750 ms, longer than a poll interval, an observer that had once fallen silent stayed so for good. When two observations cross on the network, each appears newer to its receiver by the time on the way, so both observers fell silent and the group had no permission on all other nodes.

Ruled out: lost messages and failed polls (no drops, rejections or failures counted); missing members (11 peers alive on all 12 nodes); a kRepeatAfter below the poll interval as before, which lets both observers send everything.

Change: the table remembers when another observer's last observation was made. Own polls no longer count as arrivals.

--- a/modules/toucanstand_membership/observers/ObservationTable.cpp
+++ b/modules/toucanstand_membership/observers/ObservationTable.cpp
@@ -16,14 +16,16 @@
 {
   const auto held = this->observations.find(aObservation.server);
   // Two observers poll each server. The second one stays silent while the first one's
-  // observations arrive and say the same, which halves the traffic.
-  const bool isKnown = held != this->observations.end() &&
-                       !this->own.contains(aObservation.server) &&
-                       HasSameState(held->second, aObservation) &&
-                       aNow - held->second.observedAt < kRepeatAfter;
+  // observations arrive and say the same, which halves the traffic. Own polls do not
+  // count as arrivals: each observer may take the other for the first one, and both
+  // would then stay silent for good.
+  const auto received = this->receivedAt.find(aObservation.server);
+  const bool isKnown =
+    held != this->observations.end() && received != this->receivedAt.end() &&
+    HasSameState(held->second, aObservation) && aNow - received->second < kRepeatAfter;
   const bool changed = this->Record(aObservation);
   if (!isKnown) {
-    this->own.insert(aObservation.server);
+    this->receivedAt.erase(aObservation.server);
     this->unspread.insert(aObservation.server);
   }
   return changed;
@@ -56,7 +58,7 @@
       held->second.observedAt >= aObservation.observedAt) {
     return false;
   }
-  this->own.erase(aObservation.server);
+  this->receivedAt[aObservation.server] = aObservation.observedAt;
   this->unspread.erase(aObservation.server);
   return this->Record(aObservation);
 }
@@ -68,7 +70,8 @@
   const auto isGone = [&](const ServerId& aServer) {
     return !aServers.contains(aServer);
   };
-  std::erase_if(this->own, isGone);
+  std::erase_if(this->receivedAt,
+                [&](const auto& aEntry) { return !aServers.contains(aEntry.first); });
   std::erase_if(this->unspread, isGone);
 }
 
--- a/modules/toucanstand_membership/observers/ObservationTable.h
+++ b/modules/toucanstand_membership/observers/ObservationTable.h
@@ -54,8 +54,9 @@
   bool Record(const Observation& aObservation);
 
   std::map<ServerId, Observation> observations;
-  /// Servers whose latest observation is an own one.
-  std::set<ServerId> own;
+  /// When the latest observation of another observer was made, for the servers for
+  /// which this node stays silent.
+  std::map<ServerId, TimePoint> receivedAt;
   std::set<ServerId> unspread;
 };
 
--- a/tests/unit/toucanstand_membership/TestObservationTable.cpp
+++ b/tests/unit/toucanstand_membership/TestObservationTable.cpp
@@ -56,3 +56,20 @@
   table.RecordOwn(Seen(kStart + 1200ms), kStart + 1200ms);
   CHECK(table.TakeSpread().size() == 1);
 }
+
+TEST_CASE("Two observers that hear each other do not both stay silent", "[observers]")
+{
+  // Guards against a group that loses permission on all other nodes: two observations
+  // that cross on the network each appear newer to their receiver by the time on the
+  // way, and the polls that follow must not pass for the other observer's.
+  ObservationTable table;
+  table.RecordOwn(Seen(kStart), kStart);
+  CHECK(table.TakeSpread().size() == 1);
+  table.RecordReceived(Seen(kStart + 2ms));
+  std::size_t sent = 0;
+  for (auto now = kStart + 500ms; now <= kStart + 1500ms; now += 500ms) {
+    table.RecordOwn(Seen(now), now);
+    sent += table.TakeSpread().size();
+  }
+  CHECK(sent >= 1);
+}
