--- a/benchmarks/benchmark-footprint/Footprint.h
+++ b/benchmarks/benchmark-footprint/Footprint.h
@@ -47,6 +47,8 @@
   std::map<std::string, double> storeCalls;
   /// Bytes of the body of one answer of an engine to `GET /state`.
   std::size_t stateBytes = 0;
+  /// Bytes of the platform's list of servers and entry VMs.
+  std::size_t platformListBytes = 0;
   /// Calls answered by the entry processes, per second and VM.
   double calls = 0;
 
