End the processes of benchmark-footprint when it fails

Cause: an exception that nothing caught ended the program without its destructors, and 52 processes of the 12-VM system stayed on the machine during the later measurements.

--- a/benchmarks/benchmark-footprint/Main.cpp
+++ b/benchmarks/benchmark-footprint/Main.cpp
@@ -237,23 +237,20 @@
               byTokens.Slope());
 }
 
-} // namespace
-
-int main(int aCount, char** aArguments)
+void Measure(const std::string& aPart)
 {
-  const std::string part = aCount > 1 ? aArguments[1] : "all";
-  if (part == "all" || part == "vms") {
+  if (aPart == "all" || aPart == "vms") {
     Sweep("Entry VMs, idle", "VM", { 3, 6, 9, 12 }, [](int aVms) {
       return SystemSize{ aVms, 2, 10, 2 };
     });
   }
-  if (part == "all" || part == "engines") {
+  if (aPart == "all" || aPart == "engines") {
     Sweep(
       "Engines in domains of 10, idle", "engine", { 10, 20, 40, 80 }, [](int aEngines) {
         return SystemSize{ 6, aEngines / 10, 10, 2 };
       });
   }
-  if (part == "all" || part == "domains") {
+  if (aPart == "all" || aPart == "domains") {
     Sweep("Fabric domains that divide 80 engines, idle",
           "domain",
           { 1, 2, 4, 8 },
@@ -261,7 +258,7 @@
             return SystemSize{ 6, aDomains, 80 / aDomains, 2 };
           });
   }
-  if (part == "all" || part == "members") {
+  if (aPart == "all" || aPart == "members") {
     Sweep("Members per group of 80 engines in 5 domains, idle",
           "member",
           { 2, 4, 8, 16 },
@@ -269,8 +266,21 @@
             return SystemSize{ 6, 5, 16, aMembers };
           });
   }
-  if (part == "all" || part == "calls") {
+  if (aPart == "all" || aPart == "calls") {
     MeasureCalls();
   }
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  // Caught here, so that the processes of the system end with it.
+  try {
+    Measure(aCount > 1 ? aArguments[1] : "all");
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "benchmark-footprint: %s\n", error.what());
+    return 1;
+  }
   return 0;
 }
