--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -341,7 +341,7 @@
                      503,
                      Name(aFailure),
                      "the backend servers did not take the request",
-                     kNoServerRetryAfter);
+                     this->context.Spread(kNoServerRetryAfter));
   }
   return MakeError(aStep.outcome, 502, Name(aFailure), "the backend server failed");
 }
@@ -361,7 +361,7 @@
                      503,
                      "no_server",
                      "no backend server can take the request now",
-                     kNoServerRetryAfter);
+                     this->context.Spread(kNoServerRetryAfter));
   }
   return MakeError(outcome, 502, "no_server", "no other backend server can take over");
 }
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -214,7 +214,11 @@
     this->ReportOutcome(request, aNonce, given);
     co_return given;
   }
-  co_return EndWithoutGrant(reply);
+  CallEnd end = EndWithoutGrant(reply);
+  if (end.retryAfter) {
+    end.retryAfter = this->context.Spread(*end.retryAfter);
+  }
+  co_return end;
 }
 
 Task<std::optional<CallEnd>> CallHandler::Admit(const CallState& aState)
@@ -304,7 +308,7 @@
                      503,
                      "isolated",
                      "this entry VM has no recent configuration",
-                     kIsolatedRetryAfter);
+                     this->context.Spread(kIsolatedRetryAfter));
   }
   return std::nullopt;
 }
--- a/programs/toucanstand-entry/EntryContext.cpp
+++ b/programs/toucanstand-entry/EntryContext.cpp
@@ -95,6 +95,11 @@
   }
 }
 
+Duration EntryContext::Spread(Duration aPeriod)
+{
+  return FromSeconds(ToSeconds(aPeriod) * (1 + this->random.Fraction() / 2));
+}
+
 bool EntryContext::MayServe(TimePoint aNow) const
 {
   const bool recent =
--- a/programs/toucanstand-entry/EntryContext.h
+++ b/programs/toucanstand-entry/EntryContext.h
@@ -41,6 +41,10 @@
   /// Takes over a configuration.
   void OnConfiguration(EffectiveConfiguration aConfiguration);
 
+  /// Lengthens a period by up to half of it at random, so that callers who are refused
+  /// together do not come back together.
+  [[nodiscard]] Duration Spread(Duration aPeriod);
+
   /// False while new work must be refused: no recent snapshot, or the node is isolated.
   [[nodiscard]] bool MayServe(TimePoint aNow) const;
 
--- a/programs/toucanstand-node/NodeSettings.cpp
+++ b/programs/toucanstand-node/NodeSettings.cpp
@@ -44,7 +44,7 @@
   NodeSettings settings;
   settings.self = ReadVm(aReader);
   settings.operatorEndpoint = ReadEndpoint(aReader, "operator");
-  if (aReader.Has("listen")) {
+  if (!aReader.Text("listen", "").empty()) {
     settings.listen = ReadEndpoint(aReader, "listen");
   }
   aReader.ObjectList("seeds", [&settings](SettingsReader& aSeed) {
