--- a/benchmarks/benchmark-system/Main.cpp
+++ b/benchmarks/benchmark-system/Main.cpp
@@ -1,5 +1,6 @@
 #include <iostream>
 
+#include "Overhead.h"
 #include "Scenario.h"
 #include "commandline/CommandLine.h"
 
@@ -88,7 +89,7 @@
   const ProgramDescription description = {
     "benchmark-system",
     "Measures the whole system under load against baselines.",
-    "overload|head-of-line...",
+    "overhead|overload|head-of-line...",
     { { "seed", 's', "N", "seed of the load (1)" } },
   };
   ExitCode code = ExitCode::Success;
@@ -102,13 +103,14 @@
     { "toucanstand", "least-two-choices", "weighted" },
     { "no shedding", "least-two-choices", "open" },
     { "round robin, open", "round-robin", "open" },
-    { "least outst., open", "least-outstanding", "open" },
   };
   for (const auto& scenario : commandLine->positional) {
     if (scenario == "overload") {
       MeasureOverload(policies, seed);
     } else if (scenario == "head-of-line") {
       MeasureHeadOfLine(policies, seed);
+    } else if (scenario == "overhead") {
+      MeasureOverhead();
     }
   }
   return 0;
--- a/tests/integration/support/TestSystem.cpp
+++ b/tests/integration/support/TestSystem.cpp
@@ -186,11 +186,15 @@
     this->engineControls.push_back(process->ReadEndpoint("control"));
     this->engineProcesses.push_back(std::move(process));
   }
-  this->serviceProcess = std::make_unique<ProcessLauncher>(
-    "standin-service",
-    std::vector<std::string>{ "--listen=127.0.0.1:0",
-                              "--control=127.0.0.1:0",
-                              "--count=" + std::to_string(this->options.services) });
+  std::vector<std::string> arguments = {
+    "--listen=127.0.0.1:0",
+    "--control=127.0.0.1:0",
+    "--count=" + std::to_string(this->options.services),
+  };
+  arguments.insert(arguments.end(),
+                   this->options.serviceArguments.begin(),
+                   this->options.serviceArguments.end());
+  this->serviceProcess = std::make_unique<ProcessLauncher>("standin-service", arguments);
   for (int index = 0; index < this->options.services; ++index) {
     servers.push_back({ { "id", "service-" + std::to_string(index) },
                         { "pool", "stock" },
--- a/tests/integration/support/TestSystem.h
+++ b/tests/integration/support/TestSystem.h
@@ -28,6 +28,8 @@
   int proxiedVm = -1;
   /// Further arguments of each standin-engine process.
   std::vector<std::string> engineArguments;
+  /// Further arguments of the standin-service process.
+  std::vector<std::string> serviceArguments;
   /// Further settings of each toucanstand-entry process.
   nlohmann::json entrySettings = nlohmann::json::object();
   /// Further settings of each toucanstand-ledger process under `store`.
