--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: run test deps build format tidy unit sanitize integration capacity
+.PHONY: bench run test deps build format tidy unit sanitize integration capacity
 
 run: deps build
 	@scripts/run-demonstration $(BUILD)
@@ -57,3 +57,7 @@
 	@$(BUILD)/bin/benchmark-claims
 	@echo "== delivery"
 	@$(BUILD)/bin/benchmark-delivery
+
+bench: build
+	@echo "== whole system: overhead, short behind long work, overload (about six minutes)"
+	@$(BUILD)/bin/benchmark-system overhead head-of-line overload
--- a/benchmarks/benchmark-system/Overhead.cpp
+++ b/benchmarks/benchmark-system/Overhead.cpp
@@ -34,6 +34,7 @@
 {
   std::vector<std::vector<Duration>> results(static_cast<std::size_t>(aCallers));
   std::vector<std::thread> threads;
+  threads.reserve(results.size());
   const auto start = BootClock::now();
   for (auto& result : results) {
     threads.emplace_back([&result, &aEndpoint] { result = Lookups(aEndpoint); });
