--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -354,21 +354,27 @@
 
 double FormationController::NeedOf(const ModelTerms& aModel) const
 {
+  // A model that nobody asks for now keeps some need.
+  constexpr double kLeastShare = 0.02;
   double total = 0;
   double own = 0;
   for (const auto& model : this->inputs->cost.models) {
-    const auto measured = this->inputs->work.find(model.name);
-    const double work =
-      this->inputs->work.empty()
-        ? model.workShare
-        : (measured == this->inputs->work.end() ? 0.0 : measured->second);
-    total += work;
-    own = model.name == aModel.name ? work : own;
-  }
-  // A model that nobody asks for now keeps a group's worth of need.
-  constexpr double kLeastShare = 0.02;
-  const double share = total > 0 ? own / total : 1.0;
-  return std::max(share, kLeastShare) * aModel.paceFactor;
+    const double need = this->GroupsFor(model);
+    total += need;
+    own = model.name == aModel.name ? need : own;
+  }
+  return total > 0 ? std::max(own / total, kLeastShare) : 1.0;
+}
+
+double FormationController::GroupsFor(const ModelTerms& aModel) const
+{
+  if (this->inputs->work.empty()) {
+    // The operator states the share of all engines that a model's groups should have.
+    return aModel.engineShare / static_cast<double>(aModel.groupSize);
+  }
+  const auto measured = this->inputs->work.find(aModel.name);
+  return measured == this->inputs->work.end() ? 0.0
+                                              : measured->second * aModel.paceFactor;
 }
 
 std::size_t FormationController::CountOf(const std::string& aModel) const
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -138,7 +138,10 @@
   bool FormOne(const ModelTerms& aModel, std::vector<const ServerEntry*>& aFree);
   void StageSpares(const std::vector<const ServerEntry*>& aFree);
   [[nodiscard]] std::size_t CountOf(const std::string& aModel) const;
+  /// Share of all groups that should run the model.
   [[nodiscard]] double NeedOf(const ModelTerms& aModel) const;
+  /// Groups that the model's callers keep busy, in any unit that is the same for all.
+  [[nodiscard]] double GroupsFor(const ModelTerms& aModel) const;
   [[nodiscard]] std::size_t MostGroups(const ModelTerms& aModel) const;
   [[nodiscard]] int JoinCost(const ServerEntry& aEntry, const std::string& aModel) const;
   void NoteMemberships();
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpSession.h"
 
 #include <array>
+#include <tuple>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -234,9 +235,14 @@
   this->stream.expires_after(this->context->limits.writeTimeout);
   http::response_serializer<http::string_body> serializer(message);
   // The head of an answer to HEAD states the length of the body that GET would bring.
-  auto [error, bytes] =
-    this->headOnly ? co_await http::async_write_header(this->stream, serializer, kAwait)
-                   : co_await http::async_write(this->stream, serializer, kAwait);
+  beast::error_code error;
+  if (this->headOnly) {
+    std::tie(error, std::ignore) =
+      co_await http::async_write_header(this->stream, serializer, kAwait);
+  } else {
+    std::tie(error, std::ignore) =
+      co_await http::async_write(this->stream, serializer, kAwait);
+  }
   this->answerFinished = !error;
   if (error) {
     this->NoteCallerGone();
--- a/modules/toucanstand_transport/store/StoreMirror.cpp
+++ b/modules/toucanstand_transport/store/StoreMirror.cpp
@@ -23,8 +23,7 @@
 {
   while (true) {
     const auto startedAt = BootClock::now();
-    const auto result = this->needsAll ? co_await this->ReadAll(startedAt)
-                                       : co_await this->ReadChanges(startedAt);
+    const auto result = co_await this->ReadOnce(startedAt);
     if (!result) {
       this->NoteFailure(result.LastReason());
     }
@@ -39,6 +38,14 @@
   this->timer.cancel();
 }
 
+Task<Result<Done, StoreFailure>> StoreMirror::ReadOnce(TimePoint aStartedAt)
+{
+  if (this->needsAll) {
+    co_return co_await this->ReadAll(aStartedAt);
+  }
+  co_return co_await this->ReadChanges(aStartedAt);
+}
+
 Task<Result<Done, StoreFailure>> StoreMirror::ReadAll(TimePoint aStartedAt)
 {
   std::vector<std::string> keys;
--- a/modules/toucanstand_transport/store/StoreMirror.h
+++ b/modules/toucanstand_transport/store/StoreMirror.h
@@ -60,6 +60,7 @@
   [[nodiscard]] TimePoint UpToDateAt() const { return this->upToDateAt; }
 
 private:
+  Task<Result<Done, StoreFailure>> ReadOnce(TimePoint aStartedAt);
   Task<Result<Done, StoreFailure>> ReadAll(TimePoint aStartedAt);
   Task<Result<Done, StoreFailure>> ReadChanges(TimePoint aStartedAt);
   Task<> Wait(Duration aDuration);
--- a/modules/toucanstand_world/serving/EngineCostModel.h
+++ b/modules/toucanstand_world/serving/EngineCostModel.h
@@ -17,8 +17,9 @@
   std::size_t groupSize = 1;
   /// Factor on all times of a group that runs this model.
   double paceFactor = 1.0;
-  /// The model's expected share of the work of all groups before any was measured.
-  double workShare = 1.0;
+  /// The share of all engines that the model's work is expected to need, before any was
+  /// measured.
+  double engineShare = 1.0;
   /// Time to load the weights from the weight store, with no other load in progress.
   Duration loadTime{ 0 };
   /// Time to join a group with weights that are staged on the host.
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -119,8 +119,11 @@
     }
     const bool begins =
       IsSuccess(stream.Status()) && facts.isSigned && facts.answersThisCall;
-    loss = begins ? co_await this->Relay(stream)
-                  : co_await this->TakeFailure(stream, facts);
+    if (begins) {
+      loss = co_await this->Relay(stream);
+    } else {
+      loss = co_await this->TakeFailure(stream, facts);
+    }
   }
   this->placement.OnEnded(this->ticket, this->RunEndOf(loss), BootClock::now());
   co_return loss;
