--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -250,30 +250,43 @@
                                        GroupRecord& aRecord,
                                        const ObservedGroup& aSeen)
 {
-  if (const auto* head = aSeen.Head()) {
+  const auto* head = aSeen.Head();
+  if (head != nullptr) {
     aRecord.head = head->id;
     aRecord.headEndpoint = head->endpoint;
-    aRecord.headMissingSince.reset();
-    this->OrderOnce(aId, aRecord, OrderKind::Leave, head->id, head->endpoint);
-    return;
-  }
-  const auto* entry = this->inputs->directory.Find(aRecord.head);
-  if (entry != nullptr) {
+  } else if (this->inputs->directory.Find(aRecord.head) != nullptr) {
     // The head is registered and no longer a member.
     this->Enter(aRecord, Phase::Dissolved);
     return;
   }
-  if (!aRecord.headMissingSince) {
-    aRecord.headMissingSince = this->now;
-  }
-  if (this->now - *aRecord.headMissingSince >= kSilentHead) {
-    this->Enter(aRecord, Phase::Dissolved);
-    return;
-  }
   if (!aRecord.head.IsEmpty()) {
     // The answer tells whether the head has ended or serves without being registered.
     this->OrderOnce(aId, aRecord, OrderKind::Leave, aRecord.head, aRecord.headEndpoint);
   }
+  const bool answers = head != nullptr && !this->silent.contains(aRecord.head);
+  if (answers || !this->MembersHaveLeft(aId, aRecord, aSeen)) {
+    return;
+  }
+  if (this->now - *aRecord.membersLeftAt >= this->inputs->headStall + kStallSlack) {
+    this->Enter(aRecord, Phase::Dissolved);
+  }
+}
+
+bool FormationController::MembersHaveLeft(const GroupId& aId,
+                                          GroupRecord& aRecord,
+                                          const ObservedGroup& aSeen)
+{
+  bool allLeft = true;
+  for (const auto* member : aSeen.members) {
+    if (member->id != aRecord.head && !this->silent.contains(member->id)) {
+      allLeft = false;
+      this->OrderOnce(aId, aRecord, OrderKind::Leave, member->id, member->endpoint);
+    }
+  }
+  if (allLeft && !aRecord.membersLeftAt) {
+    aRecord.membersLeftAt = this->now;
+  }
+  return aRecord.membersLeftAt.has_value();
 }
 
 void FormationController::StepDissolved(const GroupId& /*aId*/,
@@ -306,8 +319,8 @@
   }
   auto& record = found->second;
   this->now = aNow;
-  if (aOrder.kind == OrderKind::Leave && record.phase == Phase::Retiring &&
-      aReply != OrderReply::Unknown && aReply != OrderReply::Rejected) {
+  if (aOrder.kind == OrderKind::Leave && aOrder.server == record.head &&
+      record.phase == Phase::Retiring && aReply != OrderReply::Unknown && aReply != OrderReply::Rejected) {
     this->Enter(record, Phase::Dissolved);
     return;
   }
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -28,6 +28,8 @@
   ModelWork work;
   /// Loads of weights are cheap and unlimited before the first request.
   bool trafficStarted = false;
+  /// Time for which a head with a missing member keeps its work.
+  Duration headStall = std::chrono::seconds(5);
 };
 
 /// Forms, repairs and dissolves the replica groups of one pool while its process holds
@@ -38,8 +40,9 @@
 /// adopts the groups that it finds. Three rules keep a member from being taken away from
 /// a head that may serve, and a head from serving with a member missing:
 ///  - a head is opened only when every member reports the group as ready;
-///  - members are used again only after the head has left, has ended, or has been silent
-///    for longer than a head with a missing member keeps its work;
+///  - members are used again only after the head has left or has ended; the members of a
+///    head that does not answer leave, and are used again after the time for which a head
+///    with a missing member keeps its work;
 ///  - generations and fences rise with the lease, so that an engine rejects an order of
 ///    an earlier holder once it has one of the present holder.
 class FormationController
@@ -49,10 +52,9 @@
   static constexpr Duration kRepeatAfter = std::chrono::milliseconds(700);
   /// Time in which the members of a group that is found in formation may become complete.
   static constexpr Duration kAdoptionGrace = std::chrono::milliseconds(2500);
-  /// A head that lost its members breaks its work off after 5 s. When its registration
-  /// lapses, its last heartbeat is at least three intervals of 1.2 s old; with this it is
-  /// over 6.5 s.
-  static constexpr Duration kSilentHead = std::chrono::milliseconds(3200);
+  /// Added to the time for which a head with a missing member keeps its work, for the
+  /// way of the order that made the member leave.
+  static constexpr Duration kStallSlack = std::chrono::milliseconds(300);
   /// Time in which an engine's registration shows what an answered order changed.
   static constexpr Duration kRegistrationLag = std::chrono::milliseconds(2000);
   /// Longest time that a group with a leaving member finishes its work; the member exits
@@ -106,7 +108,8 @@
     /// Members by rank; empty for an adopted group.
     std::vector<ServerId> members;
     bool wasComplete = false;
-    std::optional<TimePoint> headMissingSince;
+    /// Set once no member is left in the group of a head that does not answer.
+    std::optional<TimePoint> membersLeftAt;
     /// When each engine got its last order on this group.
     std::map<ServerId, TimePoint> orderedAt;
   };
@@ -120,6 +123,9 @@
   void StepStanding(const GroupId& aId, GroupRecord& aRecord, const ObservedGroup& aSeen);
   void StepClosing(const GroupId& aId, GroupRecord& aRecord, const ObservedGroup& aSeen);
   void StepRetiring(const GroupId& aId, GroupRecord& aRecord, const ObservedGroup& aSeen);
+  [[nodiscard]] bool MembersHaveLeft(const GroupId& aId,
+                                     GroupRecord& aRecord,
+                                     const ObservedGroup& aSeen);
   void StepDissolved(const GroupId& aId, GroupRecord& aRecord, const ObservedGroup& aSeen);
 
   [[nodiscard]] bool IsUsable(const ServerEntry& aEntry) const;
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -14,6 +14,10 @@
 
 /// Weight of a new observation of a group's slowness.
 constexpr double kSlownessWeight = 0.25;
+/// Slowness below this is within the error of a prediction.
+constexpr double kNoticedSlowness = 1.6;
+/// Weight of a new observation of the time that the cost model does not state.
+constexpr double kFixedTimeWeight = 0.02;
 /// A single observation counts as at most this much slower than predicted.
 constexpr double kMostSlowness = 8.0;
 /// Time after which half of an observed slowness is forgotten, so that a group that gets
@@ -52,9 +56,26 @@
   }
 }
 
-GroupWork GroupPlacement::WorkOf(const GroupState& aState, TimePoint aNow) const
+std::unordered_map<GroupId, double> GroupPlacement::TokensToRead(TimePoint aNow) const
 {
-  GroupWork work{ aState.own.reading, aState.own.readingTokens, aState.own.writing };
+  // Engines don't tell how far they have read a prompt; it is taken to be read evenly
+  // over the predicted time to the first event.
+  std::unordered_map<GroupId, double> tokens;
+  for (const auto& run : this->runs | std::views::values) {
+    const double progress =
+      ToSeconds(aNow - run.sentAt) / std::max(ToSeconds(run.predicted), 1e-3);
+    if (!run.writing && progress < 1.0) {
+      tokens[run.group] += run.promptTokens * (1.0 - progress);
+    }
+  }
+  return tokens;
+}
+
+GroupWork GroupPlacement::WorkOf(const GroupState& aState,
+                                 double aOwnTokens,
+                                 TimePoint aNow) const
+{
+  GroupWork work{ aState.own.reading, aOwnTokens, aState.own.writing };
   for (const auto& peer : aState.peers | std::views::values) {
     if (aNow - peer.receivedAt <= kPeerReportLife) {
       work.reading += peer.load.reading;
@@ -73,19 +94,28 @@
   return work;
 }
 
-double GroupPlacement::PaceOf(const GroupState& aState, TimePoint aNow) const
+double GroupPlacement::PaceOf(const std::string& aModel) const
+{
+  const auto* terms = this->cost.FindModel(aModel);
+  return terms == nullptr ? 1.0 : terms->paceFactor;
+}
+
+double GroupPlacement::SlownessOf(const GroupState& aState, TimePoint aNow) const
 {
-  const auto* terms = this->cost.FindModel(aState.group.model);
-  const double modelPace = terms == nullptr ? 1.0 : terms->paceFactor;
   const double age = ToSeconds(aNow - aState.slownessAt) / ToSeconds(kSlownessHalfLife);
-  const double kept = std::pow(0.5, std::max(age, 0.0));
-  return modelPace * (1.0 + (aState.slowness - 1.0) * kept);
+  const double slowness = 1.0 + (aState.slowness - 1.0) * std::pow(0.5, std::max(age, 0.0));
+  return slowness < kNoticedSlowness ? 1.0 : slowness;
 }
 
 Result<PlacementChoice, PlacementDelay> GroupPlacement::Choose(
   const PlacementQuery& aQuery,
   TimePoint aNow)
 {
+  const auto tokens = this->TokensToRead(aNow);
+  const auto tokensOf = [&tokens](const GroupId& aGroup) {
+    const auto found = tokens.find(aGroup);
+    return found == tokens.end() ? 0.0 : found->second;
+  };
   std::vector<PlacementChoice> choices;
   Duration soonest = Duration::max();
   for (auto& [id, state] : this->groups) {
@@ -95,9 +125,14 @@
     if (excluded) {
       continue;
     }
-    PlacementChoice choice{ state.group, Duration::zero(), this->WorkOf(state, aNow) };
-    choice.predicted = PredictFirstEvent(
-      this->cost, choice.work, aQuery.promptTokens, this->PaceOf(state, aNow));
+    PlacementChoice choice;
+    choice.group = state.group;
+    choice.work = this->WorkOf(state, tokensOf(id), aNow);
+    choice.modelled = PredictFirstEvent(
+      this->cost, choice.work, aQuery.promptTokens, this->PaceOf(aQuery.model));
+    choice.predicted = FromSeconds(
+      ToSeconds(choice.modelled + this->fixedTimes[aQuery.model].mean) *
+      this->SlownessOf(state, aNow));
     choice.predicted += state.group.zone == this->ownZone ? Duration::zero() : kOtherZone;
     soonest = std::min(soonest, choice.predicted);
     choices.push_back(std::move(choice));
@@ -121,12 +156,10 @@
                                               TimePoint aNow)
 {
   const Ticket ticket = ++this->lastTicket;
-  this->runs[ticket] = {
-    aChoice.group.id, aPromptTokens, aChoice.predicted, aNow, false
-  };
+  this->runs[ticket] = { aChoice.group.id,   aPromptTokens, aChoice.modelled,
+                         aChoice.predicted, aNow,          false };
   if (auto* state = this->Find(aChoice.group.id)) {
     state->own.reading += 1;
-    state->own.readingTokens += aPromptTokens;
   }
   return ticket;
 }
@@ -144,17 +177,31 @@
     return;
   }
   state->own.reading -= 1;
-  state->own.readingTokens -= run.promptTokens;
   state->own.writing += 1;
   state->suspectedUntil = TimePoint{};
-  const double observed = std::clamp(
-    ToSeconds(aNow - run.sentAt) / std::max(ToSeconds(run.predicted), 1e-3),
-    1.0 / kMostSlowness,
-    kMostSlowness);
-  // The prediction already holds what was known of the slowness.
-  const double relative = std::max(observed * state->slowness, 1.0);
-  state->slowness += kSlownessWeight * (std::min(relative, kMostSlowness) - state->slowness);
-  state->slownessAt = aNow;
+  this->Learn(*state, run, aNow);
+}
+
+void GroupPlacement::Learn(GroupState& aState, const Run& aRun, TimePoint aNow)
+{
+  const Duration observed = aNow - aRun.sentAt;
+  const double relative =
+    std::clamp(ToSeconds(observed) / std::max(ToSeconds(aRun.predicted), 1e-3) *
+                 this->SlownessOf(aState, aNow),
+               1.0,
+               kMostSlowness);
+  aState.slowness += kSlownessWeight * (relative - aState.slowness);
+  aState.slownessAt = aNow;
+  if (aState.slowness >= kNoticedSlowness) {
+    return;
+  }
+  auto& fixed = this->fixedTimes[aState.group.model];
+  ++fixed.samples;
+  const double weight =
+    std::max(1.0 / static_cast<double>(fixed.samples), kFixedTimeWeight);
+  const double surplus = ToSeconds(observed) - ToSeconds(aRun.modelled);
+  fixed.mean = FromSeconds(std::max(
+    0.0, ToSeconds(fixed.mean) + weight * (surplus - ToSeconds(fixed.mean))));
 }
 
 void GroupPlacement::OnEnded(Ticket aTicket, GroupRunEnd aEnd, TimePoint aNow)
@@ -173,7 +220,6 @@
     state->own.writing -= 1;
   } else {
     state->own.reading -= 1;
-    state->own.readingTokens -= run.promptTokens;
   }
   const auto avoid = [state, aNow](Duration aPeriod) {
     state->avoidedUntil = std::max(state->avoidedUntil, aNow + aPeriod);
@@ -240,13 +286,17 @@
   aState.suspectedUntil = aNow + kAfterStall;
 }
 
-std::vector<GroupLoad> GroupPlacement::OwnLoads() const
+std::vector<GroupLoad> GroupPlacement::OwnLoads(TimePoint aNow) const
 {
+  const auto tokens = this->TokensToRead(aNow);
   std::vector<GroupLoad> loads;
-  for (const auto& state : this->groups | std::views::values) {
-    if (state.own.reading + state.own.writing > 0) {
-      loads.push_back(state.own);
+  for (const auto& [id, state] : this->groups) {
+    if (state.own.reading + state.own.writing <= 0) {
+      continue;
     }
+    loads.push_back(state.own);
+    const auto found = tokens.find(id);
+    loads.back().readingTokens = found == tokens.end() ? 0.0 : found->second;
   }
   return loads;
 }
@@ -279,13 +329,16 @@
 nlohmann::json GroupPlacement::Describe(TimePoint aNow) const
 {
   nlohmann::json list = nlohmann::json::array();
+  const auto tokens = this->TokensToRead(aNow);
   for (const auto& [id, state] : this->groups) {
-    const auto work = this->WorkOf(state, aNow);
+    const auto found = tokens.find(id);
+    const auto work =
+      this->WorkOf(state, found == tokens.end() ? 0.0 : found->second, aNow);
     list.push_back({ { "group", id.Value() },
                      { "head", state.group.head.Value() },
                      { "reading", work.reading },
                      { "writing", work.writing },
-                     { "pace", this->PaceOf(state, aNow) },
+                     { "slowness", this->SlownessOf(state, aNow) },
                      { "avoided", aNow < state.avoidedUntil },
                      { "suspected", aNow < state.suspectedUntil } });
   }
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -48,6 +48,8 @@
 struct PlacementChoice
 {
   ServingGroup group;
+  /// By the cost model alone, and with what was learned.
+  Duration modelled{ 0 };
   Duration predicted{ 0 };
   GroupWork work;
 };
@@ -147,7 +149,7 @@
   void OnPeerSuspicion(const GroupId& aGroup, TimePoint aNow);
 
   /// What this entry VM has in progress, for its peers.
-  [[nodiscard]] std::vector<GroupLoad> OwnLoads() const;
+  [[nodiscard]] std::vector<GroupLoad> OwnLoads(TimePoint aNow) const;
 
   /// Groups that went silent since the last call.
   [[nodiscard]] std::vector<GroupId> TakeSuspicions();
@@ -180,17 +182,33 @@
     TimePoint slownessAt{};
   };
 
+  /// Time to the first event that the cost model does not state, such as that of the
+  /// engine's front end; learned for each model over all of its groups.
+  struct FixedTime
+  {
+    Duration mean{ 0 };
+    std::size_t samples = 0;
+  };
+
   struct Run
   {
     GroupId group;
     double promptTokens = 0;
+    /// By the cost model alone.
+    Duration modelled{ 0 };
     Duration predicted{ 0 };
     TimePoint sentAt{};
     bool writing = false;
   };
 
-  [[nodiscard]] GroupWork WorkOf(const GroupState& aState, TimePoint aNow) const;
-  [[nodiscard]] double PaceOf(const GroupState& aState, TimePoint aNow) const;
+  /// Prompt tokens of this entry VM's requests that are still to be read, by group.
+  [[nodiscard]] std::unordered_map<GroupId, double> TokensToRead(TimePoint aNow) const;
+  [[nodiscard]] GroupWork WorkOf(const GroupState& aState,
+                                 double aOwnTokens,
+                                 TimePoint aNow) const;
+  [[nodiscard]] double PaceOf(const std::string& aModel) const;
+  [[nodiscard]] double SlownessOf(const GroupState& aState, TimePoint aNow) const;
+  void Learn(GroupState& aState, const Run& aRun, TimePoint aNow);
   [[nodiscard]] GroupState* Find(const GroupId& aGroup);
   void Suspect(GroupState& aState, TimePoint aNow);
 
@@ -198,6 +216,7 @@
   Random random;
   EngineCostModel cost;
   std::unordered_map<GroupId, GroupState> groups;
+  std::unordered_map<std::string, FixedTime> fixedTimes;
   std::unordered_map<Ticket, Run> runs;
   Ticket lastTicket = 0;
   std::vector<GroupId> suspicions;
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -95,7 +95,7 @@
   report.sequence = ++this->sequence;
   report.work = this->state.work.Rates(aNow);
   for (auto& placement : this->state.placements | std::views::values) {
-    for (const auto& load : placement.OwnLoads()) {
+    for (const auto& load : placement.OwnLoads(aNow)) {
       report.loads.push_back(
         { load.group.Value(), load.reading, load.readingTokens, load.writing });
     }
