Notice silent groups early, stage ahead of traffic, move engines between models; one SIGTERM deadline

Causes: a second SIGTERM cut the drain to 250 ms (LOST on kfh mix); members of a lost group idled for want of one engine; a lost member was noticed by its registration after 3.6 s only. Ruled out: the drain deadline, the listener.

--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -48,7 +48,7 @@
   this->outdated = false;
   this->groups.clear();
   this->silent.clear();
-  this->stagedAt.clear();
+  this->staging.clear();
 }
 
 std::vector<EngineOrder> FormationController::Plan(const FormationInputs& aInputs,
@@ -58,6 +58,7 @@
   this->now = aNow;
   this->orders.clear();
   this->NoteMemberships();
+  this->ForgetStaged();
 
   const auto observed = aInputs.directory.GroupsOf(this->pool);
   this->Adopt(observed);
@@ -236,7 +237,7 @@
                         head->membership->state == MembershipState::Ready ||
                         head->membership->state == MembershipState::Broken;
   if (finished || !this->IsComplete(aRecord, aSeen) ||
-      this->now - aRecord.since >= kCloseWait) {
+      this->now - aRecord.since >= aRecord.closeWait) {
     this->Enter(aRecord, Phase::Retiring);
     this->StepRetiring(aId, aRecord, aSeen);
     return;
@@ -447,7 +448,64 @@
       models.erase(next);
     }
   }
+  this->MoveEngines(aFree);
   this->StageSpares(aFree);
+  if (!this->inputs->trafficStarted) {
+    this->StageAhead();
+  }
+}
+
+void FormationController::MoveEngines(const std::vector<const ServerEntry*>& aFree)
+{
+  const bool moving =
+    std::ranges::any_of(this->groups | std::views::values, [](const auto& aRecord) {
+      return aRecord.phase == Phase::Closing && aRecord.closeWait == kMoveWait;
+    });
+  if (moving || this->inputs->cost.models.empty()) {
+    return;
+  }
+  const auto lacking =
+    std::ranges::min_element(this->inputs->cost.models, {}, [this](const auto& aModel) {
+      return static_cast<double>(this->CountOf(aModel.name)) / this->NeedOf(aModel);
+    });
+  if (const auto donor = this->DonorFor(*lacking, aFree)) {
+    auto& record = this->groups.at(*donor);
+    record.closeWait = kMoveWait;
+    this->Enter(record, Phase::Closing);
+  }
+}
+
+std::optional<GroupId> FormationController::DonorFor(
+  const ModelTerms& aLacking,
+  const std::vector<const ServerEntry*>& aFree) const
+{
+  const double lackingAfter =
+    (static_cast<double>(this->CountOf(aLacking.name)) + 1) / this->NeedOf(aLacking);
+  for (const auto& [id, record] : this->groups) {
+    const auto* terms = this->inputs->cost.FindModel(record.model);
+    const auto* head = this->inputs->directory.Find(record.head);
+    if (record.phase != Phase::Standing || terms == nullptr || head == nullptr ||
+        record.model == aLacking.name) {
+      continue;
+    }
+    const double donorAfter =
+      (static_cast<double>(this->CountOf(record.model)) - 1) / this->NeedOf(*terms);
+    const auto reachable =
+      std::ranges::count_if(aFree, [this, head, &aLacking](const ServerEntry* aEntry) {
+        return aEntry->domain == head->domain &&
+               this->JoinCost(*aEntry, aLacking.name) < 2;
+      });
+    const auto members = this->inputs->directory.GroupsOf(this->pool).at(id).members;
+    const auto movable =
+      std::ranges::count_if(members, [this, &aLacking](const ServerEntry* aEntry) {
+        return this->JoinCost(*aEntry, aLacking.name) < 2;
+      });
+    const auto together = static_cast<std::size_t>(reachable + movable);
+    if (donorAfter >= lackingAfter && reachable > 0 && together >= aLacking.groupSize) {
+      return id;
+    }
+  }
+  return std::nullopt;
 }
 
 bool FormationController::FormOne(const ModelTerms& aModel,
@@ -514,30 +572,92 @@
 
 void FormationController::StageSpares(const std::vector<const ServerEntry*>& aFree)
 {
-  // Spares wait for the model whose groups need the most engines: its groups are the
-  // likeliest to lose a member.
-  const auto& models = this->inputs->cost.models;
-  const auto model = std::ranges::max_element(models, {}, &ModelTerms::groupSize);
-  if (model == models.end()) {
+  // The largest groups are the likeliest to lose a member, so their model comes first.
+  auto models = this->inputs->cost.models;
+  std::ranges::stable_sort(models, std::greater{}, &ModelTerms::groupSize);
+  for (const auto* entry : aFree) {
+    const auto wanted =
+      std::ranges::find_if(models, [this, entry](const ModelTerms& aModel) {
+        return this->JoinCost(*entry, aModel.name) == 2;
+      });
+    const bool affordable =
+      wanted != models.end() && !this->staging.contains(entry->id) &&
+      (!this->inputs->trafficStarted ||
+       this->loads.TryTake(1, this->inputs->cost.loadsPerSecond, this->now));
+    // A host keeps few models: one that is staged and not the last one stays.
+    const bool keepsOther =
+      !entry->stagedModels.empty() && wanted != models.end() &&
+      this->JoinCost(*entry, entry->stagedModels.front()) == 1;
+    if (affordable && !keepsOther) {
+      this->Stage(*entry, *wanted);
+    }
+  }
+}
+
+void FormationController::StageAhead()
+{
+  const bool forming =
+    std::ranges::any_of(this->groups | std::views::values, [](const auto& aRecord) {
+      return aRecord.phase == Phase::Forming;
+    });
+  if (forming) {
     return;
   }
-  for (const auto* entry : aFree) {
-    const auto last = this->stagedAt.find(entry->id);
-    const bool waiting = last != this->stagedAt.end() &&
-                         this->now - last->second < model->loadTime * kRepeatStaging;
-    if (waiting || this->JoinCost(*entry, model->name) < 2 ||
-        !this->loads.TryTake(1, this->inputs->cost.loadsPerSecond, this->now)) {
-      continue;
+  // Members of small groups first: with a free engine or two they make a large one.
+  std::vector<std::pair<std::size_t, const ServerEntry*>> members;
+  for (const auto& group :
+       this->inputs->directory.GroupsOf(this->pool) | std::views::values) {
+    for (const auto* member : group.members) {
+      members.emplace_back(group.members.size(), member);
     }
-    this->stagedAt[entry->id] = this->now;
-    EngineOrder order;
-    order.server = entry->id;
-    order.endpoint = entry->endpoint;
-    order.kind = OrderKind::Stage;
-    order.model = model->name;
-    order.fence = this->term;
-    this->orders.push_back(std::move(order));
   }
+  std::ranges::stable_sort(members, {}, &decltype(members)::value_type::first);
+  const std::size_t most = this->inputs->cost.concurrentLoads * kEarlyLoads;
+  for (const auto& [size, member] : members) {
+    if (this->StagingNow() >= most) {
+      return;
+    }
+    const auto other =
+      std::ranges::find_if(this->inputs->cost.models, [this, member](const auto& aModel) {
+        return this->JoinCost(*member, aModel.name) == 2;
+      });
+    if (other != this->inputs->cost.models.end() && !this->staging.contains(member->id)) {
+      this->Stage(*member, *other);
+    }
+  }
+}
+
+void FormationController::Stage(const ServerEntry& aEntry, const ModelTerms& aModel)
+{
+  this->staging[aEntry.id] = { aModel.name, this->now };
+  EngineOrder order;
+  order.server = aEntry.id;
+  order.endpoint = aEntry.endpoint;
+  order.kind = OrderKind::Stage;
+  order.model = aModel.name;
+  order.fence = this->term;
+  this->orders.push_back(std::move(order));
+}
+
+std::size_t FormationController::StagingNow() const
+{
+  return this->staging.size();
+}
+
+void FormationController::ForgetStaged()
+{
+  std::erase_if(this->staging, [this](const auto& aStaging) {
+    const auto* entry = this->inputs->directory.Find(aStaging.first);
+    const auto* terms = this->inputs->cost.FindModel(aStaging.second.model);
+    if (entry == nullptr || terms == nullptr) {
+      return true;
+    }
+    const bool staged =
+      std::ranges::find(entry->stagedModels, aStaging.second.model) !=
+      entry->stagedModels.end();
+    return staged ||
+           this->now - aStaging.second.orderedAt >= terms->loadTime * kRepeatStaging;
+  });
 }
 
 nlohmann::json FormationController::Describe() const
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -60,6 +60,12 @@
   /// Longest time that a group with a leaving member finishes its work; the member exits
   /// as soon as 2 s after it announced that it leaves.
   static constexpr Duration kCloseWait = std::chrono::milliseconds(1500);
+  /// The same for a group whose engines are wanted for another model. A usual stream takes
+  /// under 3 s.
+  static constexpr Duration kMoveWait = std::chrono::milliseconds(4000);
+  /// Loads that may be in progress before the first request, relative to the number beyond
+  /// which they slow one another down.
+  static constexpr std::size_t kEarlyLoads = 2;
 
   explicit FormationController(PoolId aPool);
 
@@ -77,6 +83,9 @@
   /// An engine that was silent answers.
   void OnAnswered(const ServerId& aServer);
 
+  /// Engines that do not answer although they are registered.
+  [[nodiscard]] const std::set<ServerId>& Silent() const { return this->silent; }
+
   /// True once an engine has seen an order of a later holder of the lease.
   [[nodiscard]] bool IsOutdated() const { return this->outdated; }
 
@@ -108,6 +117,7 @@
     /// Members by rank; empty for an adopted group.
     std::vector<ServerId> members;
     bool wasComplete = false;
+    Duration closeWait = kCloseWait;
     /// Set once no member is left in the group of a head that does not answer.
     std::optional<TimePoint> membersLeftAt;
     /// When each engine got its last order on this group.
@@ -142,7 +152,19 @@
   [[nodiscard]] std::vector<const ServerEntry*> FreeEngines() const;
   void FormGroups(std::vector<const ServerEntry*> aFree);
   bool FormOne(const ModelTerms& aModel, std::vector<const ServerEntry*>& aFree);
+  /// Closes a group of a model with more than enough groups where its engines and the
+  /// free ones of the same domain make a group of a model that lacks one.
+  void MoveEngines(const std::vector<const ServerEntry*>& aFree);
+  [[nodiscard]] std::optional<GroupId> DonorFor(
+    const ModelTerms& aLacking,
+    const std::vector<const ServerEntry*>& aFree) const;
   void StageSpares(const std::vector<const ServerEntry*>& aFree);
+  /// Before the first request: weights of the other models for the members of groups, so
+  /// that a later move takes the time of a warm join.
+  void StageAhead();
+  void Stage(const ServerEntry& aEntry, const ModelTerms& aModel);
+  [[nodiscard]] std::size_t StagingNow() const;
+  void ForgetStaged();
   [[nodiscard]] std::size_t CountOf(const std::string& aModel) const;
   /// Share of all groups that should run the model.
   [[nodiscard]] double NeedOf(const ModelTerms& aModel) const;
@@ -165,7 +187,12 @@
     std::string model;
   };
   std::map<ServerId, LastModel> lastModels;
-  std::map<ServerId, TimePoint> stagedAt;
+  struct StagingOrder
+  {
+    std::string model;
+    TimePoint orderedAt{};
+  };
+  std::map<ServerId, StagingOrder> staging;
   LoadBudget loads;
 
   // Set for the duration of Plan().
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -121,6 +121,7 @@
   for (auto& [id, state] : this->groups) {
     const bool excluded = state.group.model != aQuery.model ||
                           aNow < state.avoidedUntil || aNow < state.suspectedUntil ||
+                          this->IsSilent(state, aNow) ||
                           std::ranges::find(aQuery.excluded, id) != aQuery.excluded.end();
     if (excluded) {
       continue;
@@ -164,22 +165,26 @@
   return ticket;
 }
 
-void GroupPlacement::OnFirstEvent(Ticket aTicket, TimePoint aNow)
+void GroupPlacement::OnEvents(Ticket aTicket, TimePoint aNow)
 {
   const auto found = this->runs.find(aTicket);
-  if (found == this->runs.end() || found->second.writing) {
-    return;
-  }
-  auto& run = found->second;
-  run.writing = true;
-  auto* state = this->Find(run.group);
+  auto* state = found == this->runs.end() ? nullptr : this->Find(found->second.group);
   if (state == nullptr) {
     return;
   }
-  state->own.reading -= 1;
-  state->own.writing += 1;
+  state->lastEventsAt = aNow;
   state->suspectedUntil = TimePoint{};
-  this->Learn(*state, run, aNow);
+  if (!found->second.writing) {
+    this->OnFirstEvents(found->second, *state, aNow);
+  }
+}
+
+void GroupPlacement::OnFirstEvents(Run& aRun, GroupState& aState, TimePoint aNow)
+{
+  aRun.writing = true;
+  aState.own.reading -= 1;
+  aState.own.writing += 1;
+  this->Learn(aState, aRun, aNow);
 }
 
 void GroupPlacement::Learn(GroupState& aState, const Run& aRun, TimePoint aNow)
@@ -235,7 +240,7 @@
       avoid(kAfterUnusable);
       break;
     case GroupRunEnd::Stalled:
-      this->Suspect(*state, aNow);
+      state->suspectedUntil = aNow + kAfterStall;
       this->suspicions.push_back(run.group);
       break;
     case GroupRunEnd::Failed:
@@ -277,13 +282,14 @@
 void GroupPlacement::OnPeerSuspicion(const GroupId& aGroup, TimePoint aNow)
 {
   if (auto* state = this->Find(aGroup)) {
-    this->Suspect(*state, aNow);
+    state->suspectedUntil = std::max(state->suspectedUntil, aNow + kPeerSuspicion);
   }
 }
 
-void GroupPlacement::Suspect(GroupState& aState, TimePoint aNow)
+bool GroupPlacement::IsSilent(const GroupState& aState, TimePoint aNow) const
 {
-  aState.suspectedUntil = aNow + kAfterStall;
+  const auto limit = FromSeconds(ToSeconds(kSilence) * this->SlownessOf(aState, aNow));
+  return aState.own.writing > 0 && aNow - aState.lastEventsAt > limit;
 }
 
 std::vector<GroupLoad> GroupPlacement::OwnLoads(TimePoint aNow) const
@@ -301,8 +307,14 @@
   return loads;
 }
 
-std::vector<GroupId> GroupPlacement::TakeSuspicions()
+std::vector<GroupId> GroupPlacement::TakeSuspicions(TimePoint aNow)
 {
+  for (auto& [id, state] : this->groups) {
+    if (this->IsSilent(state, aNow) && aNow - state.reportedAt > kReportAgain) {
+      state.reportedAt = aNow;
+      this->suspicions.push_back(id);
+    }
+  }
   return std::exchange(this->suspicions, {});
 }
 
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -113,6 +113,13 @@
   static constexpr Duration kAfterUnusable = std::chrono::milliseconds(1500);
   /// A group that lost a member is silent for 5 s and then rejects.
   static constexpr Duration kAfterStall = std::chrono::milliseconds(5000);
+  /// A group whose streams all pause for this long is reported as silent: a pass with
+  /// prompts read in between takes under 300 ms.
+  static constexpr Duration kSilence = std::chrono::milliseconds(420);
+  static constexpr Duration kReportAgain = std::chrono::milliseconds(1000);
+  /// Time for which a peer's report of a silent group is believed; members that live
+  /// answer the leader's questions within it.
+  static constexpr Duration kPeerSuspicion = std::chrono::milliseconds(1500);
   /// Failures in a row after which a group is avoided, and for how long at first.
   static constexpr int kFailuresInARow = 3;
   static constexpr Duration kAfterFailures = std::chrono::milliseconds(1000);
@@ -134,7 +141,8 @@
 
   /// A request was sent to a group.
   Ticket OnSent(const PlacementChoice& aChoice, double aPromptTokens, TimePoint aNow);
-  void OnFirstEvent(Ticket aTicket, TimePoint aNow);
+  /// Events arrived.
+  void OnEvents(Ticket aTicket, TimePoint aNow);
   /// Call exactly once for each ticket.
   void OnEnded(Ticket aTicket, GroupRunEnd aEnd, TimePoint aNow);
 
@@ -152,7 +160,7 @@
   [[nodiscard]] std::vector<GroupLoad> OwnLoads(TimePoint aNow) const;
 
   /// Groups that went silent since the last call.
-  [[nodiscard]] std::vector<GroupId> TakeSuspicions();
+  [[nodiscard]] std::vector<GroupId> TakeSuspicions(TimePoint aNow);
 
   /// True while this process has reason to believe that a group does not answer.
   [[nodiscard]] bool IsSuspected(const GroupId& aGroup, TimePoint aNow) const;
@@ -180,6 +188,10 @@
     /// Observed time to the first event, relative to the prediction; 1 is as predicted.
     double slowness = 1.0;
     TimePoint slownessAt{};
+    /// When events of any of this entry VM's requests arrived last.
+    TimePoint lastEventsAt{};
+    /// When its silence was reported last.
+    TimePoint reportedAt{};
   };
 
   /// Time to the first event that the cost model does not state, such as that of the
@@ -209,8 +221,9 @@
   [[nodiscard]] double PaceOf(const std::string& aModel) const;
   [[nodiscard]] double SlownessOf(const GroupState& aState, TimePoint aNow) const;
   void Learn(GroupState& aState, const Run& aRun, TimePoint aNow);
+  void OnFirstEvents(Run& aRun, GroupState& aState, TimePoint aNow);
   [[nodiscard]] GroupState* Find(const GroupId& aGroup);
-  void Suspect(GroupState& aState, TimePoint aNow);
+  [[nodiscard]] bool IsSilent(const GroupState& aState, TimePoint aNow) const;
 
   ZoneId ownZone;
   Random random;
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -22,12 +22,15 @@
 
 } // namespace
 
-ShutdownSequence::ShutdownSequence(boost::asio::io_context& aLoop, Duration aGracePeriod)
+ShutdownSequence::ShutdownSequence(boost::asio::io_context& aLoop,
+                                   Duration aGracePeriod,
+                                   RepeatedSignal aRepeated)
   : loop(aLoop)
   , signals(aLoop, SIGTERM, SIGINT)
   , deadlineTimer(aLoop)
   , checkTimer(aLoop)
   , gracePeriod(aGracePeriod)
+  , repeated(aRepeated)
 {
   std::signal(SIGPIPE, SIG_IGN);
   this->WaitForSignal();
@@ -69,10 +72,10 @@
     if (aError) {
       return;
     }
-    if (this->draining) {
-      this->ShortenDeadline();
-    } else {
+    if (!this->draining) {
       this->Begin();
+    } else if (this->repeated == RepeatedSignal::Shortens) {
+      this->ShortenDeadline();
     }
     this->WaitForSignal();
   });
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
@@ -20,16 +20,26 @@
   std::function<bool()> isBusy;
 };
 
+/// What a second signal does to a stop in progress.
+enum class RepeatedSignal
+{
+  /// The remaining time is cut to 250 ms.
+  Shortens,
+  /// Several parts of a platform may ask for the same stop: the deadline stays.
+  IsIgnored,
+};
+
 /// Planned stop on SIGTERM or SIGINT under one absolute deadline.
 ///
 /// The signal handlers are installed by the constructor, before the program is ready.
-/// A second signal shortens the remaining time to a floor of 250 ms. The program ends
-/// as soon as nothing is in flight.
+/// The program ends as soon as nothing is in flight.
 class ShutdownSequence
 {
 public:
   /// @param aGracePeriod longest time for work in flight after the first signal.
-  ShutdownSequence(boost::asio::io_context& aLoop, Duration aGracePeriod);
+  ShutdownSequence(boost::asio::io_context& aLoop,
+                   Duration aGracePeriod,
+                   RepeatedSignal aRepeated = RepeatedSignal::Shortens);
 
   void SetHooks(ShutdownHooks aHooks);
 
@@ -55,6 +65,7 @@
   boost::asio::steady_timer deadlineTimer;
   boost::asio::steady_timer checkTimer;
   Duration gracePeriod;
+  RepeatedSignal repeated;
   TimePoint deadline{};
   ShutdownHooks hooks;
   bool draining = false;
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -149,10 +149,8 @@
     if (events->empty()) {
       continue;
     }
-    if (firstOfRun) {
-      firstOfRun = false;
-      this->placement.OnFirstEvent(this->ticket, BootClock::now());
-    }
+    firstOfRun = false;
+    this->placement.OnEvents(this->ticket, BootClock::now());
     if (!co_await this->PassOn(aStream, *events)) {
       co_return AttemptLoss{ AttemptFailure::CallerLeft, std::nullopt };
     }
--- a/programs/toucanstand-server/GroupKeeper.cpp
+++ b/programs/toucanstand-server/GroupKeeper.cpp
@@ -61,6 +61,7 @@
     co_await this->session.StepDown();
     co_return;
   }
+  this->ExamineSilent(now);
   const auto configuration = this->state.configuration;
   for (const auto& pool : configuration->Pools()) {
     if (pool.engine) {
@@ -83,6 +84,23 @@
   }
 }
 
+void GroupKeeper::ExamineSilent(TimePoint aNow)
+{
+  if (aNow - this->silentExaminedAt < kNextQuestion) {
+    return;
+  }
+  this->silentExaminedAt = aNow;
+  for (const auto& [pool, controller] : this->controllers) {
+    for (const auto& server : controller.Silent()) {
+      const auto* entry = this->state.directory.Find(server);
+      if (entry != nullptr) {
+        asio::co_spawn(
+          this->state.loop, this->Examine(pool, server, entry->endpoint), asio::detached);
+      }
+    }
+  }
+}
+
 FormationController& GroupKeeper::ControllerOf(const PoolId& aPool)
 {
   const auto found = this->controllers.find(aPool);
--- a/programs/toucanstand-server/GroupKeeper.h
+++ b/programs/toucanstand-server/GroupKeeper.h
@@ -20,9 +20,11 @@
   static constexpr Duration kInterval = std::chrono::milliseconds(200);
   /// Between two questions to a member that did not answer. A link that loses packets
   /// seldom loses two answers in a row.
-  static constexpr Duration kSecondQuestion = std::chrono::milliseconds(250);
+  static constexpr Duration kSecondQuestion = std::chrono::milliseconds(100);
+  /// Engines that did not answer are asked again after this.
+  static constexpr Duration kNextQuestion = std::chrono::milliseconds(2000);
   /// A group is examined again no sooner than after this.
-  static constexpr Duration kExaminationInterval = std::chrono::milliseconds(1500);
+  static constexpr Duration kExaminationInterval = std::chrono::milliseconds(1000);
 
   GroupKeeper(ServingState& aState, Session& aSession, PeerLink& aPeers);
 
@@ -37,6 +39,7 @@
 private:
   Task<> PlanAll(std::int64_t aTerm);
   void PlanPool(const PoolId& aPool, const EngineCostModel& aCost, TimePoint aNow);
+  void ExamineSilent(TimePoint aNow);
   Task<> Give(PoolId aPool, EngineOrder aOrder);
   Task<> Examine(PoolId aPool, ServerId aMember, Endpoint aEndpoint);
   FormationController& ControllerOf(const PoolId& aPool);
@@ -47,6 +50,7 @@
   std::map<PoolId, FormationController> controllers;
   std::map<GroupId, TimePoint> examinedAt;
   std::int64_t term = 0;
+  TimePoint silentExaminedAt{};
 };
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -99,7 +99,7 @@
       report.loads.push_back(
         { load.group.Value(), load.reading, load.readingTokens, load.writing });
     }
-    for (const auto& group : placement.TakeSuspicions()) {
+    for (const auto& group : placement.TakeSuspicions(aNow)) {
       report.suspected.push_back(group.Value());
       if (this->onSuspicion) {
         this->onSuspicion(group);
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -41,7 +41,7 @@
 
 ServerProcess::ServerProcess(ServerSettings aSettings, std::string aSettingsFile)
   : loop(1)
-  , shutdown(this->loop, DrainPeriod(aSettings))
+  , shutdown(this->loop, DrainPeriod(aSettings), RepeatedSignal::IsIgnored)
   , state(this->loop, aSettings)
   , settingsFile(std::move(aSettingsFile))
   , run(this->state.random.Engine()())
