Keep a group in service while an unregistered member answers

Ruled out: lost members; they answered, and the groups' streams went on. Change: the leader asks an unregistered member; a head without registration finishes its work before it leaves; a process without configuration names a longer return time.

--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -57,6 +57,7 @@
   this->inputs = &aInputs;
   this->now = aNow;
   this->orders.clear();
+  this->toExamine.clear();
   this->NoteMemberships();
   this->ForgetStaged();
 
@@ -150,7 +151,8 @@
                                     const Endpoint& aEndpoint)
 {
   const auto last = aRecord.orderedAt.find(aServer);
-  if (last != aRecord.orderedAt.end() && this->now - last->second < kRepeatAfter) {
+  const Duration pause = this->silent.contains(aServer) ? kRepeatToSilent : kRepeatAfter;
+  if (last != aRecord.orderedAt.end() && this->now - last->second < pause) {
     return;
   }
   aRecord.orderedAt[aServer] = this->now;
@@ -196,6 +198,36 @@
   }
 }
 
+void FormationController::RememberMembers(GroupRecord& aRecord,
+                                          const ObservedGroup& aSeen)
+{
+  aRecord.wasComplete = true;
+  aRecord.members.clear();
+  for (const auto* member : aSeen.members) {
+    aRecord.members.push_back(member->id);
+    aRecord.endpoints[member->id] = member->endpoint;
+  }
+}
+
+bool FormationController::MembersLive(const GroupId& aId,
+                                      const GroupRecord& aRecord,
+                                      const ObservedGroup& aSeen)
+{
+  return std::ranges::all_of(aRecord.members, [&](const ServerId& aMember) {
+    if (this->silent.contains(aMember)) {
+      return false;
+    }
+    const auto* entry = this->inputs->directory.Find(aMember);
+    if (entry == nullptr) {
+      this->toExamine.push_back({ aMember, aRecord.endpoints.at(aMember) });
+      return true;
+    }
+    return entry->membership && entry->membership->group == aId &&
+           entry->membership->generation == aSeen.generation &&
+           entry->membership->state != MembershipState::Joining;
+  });
+}
+
 void FormationController::StepStanding(const GroupId& aId,
                                        GroupRecord& aRecord,
                                        const ObservedGroup& aSeen)
@@ -205,25 +237,30 @@
     aRecord.head = head->id;
     aRecord.headEndpoint = head->endpoint;
   }
-  if (!this->IsComplete(aRecord, aSeen)) {
-    const Duration grace = aRecord.wasComplete ? Duration::zero() : kAdoptionGrace;
-    if (this->now - aRecord.since >= grace) {
+  const bool complete = this->IsComplete(aRecord, aSeen);
+  if (!complete && !aRecord.wasComplete) {
+    if (this->now - aRecord.since >= kAdoptionGrace) {
       this->Enter(aRecord, Phase::Retiring);
       this->StepRetiring(aId, aRecord, aSeen);
     }
     return;
   }
-  aRecord.wasComplete = true;
-  if (head == nullptr || head->membership->state == MembershipState::Broken) {
+  if (complete) {
+    this->RememberMembers(aRecord, aSeen);
+  }
+  if (!this->MembersLive(aId, aRecord, aSeen) ||
+      (head != nullptr && head->membership->state == MembershipState::Broken)) {
     this->Enter(aRecord, Phase::Retiring);
+    this->StepRetiring(aId, aRecord, aSeen);
     return;
   }
-  if (this->HasLeavingMember(aSeen)) {
+  // Requests must not go to a head that is not registered.
+  if (head == nullptr || this->HasLeavingMember(aSeen)) {
     this->Enter(aRecord, Phase::Closing);
     this->StepClosing(aId, aRecord, aSeen);
     return;
   }
-  if (head->membership->state == MembershipState::Ready) {
+  if (complete && head->membership->state == MembershipState::Ready) {
     this->OrderOnce(aId, aRecord, OrderKind::Open, head->id, head->endpoint);
   }
 }
@@ -233,17 +270,20 @@
                                       const ObservedGroup& aSeen)
 {
   const auto* head = aSeen.Head();
-  const bool finished = head == nullptr ||
-                        head->membership->state == MembershipState::Ready ||
-                        head->membership->state == MembershipState::Broken;
-  if (finished || !this->IsComplete(aRecord, aSeen) ||
-      this->now - aRecord.since >= aRecord.closeWait) {
+  const bool finished =
+    head != nullptr && (head->membership->state == MembershipState::Ready ||
+                        head->membership->state == MembershipState::Broken);
+  const bool memberLost =
+    std::ranges::any_of(aRecord.members, [this](const ServerId& aMember) {
+      return this->silent.contains(aMember);
+    });
+  if (finished || memberLost || this->now - aRecord.since >= aRecord.closeWait) {
     this->Enter(aRecord, Phase::Retiring);
     this->StepRetiring(aId, aRecord, aSeen);
     return;
   }
-  if (head->membership->state == MembershipState::Open) {
-    this->OrderOnce(aId, aRecord, OrderKind::Close, head->id, head->endpoint);
+  if (head == nullptr || head->membership->state == MembershipState::Open) {
+    this->OrderOnce(aId, aRecord, OrderKind::Close, aRecord.head, aRecord.headEndpoint);
   }
 }
 
@@ -565,6 +605,7 @@
   const auto id = GroupIdFor(aModel.name, record.generation);
   auto& kept = this->groups.emplace(id, std::move(record)).first->second;
   for (const auto* member : members) {
+    kept.endpoints[member->id] = member->endpoint;
     this->OrderOnce(id, kept, OrderKind::Join, member->id, member->endpoint);
   }
   return true;
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -37,12 +37,14 @@
 ///
 /// What lasts is what the engines report: each engine states its group, generation and
 /// state, and the name of a group says which model it runs. A new holder of the lease
-/// adopts the groups that it finds. Three rules keep a member from being taken away from
+/// adopts the groups that it finds. Four rules keep a member from being taken away from
 /// a head that may serve, and a head from serving with a member missing:
 ///  - a head is opened only when every member reports the group as ready;
 ///  - members are used again only after the head has left or has ended; the members of a
 ///    head that does not answer leave, and are used again after the time for which a head
 ///    with a missing member keeps its work;
+///  - a group whose member is no longer registered stands while the member answers: an
+///    engine that is cut off from the store still serves;
 ///  - generations and fences rise with the lease, so that an engine rejects an order of
 ///    an earlier holder once it has one of the present holder.
 class FormationController
@@ -50,6 +52,8 @@
 public:
   /// An order without a visible effect is given again after this.
   static constexpr Duration kRepeatAfter = std::chrono::milliseconds(700);
+  /// The same for an engine that does not answer.
+  static constexpr Duration kRepeatToSilent = std::chrono::milliseconds(2000);
   /// Time in which the members of a group that is found in formation may become complete.
   static constexpr Duration kAdoptionGrace = std::chrono::milliseconds(2500);
   /// Added to the time for which a head with a missing member keeps its work, for the
@@ -78,9 +82,23 @@
 
   void OnReply(const EngineOrder& aOrder, OrderReply aReply, TimePoint aNow);
 
-  /// An engine does not answer although its registration has not lapsed yet.
+  /// An engine and where it listened last.
+  struct KnownEngine
+  {
+    ServerId server;
+    Endpoint endpoint;
+  };
+
+  /// Members of standing groups whose registrations have ended since they were complete,
+  /// to be asked whether they live. Known after Plan().
+  [[nodiscard]] const std::vector<KnownEngine>& ToExamine() const
+  {
+    return this->toExamine;
+  }
+
+  /// An engine did not answer when it was asked.
   void OnSilent(const ServerId& aServer);
-  /// An engine that was silent answers.
+  /// An engine answered when it was asked.
   void OnAnswered(const ServerId& aServer);
 
   /// Engines that do not answer although they are registered.
@@ -114,8 +132,9 @@
     /// Known once the head was seen or the group was formed here.
     ServerId head;
     Endpoint headEndpoint;
-    /// Members by rank; empty for an adopted group.
+    /// Members by rank; for an adopted group known once it was seen complete.
     std::vector<ServerId> members;
+    std::map<ServerId, Endpoint> endpoints;
     bool wasComplete = false;
     Duration closeWait = kCloseWait;
     /// Set once no member is left in the group of a head that does not answer.
@@ -141,6 +160,11 @@
   [[nodiscard]] bool IsUsable(const ServerEntry& aEntry) const;
   [[nodiscard]] bool IsComplete(const GroupRecord& aRecord,
                                 const ObservedGroup& aSeen) const;
+  /// Every member is registered as one or answers when it is asked.
+  [[nodiscard]] bool MembersLive(const GroupId& aId,
+                                 const GroupRecord& aRecord,
+                                 const ObservedGroup& aSeen);
+  void RememberMembers(GroupRecord& aRecord, const ObservedGroup& aSeen);
   [[nodiscard]] bool HasLeavingMember(const ObservedGroup& aSeen) const;
   void Enter(GroupRecord& aRecord, Phase aPhase);
   void OrderOnce(const GroupId& aId,
@@ -199,6 +223,7 @@
   const FormationInputs* inputs = nullptr;
   TimePoint now{};
   std::vector<EngineOrder> orders;
+  std::vector<KnownEngine> toExamine;
 };
 
 /// Id of a group that runs a model.
--- a/programs/toucanstand-server/GroupKeeper.cpp
+++ b/programs/toucanstand-server/GroupKeeper.cpp
@@ -53,6 +53,7 @@
   if (aTerm != this->term) {
     this->term = aTerm;
     this->controllers.clear();
+    this->memberExaminedAt.clear();
   }
   const auto outdated = std::ranges::any_of(
     this->controllers | std::views::values,
@@ -78,10 +79,20 @@
                           aCost,
                           this->peers.WorkOfAll(aNow),
                           this->state.work.HasSeenRequests() };
-  for (auto& order : this->ControllerOf(aPool).Plan(inputs, aNow)) {
+  auto& controller = this->ControllerOf(aPool);
+  for (auto& order : controller.Plan(inputs, aNow)) {
     asio::co_spawn(
       this->state.loop, this->Give(aPool, std::move(order)), asio::detached);
   }
+  for (const auto& engine : controller.ToExamine()) {
+    auto& last = this->memberExaminedAt[engine.server];
+    if (aNow - last >= kExaminationInterval) {
+      last = aNow;
+      asio::co_spawn(this->state.loop,
+                     this->Examine(aPool, engine.server, engine.endpoint),
+                     asio::detached);
+    }
+  }
 }
 
 void GroupKeeper::ExamineSilent(TimePoint aNow)
--- a/programs/toucanstand-server/GroupKeeper.h
+++ b/programs/toucanstand-server/GroupKeeper.h
@@ -49,6 +49,7 @@
   PeerLink& peers;
   std::map<PoolId, FormationController> controllers;
   std::map<GroupId, TimePoint> examinedAt;
+  std::map<ServerId, TimePoint> memberExaminedAt;
   std::int64_t term = 0;
   TimePoint silentExaminedAt{};
 };
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-/// When a caller should come back to a process that does not know enough yet.
-constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(500);
+/// When a caller should come back to a process that does not know enough yet. It waits for
+/// the store, whose outages take seconds.
+constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(1200);
 
 } // namespace
 
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -30,23 +30,24 @@
   return router;
 }
 
-/// A group that may get requests; nothing while a member is missing or leaving.
+/// A group that may get requests; nothing while a registered member leaves or is not yet
+/// ready. A member whose registration has ended may still live: the group is used until
+/// its streams pause or the leader closes it.
 std::optional<ServingGroup> ServableGroup(const ObservedGroup& aGroup,
                                           const EngineCostModel& aCost)
 {
   const auto model = ModelOfGroup(aGroup.id);
-  const auto* terms = aCost.FindModel(model);
   const auto* head = aGroup.Head();
-  if (terms == nullptr || head == nullptr ||
+  if (aCost.FindModel(model) == nullptr || head == nullptr ||
       head->membership->state != MembershipState::Open) {
     return std::nullopt;
   }
-  const auto fit =
-    std::ranges::count_if(aGroup.members, [&aGroup](const ServerEntry* aMember) {
+  const bool fit =
+    std::ranges::all_of(aGroup.members, [&aGroup](const ServerEntry* aMember) {
       return !aMember->leaving && aMember->membership->generation == aGroup.generation &&
              aMember->membership->state != MembershipState::Joining;
     });
-  if (static_cast<std::size_t>(fit) != terms->groupSize) {
+  if (!fit) {
     return std::nullopt;
   }
   return ServingGroup{ aGroup.id, model, head->id, head->endpoint, head->zone };
