--- a/modules/toucanstand_delivery/attempts/RetryBudget.h
+++ b/modules/toucanstand_delivery/attempts/RetryBudget.h
@@ -20,21 +20,35 @@
   LostServer,
 };
 
-/// Limits retries to a tenth of the first attempts, per account and per pool.
-///
-/// Both buckets must allow a retry. In any period, retries of one account are at most a
-/// tenth of its first attempts plus the largest credit plus the largest overdraft.
-class RetryBudget
+/// How many retries one entry VM allows.
+struct RetryBudgetSettings
 {
-public:
   /// Retries earned by one first attempt.
-  static constexpr double kShare = 0.1;
+  double share = 0.1;
   /// Lets an account with few requests retry once.
-  static constexpr double kInitialCredit = 1.0;
+  double initialCredit = 1.0;
   /// Bounds the burst of retries after a long quiet period.
-  static constexpr double kLargestCredit = 20.0;
+  double largestCredit = 20.0;
   /// About what one entry VM has in flight on a third of a pool of 50 engines.
-  static constexpr double kLargestOverdraft = 64.0;
+  double largestOverdraft = 64.0;
+};
+
+/// Limits retries to a share of the first attempts, per account and per pool.
+///
+/// Both buckets must allow a retry. In any period, retries of one account are at most the
+/// share of its first attempts plus the largest credit plus the largest overdraft.
+class RetryBudget
+{
+public:
+  RetryBudget() = default;
+  explicit RetryBudget(RetryBudgetSettings aSettings)
+    : settings(aSettings)
+  {
+  }
+
+  /// Replaces the limits; credit that was earned stays.
+  void Configure(const RetryBudgetSettings& aSettings) { this->settings = aSettings; }
+
   /// Accounts or pools beyond this number share one bucket.
   static constexpr std::size_t kMaximumBuckets = 4096;
 
@@ -55,8 +69,9 @@
   using Buckets = std::unordered_map<Id, double>;
 
   template<typename Id>
-  static double& BucketOf(Buckets<Id>& aBuckets, const Id& aId);
+  double& BucketOf(Buckets<Id>& aBuckets, const Id& aId) const;
 
+  RetryBudgetSettings settings;
   Buckets<AccountId> accounts;
   Buckets<PoolId> pools;
   std::uint64_t firstAttempts = 0;
--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -14,8 +14,8 @@
 
 /// Generations of one holder of the lease; the term selects the range.
 constexpr Generation kGenerationsPerTerm = 100'000;
-/// Groups of a model beyond the computed need that may be formed from idle engines.
-constexpr double kNeedHeadroom = 1.25;
+/// Groups that the operator's expectation counts as being busy.
+constexpr double kExpectedWork = 4.0;
 /// A formation takes at most this many times the load time of its model, because loads
 /// slow one another down.
 constexpr int kSlowestLoad = 4;
@@ -422,13 +422,14 @@
 
 double FormationController::GroupsFor(const ModelTerms& aModel) const
 {
-  if (this->inputs->work.empty()) {
-    // The operator states the share of all engines that a model's groups should have.
-    return aModel.engineShare / static_cast<double>(aModel.groupSize);
-  }
+  // The operator states the share of all engines that a model's groups should have. It
+  // counts like a little measured work, so that the first requests decide nothing.
+  const double expected =
+    kExpectedWork * aModel.engineShare / static_cast<double>(aModel.groupSize);
   const auto measured = this->inputs->work.find(aModel.name);
-  return measured == this->inputs->work.end() ? 0.0
-                                              : measured->second * aModel.paceFactor;
+  return expected + (measured == this->inputs->work.end()
+                       ? 0.0
+                       : measured->second * aModel.paceFactor);
 }
 
 std::size_t FormationController::CountOf(const std::string& aModel) const
@@ -453,8 +454,7 @@
   if (enginesPerNeed <= 0) {
     return 1;
   }
-  const double groupCount =
-    this->NeedOf(aModel) * engines / enginesPerNeed * kNeedHeadroom;
+  const double groupCount = this->NeedOf(aModel) * engines / enginesPerNeed;
   return static_cast<std::size_t>(std::max(1.0, std::ceil(groupCount)));
 }
 
@@ -465,11 +465,28 @@
   if (last != this->lastModels.end() &&
       last->second.startedAtUnixMs == aEntry.startedAtUnixMs &&
       last->second.model == aModel) {
-    return 0;
+    return kHot;
   }
   const bool staged =
     std::ranges::find(aEntry.stagedModels, aModel) != aEntry.stagedModels.end();
-  return staged ? 1 : 2;
+  return staged ? kWarm : kCold;
+}
+
+void FormationController::Summarize(const std::vector<const ServerEntry*>& aFree)
+{
+  this->summary.clear();
+  for (const auto& model : this->inputs->cost.models) {
+    this->summary += model.name + ": " + std::to_string(this->CountOf(model.name)) +
+                     " of at most " + std::to_string(this->MostGroups(model)) + "; ";
+  }
+  std::map<DomainId, std::size_t> free;
+  for (const auto* entry : aFree) {
+    ++free[entry->domain];
+  }
+  this->summary += "free by domain:";
+  for (const auto& [domain, count] : free) {
+    this->summary += " " + domain.Value() + "=" + std::to_string(count);
+  }
 }
 
 void FormationController::FormGroups(std::vector<const ServerEntry*> aFree)
@@ -488,11 +505,18 @@
       models.erase(next);
     }
   }
+  this->Summarize(aFree);
   this->MoveEngines(aFree);
   this->StageSpares(aFree);
-  if (!this->inputs->trafficStarted) {
-    this->StageAhead();
-  }
+  this->StageAhead();
+}
+
+const ModelTerms& FormationController::MostLacking() const
+{
+  return *std::ranges::min_element(
+    this->inputs->cost.models, {}, [this](const ModelTerms& aModel) {
+      return static_cast<double>(this->CountOf(aModel.name)) / this->NeedOf(aModel);
+    });
 }
 
 void FormationController::MoveEngines(const std::vector<const ServerEntry*>& aFree)
@@ -504,48 +528,66 @@
   if (moving || this->inputs->cost.models.empty()) {
     return;
   }
-  const auto lacking =
-    std::ranges::min_element(this->inputs->cost.models, {}, [this](const auto& aModel) {
-      return static_cast<double>(this->CountOf(aModel.name)) / this->NeedOf(aModel);
-    });
-  if (const auto donor = this->DonorFor(*lacking, aFree)) {
-    auto& record = this->groups.at(*donor);
+  const auto& lacking = this->MostLacking();
+  const auto donor = this->DonorFor(lacking, aFree);
+  if (!donor) {
+    return;
+  }
+  // A cold engine would keep the others waiting for the whole time of a load.
+  if (donor->cold.empty()) {
+    auto& record = this->groups.at(donor->group);
     record.closeWait = kMoveWait;
     this->Enter(record, Phase::Closing);
+    return;
+  }
+  for (const auto* entry : donor->cold) {
+    this->StageIfAffordable(*entry, lacking);
   }
 }
 
-std::optional<GroupId> FormationController::DonorFor(
+std::optional<FormationController::Donor> FormationController::DonorFor(
   const ModelTerms& aLacking,
   const std::vector<const ServerEntry*>& aFree) const
 {
   const double lackingAfter =
     (static_cast<double>(this->CountOf(aLacking.name)) + 1) / this->NeedOf(aLacking);
+  const auto observed = this->inputs->directory.GroupsOf(this->pool);
+  std::optional<Donor> best;
   for (const auto& [id, record] : this->groups) {
     const auto* terms = this->inputs->cost.FindModel(record.model);
-    const auto* head = this->inputs->directory.Find(record.head);
-    if (record.phase != Phase::Standing || terms == nullptr || head == nullptr ||
+    const auto seen = observed.find(id);
+    if (record.phase != Phase::Standing || terms == nullptr || seen == observed.end() ||
         record.model == aLacking.name) {
       continue;
     }
     const double donorAfter =
       (static_cast<double>(this->CountOf(record.model)) - 1) / this->NeedOf(*terms);
-    const auto reachable =
-      std::ranges::count_if(aFree, [this, head, &aLacking](const ServerEntry* aEntry) {
-        return aEntry->domain == head->domain &&
-               this->JoinCost(*aEntry, aLacking.name) < 2;
-      });
-    const auto members = this->inputs->directory.GroupsOf(this->pool).at(id).members;
-    const auto movable =
-      std::ranges::count_if(members, [this, &aLacking](const ServerEntry* aEntry) {
-        return this->JoinCost(*aEntry, aLacking.name) < 2;
-      });
-    const auto together = static_cast<std::size_t>(reachable + movable);
-    if (donorAfter >= lackingAfter && reachable > 0 && together >= aLacking.groupSize) {
-      return id;
+    if (donorAfter < lackingAfter) {
+      continue;
+    }
+    auto engines = seen->second.members;
+    std::ranges::copy_if(aFree, std::back_inserter(engines), [&](const auto* aEntry) {
+      return aEntry->domain == engines.front()->domain;
+    });
+    const bool useful = engines.size() > seen->second.members.size();
+    if (!useful || engines.size() < aLacking.groupSize) {
+      continue;
+    }
+    std::ranges::stable_sort(engines, {}, [this, &aLacking](const ServerEntry* aEntry) {
+      return this->JoinCost(*aEntry, aLacking.name);
+    });
+    engines.resize(aLacking.groupSize);
+    Donor candidate{ id, {} };
+    std::ranges::copy_if(engines,
+                         std::back_inserter(candidate.cold),
+                         [this, &aLacking](const ServerEntry* aEntry) {
+                           return this->JoinCost(*aEntry, aLacking.name) == kCold;
+                         });
+    if (!best || candidate.cold.size() < best->cold.size()) {
+      best = std::move(candidate);
     }
   }
-  return std::nullopt;
+  return best;
 }
 
 bool FormationController::FormOne(const ModelTerms& aModel,
@@ -553,7 +595,11 @@
 {
   std::map<DomainId, std::vector<const ServerEntry*>> byDomain;
   for (const auto* entry : aFree) {
-    byDomain[entry->domain].push_back(entry);
+    // Once callers are served, weights are staged first: members that are ready would
+    // wait for the load of one that is cold.
+    if (!this->inputs->trafficStarted || this->JoinCost(*entry, aModel.name) < kCold) {
+      byDomain[entry->domain].push_back(entry);
+    }
   }
   std::size_t largest = 1;
   for (const auto& model : this->inputs->cost.models) {
@@ -581,14 +627,6 @@
     return this->JoinCost(*aEntry, aModel.name);
   });
   members.resize(aModel.groupSize);
-  const auto loadCount = static_cast<std::size_t>(
-    std::ranges::count_if(members, [this, &aModel](const ServerEntry* aEntry) {
-      return this->JoinCost(*aEntry, aModel.name) == 2;
-    }));
-  if (loadCount > 0 && this->inputs->trafficStarted &&
-      !this->loads.TryTake(loadCount, this->inputs->cost.loadsPerSecond, this->now)) {
-    return false;
-  }
   GroupRecord record;
   record.generation = static_cast<Generation>(this->term) * kGenerationsPerTerm +
                       ++this->formed;
@@ -613,28 +651,29 @@
 
 void FormationController::StageSpares(const std::vector<const ServerEntry*>& aFree)
 {
-  // The largest groups are the likeliest to lose a member, so their model comes first.
-  auto models = this->inputs->cost.models;
-  std::ranges::stable_sort(models, std::greater{}, &ModelTerms::groupSize);
+  if (this->inputs->cost.models.empty()) {
+    return;
+  }
+  const auto& lacking = this->MostLacking();
   for (const auto* entry : aFree) {
-    const auto wanted =
-      std::ranges::find_if(models, [this, entry](const ModelTerms& aModel) {
-        return this->JoinCost(*entry, aModel.name) == 2;
-      });
-    const bool affordable =
-      wanted != models.end() && !this->staging.contains(entry->id) &&
-      (!this->inputs->trafficStarted ||
-       this->loads.TryTake(1, this->inputs->cost.loadsPerSecond, this->now));
-    // A host keeps few models: one that is staged and not the last one stays.
-    const bool keepsOther =
-      !entry->stagedModels.empty() && wanted != models.end() &&
-      this->JoinCost(*entry, entry->stagedModels.front()) == 1;
-    if (affordable && !keepsOther) {
-      this->Stage(*entry, *wanted);
+    if (this->JoinCost(*entry, lacking.name) == kCold) {
+      this->StageIfAffordable(*entry, lacking);
     }
   }
 }
 
+void FormationController::StageIfAffordable(const ServerEntry& aEntry,
+                                            const ModelTerms& aModel)
+{
+  const bool mayStage =
+    !this->staging.contains(aEntry.id) &&
+    (!this->inputs->trafficStarted ||
+     this->loads.TryTake(1, this->inputs->cost.loadsPerSecond, this->now));
+  if (mayStage) {
+    this->Stage(aEntry, aModel);
+  }
+}
+
 void FormationController::StageAhead()
 {
   const bool forming =
@@ -653,17 +692,18 @@
     }
   }
   std::ranges::stable_sort(members, {}, &decltype(members)::value_type::first);
-  const std::size_t most = this->inputs->cost.concurrentLoads * kEarlyLoads;
+  const std::size_t most =
+    this->inputs->cost.concurrentLoads * (this->inputs->trafficStarted ? 1 : kEarlyLoads);
   for (const auto& [size, member] : members) {
     if (this->StagingNow() >= most) {
       return;
     }
     const auto other =
       std::ranges::find_if(this->inputs->cost.models, [this, member](const auto& aModel) {
-        return this->JoinCost(*member, aModel.name) == 2;
+        return this->JoinCost(*member, aModel.name) == kCold;
       });
-    if (other != this->inputs->cost.models.end() && !this->staging.contains(member->id)) {
-      this->Stage(*member, *other);
+    if (other != this->inputs->cost.models.end()) {
+      this->StageIfAffordable(*member, *other);
     }
   }
 }
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -107,6 +107,10 @@
   /// True once an engine has seen an order of a later holder of the lease.
   [[nodiscard]] bool IsOutdated() const { return this->outdated; }
 
+  /// Groups and need of each model, and the free engines of each domain, as of the last
+  /// plan; for the log.
+  [[nodiscard]] const std::string& Summary() const { return this->summary; }
+
   [[nodiscard]] nlohmann::json Describe() const;
 
 private:
@@ -179,12 +183,23 @@
   /// Closes a group of a model with more than enough groups where its engines and the
   /// free ones of the same domain make a group of a model that lacks one.
   void MoveEngines(const std::vector<const ServerEntry*>& aFree);
-  [[nodiscard]] std::optional<GroupId> DonorFor(
+
+  /// A group whose engines, with free ones, make a group of another model.
+  struct Donor
+  {
+    GroupId group;
+    /// Engines of the new group that would have to load its weights.
+    std::vector<const ServerEntry*> cold;
+  };
+  [[nodiscard]] std::optional<Donor> DonorFor(
     const ModelTerms& aLacking,
     const std::vector<const ServerEntry*>& aFree) const;
+  /// The model with the fewest groups for its need.
+  [[nodiscard]] const ModelTerms& MostLacking() const;
+  void StageIfAffordable(const ServerEntry& aEntry, const ModelTerms& aModel);
   void StageSpares(const std::vector<const ServerEntry*>& aFree);
-  /// Before the first request: weights of the other models for the members of groups, so
-  /// that a later move takes the time of a warm join.
+  /// Weights of the other models for the members of groups, so that a later move takes the
+  /// time of a warm join.
   void StageAhead();
   void Stage(const ServerEntry& aEntry, const ModelTerms& aModel);
   [[nodiscard]] std::size_t StagingNow() const;
@@ -195,8 +210,13 @@
   /// Groups that the model's callers keep busy, in any unit that is the same for all.
   [[nodiscard]] double GroupsFor(const ModelTerms& aModel) const;
   [[nodiscard]] std::size_t MostGroups(const ModelTerms& aModel) const;
+  /// How an engine gets the weights of a model, from fastest to slowest.
+  static constexpr int kHot = 0;
+  static constexpr int kWarm = 1;
+  static constexpr int kCold = 2;
   [[nodiscard]] int JoinCost(const ServerEntry& aEntry, const std::string& aModel) const;
   void NoteMemberships();
+  void Summarize(const std::vector<const ServerEntry*>& aFree);
 
   PoolId pool;
   std::int64_t term = 0;
@@ -224,6 +244,7 @@
   TimePoint now{};
   std::vector<EngineOrder> orders;
   std::vector<KnownEngine> toExamine;
+  std::string summary;
 };
 
 /// Id of a group that runs a model.
--- a/programs/toucanstand-server/GroupKeeper.cpp
+++ b/programs/toucanstand-server/GroupKeeper.cpp
@@ -78,12 +78,20 @@
   FormationInputs inputs{ this->state.directory,
                           aCost,
                           this->peers.WorkOfAll(aNow),
-                          this->state.work.HasSeenRequests() };
+                          this->state.work.HasSeenRequests(),
+                          this->state.settings.headStall };
   auto& controller = this->ControllerOf(aPool);
   for (auto& order : controller.Plan(inputs, aNow)) {
     asio::co_spawn(
       this->state.loop, this->Give(aPool, std::move(order)), asio::detached);
   }
+  auto& lastSummary = this->summaries[aPool];
+  if (lastSummary != controller.Summary()) {
+    lastSummary = controller.Summary();
+    this->state.log.Write(LogWeight::Notable,
+                          "group_plan",
+                          { { "pool", aPool.Value() }, { "plan", lastSummary } });
+  }
   for (const auto& engine : controller.ToExamine()) {
     auto& last = this->memberExaminedAt[engine.server];
     if (aNow - last >= kExaminationInterval) {
--- a/programs/toucanstand-server/GroupKeeper.h
+++ b/programs/toucanstand-server/GroupKeeper.h
@@ -50,6 +50,8 @@
   std::map<PoolId, FormationController> controllers;
   std::map<GroupId, TimePoint> examinedAt;
   std::map<ServerId, TimePoint> memberExaminedAt;
+  /// Last logged plan of each pool.
+  std::map<PoolId, std::string> summaries;
   std::int64_t term = 0;
   TimePoint silentExaminedAt{};
 };
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -14,6 +14,12 @@
 
 /// How often due removals and new limits are applied.
 constexpr Duration kTick = std::chrono::milliseconds(100);
+/// Part of the fleet's retry slack that is given out as credit, and as overdraft for lost
+/// servers; the rest covers entry VMs that do not know of one another yet.
+constexpr double kCreditPart = 0.4;
+constexpr double kOverdraftPart = 0.4;
+/// The same part of the retry share.
+constexpr double kSharePart = 0.8;
 /// The balancer asks once a second and takes a VM out after two misses.
 constexpr Duration kBalancerNotice = std::chrono::milliseconds(2500);
 /// Part of the stop period that requests in flight may use; the rest is for the end of
@@ -30,6 +36,18 @@
   return FromSeconds(ToSeconds(aSettings.stopPeriod) * kDrainShare);
 }
 
+/// This entry VM's part of the retries that the fleet may make.
+RetryBudgetSettings RetryPart(const ServerSettings& aSettings, std::size_t aPeers)
+{
+  const auto vms = static_cast<double>(aPeers + 1);
+  RetryBudgetSettings part;
+  part.share = aSettings.retryShare * kSharePart;
+  part.largestCredit = aSettings.retrySlack * kCreditPart / vms;
+  part.initialCredit = part.largestCredit;
+  part.largestOverdraft = aSettings.retrySlack * kOverdraftPart / vms;
+  return part;
+}
+
 HttpServerLimits LimitsOf(const ServerSettings& aSettings)
 {
   HttpServerLimits limits;
@@ -129,6 +147,8 @@
   const auto now = BootClock::now();
   this->state.storeReadAt = this->storeLink.UpToDateAt();
   this->state.directory.OnTime(now);
+  this->state.retryBudget.Configure(
+    RetryPart(this->state.settings, this->peers.PeerCount()));
   this->state.RefreshDestinations(now);
   if (this->state.configuration &&
       this->state.configuration->Version() != this->limitsVersion) {
--- a/programs/toucanstand-server/ServerSettings.cpp
+++ b/programs/toucanstand-server/ServerSettings.cpp
@@ -19,6 +19,13 @@
   settings.store = ReadEndpoint(aReader, "store");
   settings.stopPeriod = FromSeconds(aReader.Number(
     "stop_period_s", kShortestStop, kLongestStop, ToSeconds(settings.stopPeriod)));
+  constexpr double kMostSlack = 1'000'000;
+  settings.retryShare = aReader.Number("retry_share", 0, 1, settings.retryShare);
+  settings.retrySlack = aReader.Number("retry_slack", 0, kMostSlack, settings.retrySlack);
+  settings.headStall = aReader.Milliseconds("head_stall_ms",
+                                            std::chrono::milliseconds(10),
+                                            std::chrono::minutes(10),
+                                            settings.headStall);
   settings.connections = static_cast<std::size_t>(
     aReader.Whole("connections", 1, 100'000, static_cast<std::int64_t>(settings.connections)));
   settings.routineLines =
--- a/programs/toucanstand-server/ServerSettings.h
+++ b/programs/toucanstand-server/ServerSettings.h
@@ -25,6 +25,12 @@
   Endpoint store;
   /// Time from the signal to stop until the process is killed.
   Duration stopPeriod = std::chrono::seconds(8);
+  /// Retries that all entry VMs together may make: this share of the requests, and this
+  /// many besides, in a window of ten seconds.
+  double retryShare = 0.1;
+  double retrySlack = 50;
+  /// Time for which the head of a group with a missing member keeps its work.
+  Duration headStall = std::chrono::seconds(5);
   /// Open connections of callers.
   std::size_t connections = 1500;
   /// Log lines a second of answered requests, and of failures and changes of belief.
--- a/programs/toucanstand-server/Session.h
+++ b/programs/toucanstand-server/Session.h
@@ -22,11 +22,11 @@
   /// Held by the process that gives engines their orders.
   static constexpr std::string_view kLeaderKey = "toucanstand/leader";
   /// A leader that died is replaced after this.
-  static constexpr std::chrono::seconds kLease{ 3 };
-  static constexpr Duration kRenewal = std::chrono::milliseconds(900);
+  static constexpr std::chrono::seconds kLease{ 2 };
+  static constexpr Duration kRenewal = std::chrono::milliseconds(500);
   /// Leadership is given up this long before the lease could end, so that orders on their
   /// way arrive within it.
-  static constexpr Duration kMargin = std::chrono::milliseconds(700);
+  static constexpr Duration kMargin = std::chrono::milliseconds(300);
 
   Session(ServingState& aState, PlatformStore& aStore, std::string aRun);
 
