--- a/modules/toucanstand_core/logging/DecisionLog.cpp
+++ b/modules/toucanstand_core/logging/DecisionLog.cpp
@@ -1,10 +1,10 @@
 #include "logging/DecisionLog.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <chrono>
-#include <array>
 #include <cmath>
 
 #include <fcntl.h>
--- a/modules/toucanstand_delivery/attempts/RetryBudget.cpp
+++ b/modules/toucanstand_delivery/attempts/RetryBudget.cpp
@@ -16,14 +16,15 @@
   // Evicting a bucket instead would grant its owner the initial credit again. The shared
   // bucket is named by the empty id.
   const bool full = aBuckets.size() >= kMaximumBuckets;
-  return aBuckets.try_emplace(full ? Id{} : aId, this->settings.initialCredit).first->second;
+  return aBuckets.try_emplace(full ? Id{} : aId, this->settings.initialCredit)
+    .first->second;
 }
 
 void RetryBudget::OnFirstAttempt(const AccountId& aAccount, const PoolId& aPool)
 {
   ++this->firstAttempts;
-  for (double* bucket :
-       { &this->BucketOf(this->accounts, aAccount), &this->BucketOf(this->pools, aPool) }) {
+  for (double* bucket : { &this->BucketOf(this->accounts, aAccount),
+                          &this->BucketOf(this->pools, aPool) }) {
     *bucket = std::min(*bucket + this->settings.share, this->settings.largestCredit);
   }
 }
@@ -34,7 +35,8 @@
 {
   double& account = this->BucketOf(this->accounts, aAccount);
   double& pool = this->BucketOf(this->pools, aPool);
-  const double lowest = aCause == RetryCause::LostServer ? -this->settings.largestOverdraft : 0.0;
+  const double lowest =
+    aCause == RetryCause::LostServer ? -this->settings.largestOverdraft : 0.0;
   // Ten shares of 0.1 add up to slightly less than 1 in floating point.
   constexpr double kRounding = 1e-9;
   if (std::min(account, pool) - 1.0 < lowest - kRounding) {
--- a/modules/toucanstand_groups/formation/EngineOrder.cpp
+++ b/modules/toucanstand_groups/formation/EngineOrder.cpp
@@ -14,9 +14,10 @@
 const char* Name(OrderReply aReply)
 {
   // In the order of the enumeration.
-  constexpr std::array kNames = { "begun",        "done",     "wrong_state",
-                                  "outdated",     "wrong_server", "rejected",
-                                  "connection_refused", "unknown" };
+  constexpr std::array kNames = {
+    "begun",        "done",     "wrong_state",        "outdated",
+    "wrong_server", "rejected", "connection_refused", "unknown"
+  };
   return kNames.at(static_cast<std::size_t>(aReply));
 }
 
--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -133,8 +133,8 @@
 
 bool FormationController::HasLeavingMember(const ObservedGroup& aSeen) const
 {
-  return std::ranges::any_of(
-    aSeen.members, [](const ServerEntry* aMember) { return aMember->leaving; });
+  return std::ranges::any_of(aSeen.members,
+                             [](const ServerEntry* aMember) { return aMember->leaving; });
 }
 
 void FormationController::Enter(GroupRecord& aRecord, Phase aPhase)
@@ -173,12 +173,14 @@
                                       const ObservedGroup& aSeen)
 {
   const auto* terms = this->inputs->cost.FindModel(aRecord.model);
-  const bool late = terms == nullptr || this->now - aRecord.since >
-                                          terms->loadTime * kSlowestLoad + kFormationSlack;
-  const bool memberLost = std::ranges::any_of(aRecord.members, [&](const ServerId& aMember) {
-    const auto* entry = this->inputs->directory.Find(aMember);
-    return entry == nullptr || !this->IsUsable(*entry);
-  });
+  const bool late =
+    terms == nullptr ||
+    this->now - aRecord.since > terms->loadTime * kSlowestLoad + kFormationSlack;
+  const bool memberLost =
+    std::ranges::any_of(aRecord.members, [&](const ServerId& aMember) {
+      const auto* entry = this->inputs->directory.Find(aMember);
+      return entry == nullptr || !this->IsUsable(*entry);
+    });
   if (late || memberLost) {
     this->Enter(aRecord, Phase::Retiring);
     return;
@@ -335,9 +337,9 @@
                                         const ObservedGroup& aSeen)
 {
   const auto* head = aSeen.Head();
-  const bool headIsBack =
-    head != nullptr && head->membership->generation == aRecord.generation &&
-    this->now - aRecord.since > kRegistrationLag;
+  const bool headIsBack = head != nullptr &&
+                          head->membership->generation == aRecord.generation &&
+                          this->now - aRecord.since > kRegistrationLag;
   if (headIsBack) {
     // An order that was carried out late brought the head back.
     this->Enter(aRecord, Phase::Retiring);
@@ -361,7 +363,8 @@
   auto& record = found->second;
   this->now = aNow;
   if (aOrder.kind == OrderKind::Leave && aOrder.server == record.head &&
-      record.phase == Phase::Retiring && aReply != OrderReply::Unknown && aReply != OrderReply::Rejected) {
+      record.phase == Phase::Retiring && aReply != OrderReply::Unknown &&
+      aReply != OrderReply::Rejected) {
     this->Enter(record, Phase::Dissolved);
     return;
   }
@@ -394,11 +397,12 @@
   }
   std::vector<const ServerEntry*> free;
   for (const auto& entry : this->inputs->directory.Servers() | std::views::values) {
-    if (entry.pool != this->pool || !this->IsUsable(entry) || planned.contains(entry.id)) {
+    if (entry.pool != this->pool || !this->IsUsable(entry) ||
+        planned.contains(entry.id)) {
       continue;
     }
-    const auto group = entry.membership ? this->groups.find(entry.membership->group)
-                                        : this->groups.end();
+    const auto group =
+      entry.membership ? this->groups.find(entry.membership->group) : this->groups.end();
     if (group == this->groups.end() || group->second.phase == Phase::Dissolved) {
       free.push_back(&entry);
     }
@@ -628,8 +632,8 @@
   });
   members.resize(aModel.groupSize);
   GroupRecord record;
-  record.generation = static_cast<Generation>(this->term) * kGenerationsPerTerm +
-                      ++this->formed;
+  record.generation =
+    static_cast<Generation>(this->term) * kGenerationsPerTerm + ++this->formed;
   record.model = aModel.name;
   record.size = aModel.groupSize;
   record.phase = Phase::Forming;
@@ -733,9 +737,8 @@
     if (entry == nullptr || terms == nullptr) {
       return true;
     }
-    const bool staged =
-      std::ranges::find(entry->stagedModels, aStaging.second.model) !=
-      entry->stagedModels.end();
+    const bool staged = std::ranges::find(entry->stagedModels, aStaging.second.model) !=
+                        entry->stagedModels.end();
     return staged ||
            this->now - aStaging.second.orderedAt >= terms->loadTime * kRepeatStaging;
   });
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -64,11 +64,11 @@
   /// Longest time that a group with a leaving member finishes its work; the member exits
   /// as soon as 2 s after it announced that it leaves.
   static constexpr Duration kCloseWait = std::chrono::milliseconds(1500);
-  /// The same for a group whose engines are wanted for another model. A usual stream takes
-  /// under 3 s.
+  /// The same for a group whose engines are wanted for another model. A usual stream
+  /// takes under 3 s.
   static constexpr Duration kMoveWait = std::chrono::milliseconds(4000);
-  /// Loads that may be in progress before the first request, relative to the number beyond
-  /// which they slow one another down.
+  /// Loads that may be in progress before the first request, relative to the number
+  /// beyond which they slow one another down.
   static constexpr std::size_t kEarlyLoads = 2;
 
   explicit FormationController(PoolId aPool);
@@ -159,7 +159,9 @@
   [[nodiscard]] bool MembersHaveLeft(const GroupId& aId,
                                      GroupRecord& aRecord,
                                      const ObservedGroup& aSeen);
-  void StepDissolved(const GroupId& aId, GroupRecord& aRecord, const ObservedGroup& aSeen);
+  void StepDissolved(const GroupId& aId,
+                     GroupRecord& aRecord,
+                     const ObservedGroup& aSeen);
 
   [[nodiscard]] bool IsUsable(const ServerEntry& aEntry) const;
   [[nodiscard]] bool IsComplete(const GroupRecord& aRecord,
@@ -198,8 +200,8 @@
   [[nodiscard]] const ModelTerms& MostLacking() const;
   void StageIfAffordable(const ServerEntry& aEntry, const ModelTerms& aModel);
   void StageSpares(const std::vector<const ServerEntry*>& aFree);
-  /// Weights of the other models for the members of groups, so that a later move takes the
-  /// time of a warm join.
+  /// Weights of the other models for the members of groups, so that a later move takes
+  /// the time of a warm join.
   void StageAhead();
   void Stage(const ServerEntry& aEntry, const ModelTerms& aModel);
   [[nodiscard]] std::size_t StagingNow() const;
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -103,7 +103,8 @@
 double GroupPlacement::SlownessOf(const GroupState& aState, TimePoint aNow) const
 {
   const double age = ToSeconds(aNow - aState.slownessAt) / ToSeconds(kSlownessHalfLife);
-  const double slowness = 1.0 + (aState.slowness - 1.0) * std::pow(0.5, std::max(age, 0.0));
+  const double slowness =
+    1.0 + (aState.slowness - 1.0) * std::pow(0.5, std::max(age, 0.0));
   return slowness < kNoticedSlowness ? 1.0 : slowness;
 }
 
@@ -131,9 +132,9 @@
     choice.work = this->WorkOf(state, tokensOf(id), aNow);
     choice.modelled = PredictFirstEvent(
       this->cost, choice.work, aQuery.promptTokens, this->PaceOf(aQuery.model));
-    choice.predicted = FromSeconds(
-      ToSeconds(choice.modelled + this->fixedTimes[aQuery.model].mean) *
-      this->SlownessOf(state, aNow));
+    choice.predicted =
+      FromSeconds(ToSeconds(choice.modelled + this->fixedTimes[aQuery.model].mean) *
+                  this->SlownessOf(state, aNow));
     choice.predicted += state.group.zone == this->ownZone ? Duration::zero() : kOtherZone;
     soonest = std::min(soonest, choice.predicted);
     choices.push_back(std::move(choice));
@@ -157,7 +158,7 @@
                                               TimePoint aNow)
 {
   const Ticket ticket = ++this->lastTicket;
-  this->runs[ticket] = { aChoice.group.id,   aPromptTokens, aChoice.modelled,
+  this->runs[ticket] = { aChoice.group.id,  aPromptTokens, aChoice.modelled,
                          aChoice.predicted, aNow,          false };
   if (auto* state = this->Find(aChoice.group.id)) {
     state->own.reading += 1;
@@ -205,8 +206,8 @@
   const double weight =
     std::max(1.0 / static_cast<double>(fixed.samples), kFixedTimeWeight);
   const double surplus = ToSeconds(observed) - ToSeconds(aRun.modelled);
-  fixed.mean = FromSeconds(std::max(
-    0.0, ToSeconds(fixed.mean) + weight * (surplus - ToSeconds(fixed.mean))));
+  fixed.mean = FromSeconds(
+    std::max(0.0, ToSeconds(fixed.mean) + weight * (surplus - ToSeconds(fixed.mean))));
 }
 
 void GroupPlacement::OnEnded(Ticket aTicket, GroupRunEnd aEnd, TimePoint aNow)
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -93,8 +93,8 @@
 /// its peers have in progress.
 ///
 /// It answers the crest of demand, when all groups run near their number of slots: least
-/// outstanding requests would ignore that prompts differ thirtyfold in length, and without
-/// the peers' requests several entry VMs would fill the same gap.
+/// outstanding requests would ignore that prompts differ thirtyfold in length, and
+/// without the peers' requests several entry VMs would fill the same gap.
 class GroupPlacement
 {
 public:
--- a/modules/toucanstand_routing/placement/GroupPrediction.cpp
+++ b/modules/toucanstand_routing/placement/GroupPrediction.cpp
@@ -25,7 +25,8 @@
   // Prompts are read in the order in which they arrived, at most a chunk a step.
   const double tokens = aWork.readingTokens + aPromptTokens;
   const double steps = std::ceil(tokens / static_cast<double>(aCost.promptChunk));
-  Duration time = FromSeconds(tokens / aCost.promptTokensPerSecond + steps * ToSeconds(step));
+  Duration time =
+    FromSeconds(tokens / aCost.promptTokensPerSecond + steps * ToSeconds(step));
   time += pass;
   if (writers > 0) {
     time += FromSeconds(kMeanRestOfPass * ToSeconds(pass));
--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -313,11 +313,11 @@
     auto [headError, received] = co_await http::async_read_header(
       connection->stream, connection->buffer, *parser, kAwait);
     if (headError || aCancel.IsTripped()) {
-      co_return ReadFailure(headError,
-                            aCancel,
-                            sendError ? HttpFailure::SendBroken : HttpFailure::HeadTimedOut,
-                            sendError ? HttpFailure::SendBroken
-                                      : HttpFailure::BrokenBeforeHead);
+      co_return ReadFailure(
+        headError,
+        aCancel,
+        sendError ? HttpFailure::SendBroken : HttpFailure::HeadTimedOut,
+        sendError ? HttpFailure::SendBroken : HttpFailure::BrokenBeforeHead);
     }
   }
   std::weak_ptr<Implementation> weak = shared;
@@ -326,12 +326,12 @@
       strong->GiveBack(aEndpoint, std::move(aConnection));
     }
   };
-  co_return std::unique_ptr<HttpClientStream>(std::make_unique<OpenStream>(
-    std::move(connection),
-    std::move(parser),
-    aDeadlines.progress,
-    shared->unframed,
-    std::move(giveBack)));
+  co_return std::unique_ptr<HttpClientStream>(
+    std::make_unique<OpenStream>(std::move(connection),
+                                 std::move(parser),
+                                 aDeadlines.progress,
+                                 shared->unframed,
+                                 std::move(giveBack)));
 }
 
 Task<Result<HttpResponse, HttpFailure>> HttpClient::Fetch(Endpoint aEndpoint,
@@ -341,8 +341,8 @@
                                                           ConnectionUse aUse)
 {
   CancelSwitch never;
-  auto opened = co_await this->Open(
-    aEndpoint, std::move(aRequest), aDeadlines, aUse, never);
+  auto opened =
+    co_await this->Open(aEndpoint, std::move(aRequest), aDeadlines, aUse, never);
   if (!opened) {
     co_return opened.LastReason();
   }
--- a/modules/toucanstand_transport/http/HttpClient.h
+++ b/modules/toucanstand_transport/http/HttpClient.h
@@ -115,11 +115,12 @@
     CancelSwitch& aCancel);
 
   /// Sends a request and reads the whole response, at most aMostBytes of body.
-  Task<Result<HttpResponse, HttpFailure>> Fetch(Endpoint aEndpoint,
-                                                HttpRequest aRequest,
-                                                HttpDeadlines aDeadlines,
-                                                std::size_t aMostBytes = 4U << 20U,
-                                                ConnectionUse aUse = ConnectionUse::MayReuse);
+  Task<Result<HttpResponse, HttpFailure>> Fetch(
+    Endpoint aEndpoint,
+    HttpRequest aRequest,
+    HttpDeadlines aDeadlines,
+    std::size_t aMostBytes = 4U << 20U,
+    ConnectionUse aUse = ConnectionUse::MayReuse);
 
   /// Closes the idle connections to an endpoint, for example after one went silent.
   void DropIdle(const Endpoint& aEndpoint);
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -177,7 +177,8 @@
 
 Task<> HttpSession::Reject(int aStatus, const char* aType, std::string aMessage)
 {
-  this->context->metrics.Count(std::string("http_rejected_total{type=\"") + aType + "\"}");
+  this->context->metrics.Count(std::string("http_rejected_total{type=\"") + aType +
+                               "\"}");
   this->keepAlive = false;
   HttpResponse response = ErrorResponse(aStatus, aType, aMessage);
   response.headers.Add("Toucanstand-Outcome", "not-run");
--- a/modules/toucanstand_transport/store/StoreMirror.cpp
+++ b/modules/toucanstand_transport/store/StoreMirror.cpp
@@ -27,8 +27,9 @@
     if (!result) {
       this->NoteFailure(result.LastReason());
     }
-    const Duration pause = result ? this->settings.interval - (BootClock::now() - startedAt)
-                                  : this->settings.retryPause;
+    const Duration pause = result
+                             ? this->settings.interval - (BootClock::now() - startedAt)
+                             : this->settings.retryPause;
     co_await this->Wait(pause);
   }
 }
--- a/modules/toucanstand_world/serving/EngineCostModel.cpp
+++ b/modules/toucanstand_world/serving/EngineCostModel.cpp
@@ -14,9 +14,8 @@
 {
   const double contextThousands =
     (this->usualPromptTokens + this->usualAnswerTokens / 2) / 1000.0;
-  const double perWriter =
-    ToSeconds(this->stepTimePerWriter) +
-    ToSeconds(this->stepTimePerThousandContext) * contextThousands;
+  const double perWriter = ToSeconds(this->stepTimePerWriter) +
+                           ToSeconds(this->stepTimePerThousandContext) * contextThousands;
   return this->stepTime + FromSeconds(aWriters * perWriter);
 }
 
--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -9,8 +9,9 @@
 
 const ServerEntry* ObservedGroup::Head() const
 {
-  const auto found = std::ranges::find_if(
-    this->members, [](const ServerEntry* aMember) { return aMember->membership->rank == 0; });
+  const auto found = std::ranges::find_if(this->members, [](const ServerEntry* aMember) {
+    return aMember->membership->rank == 0;
+  });
   return found == this->members.end() ? nullptr : *found;
 }
 
@@ -105,12 +106,11 @@
 {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& entry : this->servers | std::views::values) {
-    nlohmann::json item = { { "id", entry.id.Value() },
-                            { "pool", entry.pool.Value() },
-                            { "zone", entry.zone.Value() },
-                            { "domain", entry.domain.Value() },
-                            { "leaving", entry.leaving },
-                            { "staged", entry.stagedModels } };
+    nlohmann::json item = {
+      { "id", entry.id.Value() },     { "pool", entry.pool.Value() },
+      { "zone", entry.zone.Value() }, { "domain", entry.domain.Value() },
+      { "leaving", entry.leaving },   { "staged", entry.stagedModels }
+    };
     if (entry.membership) {
       item["group"] = { { "id", entry.membership->group.Value() },
                         { "generation", entry.membership->generation },
--- a/modules/toucanstand_world/serving/ServingConfiguration.cpp
+++ b/modules/toucanstand_world/serving/ServingConfiguration.cpp
@@ -7,9 +7,8 @@
 
 Repeatability ServingRoute::MayRepeat() const
 {
-  const bool repeatable =
-    this->kind == CallKind::Idempotent ||
-    (this->kind == CallKind::Stream && this->isResumable);
+  const bool repeatable = this->kind == CallKind::Idempotent ||
+                          (this->kind == CallKind::Stream && this->isResumable);
   return repeatable ? Repeatability::Idempotent : Repeatability::OnlyOnce;
 }
 
--- a/programs/toucanstand-server/CallAnswer.cpp
+++ b/programs/toucanstand-server/CallAnswer.cpp
@@ -32,11 +32,8 @@
 {
   const auto spread =
     FromSeconds(ToSeconds(aRetryAfter) * (1.0 + kSpread * this->state.random.Fraction()));
-  co_await this->Send(503,
-                      aReason,
-                      "not run; come back after the time given",
-                      CallOutcome::NotRun,
-                      spread);
+  co_await this->Send(
+    503, aReason, "not run; come back after the time given", CallOutcome::NotRun, spread);
 }
 
 Task<> CallAnswer::FailUnknown(std::string_view aReason, bool aDeadlinePassed)
--- a/programs/toucanstand-server/CallSender.cpp
+++ b/programs/toucanstand-server/CallSender.cpp
@@ -28,11 +28,8 @@
   deadlines.connect = std::min(kConnectTimeout, remaining);
   deadlines.head = std::min(aTarget.headTimeout, remaining);
   deadlines.progress = remaining;
-  co_return co_await this->state.backends.Open(aTarget.endpoint,
-                                               std::move(request),
-                                               deadlines,
-                                               ConnectionUse::Single,
-                                               this->cancel);
+  co_return co_await this->state.backends.Open(
+    aTarget.endpoint, std::move(request), deadlines, ConnectionUse::Single, this->cancel);
 }
 
 Task<Result<HttpResponse, HttpFailure>> CallSender::ReadWhole(HttpClientStream& aStream)
--- a/programs/toucanstand-server/CallSender.h
+++ b/programs/toucanstand-server/CallSender.h
@@ -33,8 +33,8 @@
     Duration headTimeout{ 0 };
   };
 
-  /// Sends the request and reads the head of the response. The deadline of the call bounds
-  /// all of it.
+  /// Sends the request and reads the head of the response. The deadline of the call
+  /// bounds all of it.
   Task<Result<std::unique_ptr<HttpClientStream>, HttpFailure>> Open(Target aTarget);
 
   /// Reads the rest of a response of bounded size.
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -85,7 +85,8 @@
   if (this->framer.Count() > 0) {
     target.lastEventId = this->framer.LastId();
   }
-  target.urgency = std::clamp(kMostUrgent + this->call.priority, kMostUrgent, kLeastUrgent);
+  target.urgency =
+    std::clamp(kMostUrgent + this->call.priority, kMostUrgent, kLeastUrgent);
   target.headTimeout =
     this->SilenceLimit(std::max(kFirstEventLimit, aChoice.predicted * 2));
   return target;
@@ -104,8 +105,8 @@
 {
   this->framer.StartRun();
   this->memberLost = false;
-  this->ticket = this->placement.OnSent(
-    aChoice, this->call.facts.promptTokens, BootClock::now());
+  this->ticket =
+    this->placement.OnSent(aChoice, this->call.facts.promptTokens, BootClock::now());
   std::optional<AttemptLoss> loss;
   auto opened = co_await this->sender.Open(this->TargetFor(aChoice));
   if (!opened) {
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -37,7 +37,8 @@
   [[nodiscard]] CallSender::Target TargetFor(const PlacementChoice& aChoice) const;
   [[nodiscard]] Duration SilenceLimit(Duration aLimit) const;
   [[nodiscard]] GroupRunEnd RunEndOf(const std::optional<AttemptLoss>& aLoss) const;
-  void LogAttempt(const PlacementChoice& aChoice, const std::optional<AttemptLoss>& aLoss);
+  void LogAttempt(const PlacementChoice& aChoice,
+                  const std::optional<AttemptLoss>& aLoss);
   [[nodiscard]] CallEnd End(CallOutcome aOutcome, int aStatus, std::string aReason) const;
 
   ServingState& state;
--- a/programs/toucanstand-server/GroupKeeper.cpp
+++ b/programs/toucanstand-server/GroupKeeper.cpp
@@ -82,8 +82,7 @@
                           this->state.settings.headStall };
   auto& controller = this->ControllerOf(aPool);
   for (auto& order : controller.Plan(inputs, aNow)) {
-    asio::co_spawn(
-      this->state.loop, this->Give(aPool, std::move(order)), asio::detached);
+    asio::co_spawn(this->state.loop, this->Give(aPool, std::move(order)), asio::detached);
   }
   auto& lastSummary = this->summaries[aPool];
   if (lastSummary != controller.Summary()) {
@@ -136,15 +135,14 @@
 {
   const auto givenUnder = this->term;
   const auto reply = co_await this->state.engines.Send(aOrder);
-  this->state.log.Write(
-    LogWeight::Notable,
-    "engine_order",
-    { { "kind", Name(aOrder.kind) },
-      { "server", aOrder.server.Value() },
-      { "group", aOrder.group.Value() },
-      { "generation", static_cast<std::int64_t>(aOrder.generation) },
-      { "fence", aOrder.fence },
-      { "reply", Name(reply) } });
+  this->state.log.Write(LogWeight::Notable,
+                        "engine_order",
+                        { { "kind", Name(aOrder.kind) },
+                          { "server", aOrder.server.Value() },
+                          { "group", aOrder.group.Value() },
+                          { "generation", static_cast<std::int64_t>(aOrder.generation) },
+                          { "fence", aOrder.fence },
+                          { "reply", Name(reply) } });
   if (givenUnder == this->term) {
     this->ControllerOf(aPool).OnReply(aOrder, reply, BootClock::now());
   }
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// When a caller should come back to a process that does not know enough yet. It waits for
-/// the store, whose outages take seconds.
+/// When a caller should come back to a process that does not know enough yet. It waits
+/// for the store, whose outages take seconds.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(1200);
 
 } // namespace
@@ -72,8 +72,8 @@
   }
   call.pool = this->PickPool(*route);
   call.arrivedAt = aNow;
-  call.deadline = aNow + std::min(call.facts.patience.value_or(route->timeout),
-                                  route->timeout);
+  call.deadline =
+    aNow + std::min(call.facts.patience.value_or(route->timeout), route->timeout);
   return call;
 }
 
--- a/programs/toucanstand-server/ServerSettings.cpp
+++ b/programs/toucanstand-server/ServerSettings.cpp
@@ -26,8 +26,8 @@
                                             std::chrono::milliseconds(10),
                                             std::chrono::minutes(10),
                                             settings.headStall);
-  settings.connections = static_cast<std::size_t>(
-    aReader.Whole("connections", 1, 100'000, static_cast<std::int64_t>(settings.connections)));
+  settings.connections = static_cast<std::size_t>(aReader.Whole(
+    "connections", 1, 100'000, static_cast<std::int64_t>(settings.connections)));
   settings.routineLines =
     aReader.Number("routine_log_lines_per_s", 0, kMostLines, settings.routineLines);
   settings.notableLines =
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// A change of the configuration must be in force 2 s after it was accepted; a copy of the
-/// store that is older than this may lack one.
+/// A change of the configuration must be in force 2 s after it was accepted; a copy of
+/// the store that is older than this may lack one.
 constexpr Duration kInTouch = std::chrono::milliseconds(2000);
 /// Registrations say when a server goes; until then it is usable.
 constexpr Duration kUsable = std::chrono::hours(24 * 365);
@@ -99,10 +99,11 @@
 {
   auto found = this->placements.find(aPool.id);
   if (found == this->placements.end()) {
-    found = this->placements
-              .emplace(aPool.id,
-                       GroupPlacement(this->settings.zone, Random(this->random.Engine()())))
-              .first;
+    found =
+      this->placements
+        .emplace(aPool.id,
+                 GroupPlacement(this->settings.zone, Random(this->random.Engine()())))
+        .first;
   }
   std::vector<ServingGroup> groups;
   for (const auto& group : this->directory.GroupsOf(aPool.id) | std::views::values) {
--- a/programs/toucanstand-server/StoreLink.cpp
+++ b/programs/toucanstand-server/StoreLink.cpp
@@ -74,10 +74,9 @@
   const auto version = configuration->Version();
   const auto routes = static_cast<std::int64_t>(configuration->RouteCount());
   const bool taken = this->state.Apply(std::move(*configuration));
-  this->state.log.Write(
-    LogWeight::Notable,
-    taken ? "configuration_in_force" : "configuration_not_newer",
-    { { "version", version }, { "routes", routes } });
+  this->state.log.Write(LogWeight::Notable,
+                        taken ? "configuration_in_force" : "configuration_not_newer",
+                        { { "version", version }, { "routes", routes } });
 }
 
 void StoreLink::TakeServer(const ServerId& aServer, const StoreChange& aChange)
--- a/tests/unit/toucanstand_delivery/TestAttemptTracker.cpp
+++ b/tests/unit/toucanstand_delivery/TestAttemptTracker.cpp
@@ -118,7 +118,7 @@
   while (budget.TrySpend(kAccount, kPool, RetryCause::LostServer)) {
     ++overdrawn;
   }
-  CHECK(overdrawn == static_cast<int>(RetryBudget::kLargestOverdraft));
+  CHECK(overdrawn == static_cast<int>(RetryBudgetSettings{}.largestOverdraft));
   const AccountId other("other");
   budget.OnFirstAttempt(other, kPool);
   CHECK_FALSE(budget.TrySpend(other, kPool, RetryCause::MayBeOverload));
