--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 check-format:
 	@echo "== format"
 	@scripts/format --check
+	@scripts/check-platform-names
 
 format:
 	@scripts/format
--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -49,6 +49,7 @@
   this->groups.clear();
   this->silent.clear();
   this->staging.clear();
+  this->orderedJoins.clear();
 }
 
 std::vector<EngineOrder> FormationController::Plan(const FormationInputs& aInputs,
@@ -61,8 +62,8 @@
   this->NoteMemberships();
   this->ForgetStaged();
 
-  const auto observed = aInputs.directory.GroupsOf(this->pool);
-  this->Adopt(observed);
+  this->observed = aInputs.directory.GroupsOf(this->pool);
+  this->Adopt(this->observed);
   // In the order of Phase.
   constexpr std::array<Step, 5> kSteps = { &FormationController::StepForming,
                                            &FormationController::StepStanding,
@@ -71,12 +72,13 @@
                                            &FormationController::StepDissolved };
   const ObservedGroup unseen;
   for (auto& [id, record] : this->groups) {
-    const auto seen = observed.find(id);
+    const auto seen = this->observed.find(id);
     (this->*kSteps.at(static_cast<std::size_t>(record.phase)))(
-      id, record, seen == observed.end() ? unseen : seen->second);
+      id, record, seen == this->observed.end() ? unseen : seen->second);
   }
-  std::erase_if(this->groups, [&observed](const auto& aGroup) {
-    return aGroup.second.phase == Phase::Dissolved && !observed.contains(aGroup.first);
+  std::erase_if(this->groups, [this](const auto& aGroup) {
+    return aGroup.second.phase == Phase::Dissolved &&
+           !this->observed.contains(aGroup.first);
   });
   this->FormGroups(this->FreeEngines());
   this->inputs = nullptr;
@@ -150,12 +152,19 @@
                                     const ServerId& aServer,
                                     const Endpoint& aEndpoint)
 {
+  if (aServer.IsEmpty()) {
+    return;
+  }
   const auto last = aRecord.orderedAt.find(aServer);
   const Duration pause = this->silent.contains(aServer) ? kRepeatToSilent : kRepeatAfter;
   if (last != aRecord.orderedAt.end() && this->now - last->second < pause) {
     return;
   }
   aRecord.orderedAt[aServer] = this->now;
+  if (aKind == OrderKind::Join) {
+    auto& highest = this->orderedJoins[aServer];
+    highest = std::max(highest, aRecord.generation);
+  }
   EngineOrder order;
   order.server = aServer;
   order.endpoint = aEndpoint;
@@ -230,6 +239,16 @@
   });
 }
 
+bool FormationController::IsOvertaken(const GroupRecord& aRecord) const
+{
+  // Registrations lag, so that a new holder of the lease may have planned with engines
+  // that an earlier holder had already given to a group.
+  return std::ranges::any_of(aRecord.members, [this, &aRecord](const ServerId& aMember) {
+    const auto ordered = this->orderedJoins.find(aMember);
+    return ordered != this->orderedJoins.end() && ordered->second > aRecord.generation;
+  });
+}
+
 void FormationController::StepStanding(const GroupId& aId,
                                        GroupRecord& aRecord,
                                        const ObservedGroup& aSeen)
@@ -263,6 +282,11 @@
     return;
   }
   if (complete && head->membership->state == MembershipState::Ready) {
+    if (this->IsOvertaken(aRecord)) {
+      this->Enter(aRecord, Phase::Retiring);
+      this->StepRetiring(aId, aRecord, aSeen);
+      return;
+    }
     this->OrderOnce(aId, aRecord, OrderKind::Open, head->id, head->endpoint);
   }
 }
@@ -527,7 +551,7 @@
 {
   const bool moving =
     std::ranges::any_of(this->groups | std::views::values, [](const auto& aRecord) {
-      return aRecord.phase == Phase::Closing && aRecord.closeWait == kMoveWait;
+      return !aRecord.movesTo.empty() && aRecord.phase != Phase::Dissolved;
     });
   if (moving || this->inputs->cost.models.empty()) {
     return;
@@ -541,6 +565,8 @@
   if (donor->cold.empty()) {
     auto& record = this->groups.at(donor->group);
     record.closeWait = kMoveWait;
+    record.movesTo = lacking.name;
+    record.domain = this->inputs->directory.Find(record.head)->domain;
     this->Enter(record, Phase::Closing);
     return;
   }
@@ -555,13 +581,13 @@
 {
   const double lackingAfter =
     (static_cast<double>(this->CountOf(aLacking.name)) + 1) / this->NeedOf(aLacking);
-  const auto observed = this->inputs->directory.GroupsOf(this->pool);
   std::optional<Donor> best;
   for (const auto& [id, record] : this->groups) {
     const auto* terms = this->inputs->cost.FindModel(record.model);
-    const auto seen = observed.find(id);
-    if (record.phase != Phase::Standing || terms == nullptr || seen == observed.end() ||
-        record.model == aLacking.name) {
+    const auto seen = this->observed.find(id);
+    if (record.phase != Phase::Standing || terms == nullptr ||
+        seen == this->observed.end() ||
+        seen->second.Head() == nullptr || record.model == aLacking.name) {
       continue;
     }
     const double donorAfter =
@@ -594,6 +620,15 @@
   return best;
 }
 
+bool FormationController::MayForm(const DomainId& aDomain,
+                                  const std::string& aModel) const
+{
+  return std::ranges::none_of(this->groups | std::views::values, [&](const auto& aRecord) {
+    return !aRecord.movesTo.empty() && aRecord.phase != Phase::Dissolved &&
+           aRecord.domain == aDomain && aRecord.movesTo != aModel;
+  });
+}
+
 bool FormationController::FormOne(const ModelTerms& aModel,
                                   std::vector<const ServerEntry*>& aFree)
 {
@@ -601,7 +636,9 @@
   for (const auto* entry : aFree) {
     // Once callers are served, weights are staged first: members that are ready would
     // wait for the load of one that is cold.
-    if (!this->inputs->trafficStarted || this->JoinCost(*entry, aModel.name) < kCold) {
+    const bool quick =
+      !this->inputs->trafficStarted || this->JoinCost(*entry, aModel.name) < kCold;
+    if (quick && this->MayForm(entry->domain, aModel.name)) {
       byDomain[entry->domain].push_back(entry);
     }
   }
@@ -689,8 +726,7 @@
   }
   // Members of small groups first: with a free engine or two they make a large one.
   std::vector<std::pair<std::size_t, const ServerEntry*>> members;
-  for (const auto& group :
-       this->inputs->directory.GroupsOf(this->pool) | std::views::values) {
+  for (const auto& group : this->observed | std::views::values) {
     for (const auto* member : group.members) {
       members.emplace_back(group.members.size(), member);
     }
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -141,6 +141,10 @@
     std::map<ServerId, Endpoint> endpoints;
     bool wasComplete = false;
     Duration closeWait = kCloseWait;
+    /// Set while the group is dissolved for the sake of another model: until then the free
+    /// engines of its domain are kept for that model.
+    std::string movesTo;
+    DomainId domain;
     /// Set once no member is left in the group of a head that does not answer.
     std::optional<TimePoint> membersLeftAt;
     /// When each engine got its last order on this group.
@@ -171,6 +175,8 @@
                                  const GroupRecord& aRecord,
                                  const ObservedGroup& aSeen);
   void RememberMembers(GroupRecord& aRecord, const ObservedGroup& aSeen);
+  /// A member got an order to join a later group, which it may still carry out.
+  [[nodiscard]] bool IsOvertaken(const GroupRecord& aRecord) const;
   [[nodiscard]] bool HasLeavingMember(const ObservedGroup& aSeen) const;
   void Enter(GroupRecord& aRecord, Phase aPhase);
   void OrderOnce(const GroupId& aId,
@@ -212,6 +218,8 @@
   /// Groups that the model's callers keep busy, in any unit that is the same for all.
   [[nodiscard]] double GroupsFor(const ModelTerms& aModel) const;
   [[nodiscard]] std::size_t MostGroups(const ModelTerms& aModel) const;
+  /// False while the free engines of a domain are kept for another model.
+  [[nodiscard]] bool MayForm(const DomainId& aDomain, const std::string& aModel) const;
   /// How an engine gets the weights of a model, from fastest to slowest.
   static constexpr int kHot = 0;
   static constexpr int kWarm = 1;
@@ -233,6 +241,8 @@
     std::string model;
   };
   std::map<ServerId, LastModel> lastModels;
+  /// Highest generation that each engine was ordered to join under this lease.
+  std::map<ServerId, Generation> orderedJoins;
   struct StagingOrder
   {
     std::string model;
@@ -243,6 +253,7 @@
 
   // Set for the duration of Plan().
   const FormationInputs* inputs = nullptr;
+  std::map<GroupId, ObservedGroup> observed;
   TimePoint now{};
   std::vector<EngineOrder> orders;
   std::vector<KnownEngine> toExamine;
--- a/programs/toucanstand-entry/EntrySettings.cpp
+++ b/programs/toucanstand-entry/EntrySettings.cpp
@@ -24,6 +24,7 @@
     "idle_timeout_ms", milliseconds(10), minutes(60), aLimits.idleTimeout);
   aLimits.requestTimeout = aReader.Milliseconds(
     "request_timeout_ms", milliseconds(10), minutes(10), aLimits.requestTimeout);
+  aLimits.headerTimeout = aLimits.requestTimeout;
 }
 
 void ReadProgress(SettingsReader& aReader, ProgressLimits& aProgress)
--- a/programs/toucanstand-ledger/ClaimService.cpp
+++ b/programs/toucanstand-ledger/ClaimService.cpp
@@ -36,6 +36,7 @@
       return StoreResult::NotSent;
     case StoreFailure::EffectUnknown:
     case StoreFailure::Malformed:
+    case StoreFailure::HistoryLost:
       break;
   }
   return StoreResult::NoReply;
--- /dev/null
+++ b/tests/platform/TestServer.cpp
@@ -0,0 +1,366 @@
+#include <csignal>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "support/PlatformStandin.h"
+
+using namespace toucanstand;
+using nlohmann::json;
+
+// The real program as its own process, against stand-ins of the platform.
+
+namespace {
+
+/// All events of a stand-in's stream, each once and in order.
+std::string WholeAnswer()
+{
+  std::string text;
+  for (int number = 1; number <= EngineStandin::kEvents; ++number) {
+    text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) +
+            "\n\n";
+  }
+  return text;
+}
+
+std::size_t RunsOf(PlatformStandin& aPlatform, const std::string& aAttempt)
+{
+  const auto runs = aPlatform.Runs();
+  return static_cast<std::size_t>(std::ranges::count(runs, aAttempt, &StandinRun::attempt));
+}
+
+/// Repeats a call until its status is the wanted one.
+bool BecomesStatus(ServerUnderTest& aServer,
+                   const std::string& aPath,
+                   const std::string& aKey,
+                   int aStatus)
+{
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+  int number = 0;
+  while (std::chrono::steady_clock::now() < deadline) {
+    const auto answer =
+      aServer.Call("GET", aPath, "poll-" + aPath + std::to_string(++number), aKey);
+    if (answer && answer->status == aStatus) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("Requests reach the head of a group with what the platform asks for", "[server]")
+{
+  // Guards against a key that reaches a server, a missing expected server or account, and
+  // an answer that is not the server's.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+
+  const auto answer = server.Generate("a-1");
+  REQUIRE(answer.HasValue());
+  CHECK(answer->status == 200);
+  CHECK(answer->body == WholeAnswer());
+  CHECK(answer->headers.Find("X-Attempt-Id") == "a-1");
+
+  const auto runs = platform.Runs();
+  REQUIRE(runs.size() == 1);
+  const auto& headers = runs.front().request.headers;
+  CHECK(answer->headers.Find("X-Engine-Stamp") == "stamp-" + runs.front().server);
+  CHECK(runs.front().request.target == "/chat/1");
+  CHECK(runs.front().request.body == "prompt");
+  CHECK(headers.Find("Host") == "api.example");
+  CHECK(headers.Find("X-Expect-Instance") == runs.front().server);
+  CHECK(headers.Find("X-Tenant") == "shop");
+  CHECK(!headers.Has("Authorization"));
+  CHECK(std::stoi(std::string(headers.Find("X-Deadline-Ms"))) <= 5000);
+
+  const auto look = server.Call("GET", "/looks/7?part=2", "a-2");
+  REQUIRE(look.HasValue());
+  CHECK(look->body.starts_with("answer of stock-"));
+  CHECK(platform.Runs().back().request.target == "/looks/7?part=2");
+}
+
+TEST_CASE("A broken stream goes on after its last whole event", "[server]")
+{
+  // Guards against missing, repeated and torn events when a run breaks within an event.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  platform.Do([&] {
+    for (int number = 0; number < 4; ++number) {
+      platform.Engine("engine-" + std::to_string(number)).faults.breakRuns = 1;
+    }
+  });
+
+  const auto first = server.Generate("b-1");
+  // Both groups break one run: the stream breaks for good, visibly.
+  REQUIRE(!first.HasValue());
+  CHECK(RunsOf(platform, "b-1") == 2);
+
+  platform.Do([&] {
+    const auto head = platform.Runs().front().server;
+    platform.Engine(head).faults.breakRuns = 0;
+  });
+}
+
+TEST_CASE("A stream that breaks once is whole for its caller", "[server]")
+{
+  // Guards against pieces that are joined wrongly at the place of the break.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  // Whichever head gets the request first breaks it; the other one does not.
+  const auto heads = platform.Heads();
+  platform.Do(
+    [&] { platform.Engine(heads.begin()->second).faults.breakRuns = 100; });
+
+  std::size_t broken = 0;
+  for (int number = 0; number < 6; ++number) {
+    const auto attempt = "c-" + std::to_string(number);
+    const auto answer = server.Generate(attempt);
+    REQUIRE(answer.HasValue());
+    CHECK(answer->body == WholeAnswer());
+    broken += RunsOf(platform, attempt) == 2 ? 1 : 0;
+  }
+  CHECK(broken > 0);
+}
+
+TEST_CASE("A stream whose second run is rejected does not end as complete", "[server]")
+{
+  // Guards against the fault that a response that refuses a run was also taken as one that
+  // begins it: the caller's stream was then ended as complete.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  const auto heads = platform.Heads();
+  platform.Do([&] {
+    platform.Engine(heads.begin()->second).faults.breakRuns = 100;
+    platform.Engine(heads.rbegin()->second).faults.rejectAsOther = 100;
+  });
+
+  std::size_t begun = 0;
+  for (int number = 0; number < 6; ++number) {
+    const auto attempt = "d-" + std::to_string(number);
+    const auto answer = server.Generate(attempt);
+    if (answer) {
+      // Rejected everywhere it was sent: it must not have run.
+      CHECK(answer->status == 503);
+      CHECK(RunsOf(platform, attempt) == 0);
+    } else {
+      ++begun;
+    }
+  }
+  CHECK(begun > 0);
+}
+
+TEST_CASE("A call that must not repeat runs once and is refused truthfully", "[server]")
+{
+  // Guards against a second run after a lost answer, and against a refusal as not run of
+  // a call that has run.
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+
+  platform.Do([&] {
+    platform.Engine("stock-0").faults.loseAnswers = 1;
+    platform.Engine("stock-1").faults.loseAnswers = 1;
+  });
+  const auto lost = server.Call("POST", "/holds/1", "e-1");
+  REQUIRE(lost.HasValue());
+  CHECK(lost->status == 502);
+  CHECK(RunsOf(platform, "e-1") == 1);
+
+  platform.Do([&] {
+    platform.Engine("stock-0").faults = {};
+    platform.Engine("stock-1").faults = {};
+    platform.Engine("stock-0").faults.rejectAsFull = 1;
+    platform.Engine("stock-1").faults.rejectAsFull = 1;
+  });
+  const auto refused = server.Call("POST", "/holds/2", "e-2");
+  REQUIRE(refused.HasValue());
+  CHECK(refused->status == 503);
+  CHECK(refused->headers.Has("Retry-After"));
+  CHECK(refused->headers.Find("Toucanstand-Outcome") == "not-run");
+  CHECK(RunsOf(platform, "e-2") == 0);
+}
+
+TEST_CASE("Answers that are not the server's are not passed on", "[server]")
+{
+  // Guards against a success without the server's signature, and against an answer that
+  // belongs to another request.
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  platform.Do([&] {
+    platform.Engine("stock-0").faults.unsignedAnswers = 1;
+    platform.Engine("stock-1").faults.unsignedAnswers = 1;
+  });
+  CHECK(server.Call("POST", "/holds/1", "f-1")->status == 502);
+  platform.Do([&] {
+    platform.Engine("stock-0").faults = {};
+    platform.Engine("stock-1").faults = {};
+    platform.Engine("stock-0").faults.foreignAnswers = 1;
+    platform.Engine("stock-1").faults.foreignAnswers = 1;
+  });
+  CHECK(server.Call("POST", "/holds/2", "f-2")->status == 502);
+}
+
+TEST_CASE("A configuration is in force soon and never goes back", "[server]")
+{
+  // Guards against revoked keys that go on working, and against an older version that is
+  // read late.
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  CHECK(server.Call("GET", "/looks/1", "g-1", "key-2")->status == 200);
+  CHECK(server.Call("GET", "/looks/1", "g-2", "key-9")->status == 401);
+  CHECK(server.Call("GET", "/nothing/1", "g-3")->status == 404);
+
+  platform.Configure(
+    5, { { "Tenants", { { { "Name", "shop" }, { "ApiKeys", { "key-1" } } } } } });
+  CHECK(BecomesStatus(server, "/looks/1", "key-2", 401));
+  CHECK(server.Call("GET", "/looks/1", "g-4", "key-1")->status == 200);
+
+  platform.Configure(4);
+  platform.Do([&] { platform.Store().DropHistory(); });
+  // The mirror has read everything anew once a later version is in force.
+  platform.Configure(
+    6,
+    { { "Tenants", { { { "Name", "shop" }, { "ApiKeys", { "key-1", "key-6" } } } } } });
+  CHECK(BecomesStatus(server, "/looks/1", "key-6", 200));
+  CHECK(server.Call("GET", "/looks/1", "g-5", "key-2")->status == 401);
+}
+
+TEST_CASE("A leaving server gets no new requests", "[server]")
+{
+  // Guards against routing to a server that has announced that it leaves.
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  platform.Do([&] { platform.Engine("stock-0").SetDraining(); });
+  server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
+    return std::ranges::any_of(aState.at("servers"), [](const json& aServer) {
+      return aServer.at("id") == "stock-0" && aServer.at("leaving") == true;
+    });
+  });
+  for (int number = 0; number < 20; ++number) {
+    const auto answer =
+      server.Call("GET", "/looks/1", "h-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    CHECK(answer->body == "answer of stock-1");
+  }
+}
+
+TEST_CASE("Serving goes on while the store is away", "[server]")
+{
+  // Guards against an outage of the store that stops requests, and against a rejection
+  // for a configuration that may be old.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  platform.Do([&] { platform.Store().faults.refuses = true; });
+  CHECK(BecomesStatus(server, "/nothing/1", "key-1", 503));
+  const auto answer = server.Generate("i-1");
+  REQUIRE(answer.HasValue());
+  CHECK(answer->body == WholeAnswer());
+  platform.Do([&] { platform.Store().faults.refuses = false; });
+  CHECK(BecomesStatus(server, "/nothing/1", "key-1", 404));
+  CHECK(platform.Heads().size() == 2);
+}
+
+TEST_CASE("Groups are formed although the store loses answers", "[server]")
+{
+  // Guards against a leader that does not know that it leads after a lost answer.
+  PlatformStandin platform(4);
+  platform.Do([&] { platform.Store().faults.loseWriteAnswers = 3; });
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  CHECK(server.Generate("j-1").HasValue());
+}
+
+TEST_CASE("A group that loses a member is replaced", "[server]")
+{
+  // Guards against a head that goes on getting requests after it lost a member, and
+  // against a spare that is not used.
+  PlatformStandin platform(5);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  const auto before = platform.Heads();
+  std::string victim;
+  platform.Do([&] {
+    for (int number = 0; number < 5; ++number) {
+      const auto id = "engine-" + std::to_string(number);
+      const auto group = platform.Engine(id).Group();
+      if (group == before.begin()->first && before.begin()->second != id) {
+        victim = id;
+      }
+    }
+  });
+  REQUIRE(!victim.empty());
+  platform.Kill(victim);
+  platform.Unregister(victim);
+
+  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(12);
+  bool replaced = false;
+  int number = 0;
+  while (!replaced && std::chrono::steady_clock::now() < deadline) {
+    (void)server.Generate("k-" + std::to_string(++number));
+    const auto heads = platform.Heads();
+    replaced = heads.size() == 2 && !heads.contains(before.begin()->first);
+  }
+  CHECK(replaced);
+  server.WaitForGroups(2);
+  const auto answer = server.Generate("k-last");
+  REQUIRE(answer.HasValue());
+  CHECK(answer->body == WholeAnswer());
+}
+
+TEST_CASE("A planned stop finishes its streams, also when it is asked for twice",
+          "[server]")
+{
+  // Guards against the fault that a second SIGTERM cut the streams in flight after 250 ms.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  std::string answer;
+  auto stream = server.caller.OpenStream(server.listen,
+                                         "/chat/1",
+                                         "prompt",
+                                         ServerUnderTest::GenerationHeaders("l-1"),
+                                         answer);
+  REQUIRE(stream);
+  server.process->Signal(SIGTERM);
+  server.process->Signal(SIGTERM);
+  while (true) {
+    const auto piece = server.caller.Read(*stream);
+    REQUIRE(piece.HasValue());
+    if (piece->empty()) {
+      break;
+    }
+    answer += *piece;
+  }
+  CHECK(answer == WholeAnswer());
+  CHECK(server.process->Wait() == 0);
+}
+
+TEST_CASE("A frozen process serves on and gives no order on what it held", "[server]")
+{
+  // Guards against a leader that acts on its old lease after it was stopped for longer.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  server.process->Signal(SIGSTOP);
+  ServerUnderTest other(platform, "vm-2");
+  other.WaitForGroups(2);
+  other.caller.WaitFor(other.operators, "/state", [](const json& aState) {
+    return aState.at("leader_term") != 0;
+  });
+  server.process->Signal(SIGCONT);
+  server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
+    return aState.at("leader_term") == 0 && aState.at("store_age_ms") < 2000;
+  });
+  CHECK(server.Generate("m-1").HasValue());
+  CHECK(other.Generate("m-2").HasValue());
+  CHECK(platform.Heads().size() == 2);
+}
--- /dev/null
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -0,0 +1,240 @@
+#include "support/PlatformStandin.h"
+
+#include <chrono>
+#include <future>
+#include <stdexcept>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+namespace toucanstand {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr auto kLongestWait = std::chrono::seconds(15);
+constexpr auto kPoll = std::chrono::milliseconds(20);
+
+json UsualConfiguration(std::int64_t aVersion)
+{
+  const json engine = {
+    { "Slots", 8 },
+    { "KvCapacity", 100000 },
+    { "Stride", 5 },
+    { "Models",
+      { { { "Name", "large" },
+          { "size", 2 },
+          { "Share", 1.0 },
+          { "pace", 1.0 },
+          { "LoadS", 0.1 },
+          { "WarmS", 0.1 } } } },
+    { "step_ms", 1.0 },
+    { "per_seq_ms", 0.1 },
+    { "read_per_s", 100000.0 },
+    { "chunk", 2048 },
+    { "LoadsPerS", 100.0 },
+    { "loads_at_once", 10 },
+    { "usual", { { "prompt", 100 }, { "answer", 60 } } },
+    { "FormMs", 20.0 },
+  };
+  const auto route =
+    [](const char* aPrefix, const char* aKind, const char* aService, int aAttempts) {
+      return json{ { "Name", aPrefix },        { "Host", "api.example" },
+                   { "PathPrefix", aPrefix },  { "Kind", aKind },
+                   { "TimeoutMs", 5000 },      { "TargetLatencyMs", 2000 },
+                   { "Priority", 1 },          { "Service", aService },
+                   { "MaxAttempts", aAttempts } };
+    };
+  json chat = route("/chat/", "streaming", "engines", 2);
+  chat["CanResume"] = true;
+  chat["GapTargetMs"] = 300;
+  return { { "Version", aVersion },
+           { "Routes",
+             { chat,
+               route("/holds/", "unsafe", "stock", 1),
+               route("/looks/", "safe", "stock", 2) } },
+           { "Services",
+             { { { "Name", "engines" }, { "MaxConnections", 100 }, { "Engine", engine } },
+               { { "Name", "stock" }, { "MaxConnections", 100 } } } },
+           { "Limits",
+             { { "MaxHeaderBytes", 16384 },
+               { "MaxBodyBytes", 4194304 },
+               { "HeaderTimeoutMs", 3000 },
+               { "IdleTimeoutMs", 15000 } } },
+           { "Tenants",
+             { { { "Name", "shop" }, { "ApiKeys", { "key-1", "key-2" } } } } } };
+}
+
+} // namespace
+
+PlatformStandin::PlatformStandin(int aEngines)
+  : store(std::make_unique<StoreStandin>(this->loop, this->metrics))
+{
+  for (int number = 0; number < aEngines; ++number) {
+    this->Add("engine-" + std::to_string(number), "engines", "domain-1");
+  }
+  this->Add("stock-0", "stock", "");
+  this->Add("stock-1", "stock", "");
+  this->store->Put("op/config", UsualConfiguration(1).dump());
+  this->thread = std::thread([this] {
+    const auto work = boost::asio::make_work_guard(this->loop);
+    this->loop.run();
+  });
+}
+
+PlatformStandin::~PlatformStandin()
+{
+  this->loop.stop();
+  this->thread.join();
+}
+
+void PlatformStandin::Add(const std::string& aId,
+                          const std::string& aService,
+                          const std::string& aDomain)
+{
+  auto server = std::make_unique<EngineStandin>(
+    this->loop, this->metrics, aId, aService, aDomain);
+  server->onChanged = [this, aId](const std::string& aEntry) {
+    this->store->Put("servers/" + aId, aEntry);
+  };
+  server->onBegan = [this](const StandinRun& aRun) { this->runs.push_back(aRun); };
+  server->groupIsWhole = [this](const std::string& aGroup) {
+    return this->IsWhole(aGroup);
+  };
+  server->Listen();
+  this->store->Put("servers/" + aId, server->Entry());
+  this->servers.emplace(aId, std::move(server));
+}
+
+bool PlatformStandin::IsWhole(const std::string& aGroup) const
+{
+  constexpr int kSize = 2;
+  return std::ranges::count_if(this->servers, [&aGroup](const auto& aServer) {
+           return aServer.second->IsAlive() && aServer.second->Group() == aGroup;
+         }) == kSize;
+}
+
+void PlatformStandin::Do(const std::function<void()>& aFunction)
+{
+  std::promise<void> done;
+  boost::asio::post(this->loop, [&] {
+    aFunction();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void PlatformStandin::Configure(std::int64_t aVersion, const json& aChange)
+{
+  json configuration = UsualConfiguration(aVersion);
+  if (!aChange.is_null()) {
+    configuration.merge_patch(aChange);
+  }
+  this->Do([&] { this->store->Put("op/config", configuration.dump()); });
+}
+
+std::vector<StandinRun> PlatformStandin::Runs()
+{
+  std::vector<StandinRun> copy;
+  this->Do([&] { copy = this->runs; });
+  return copy;
+}
+
+std::map<std::string, std::string> PlatformStandin::Heads()
+{
+  std::map<std::string, std::string> heads;
+  this->Do([&] {
+    for (const auto& [id, server] : this->servers) {
+      const auto entry = json::parse(server->Entry());
+      if (server->IsAlive() && entry.contains("group") &&
+          entry["group"]["State"] == "open") {
+        heads[entry["group"]["Name"]] = id;
+      }
+    }
+  });
+  return heads;
+}
+
+void PlatformStandin::Unregister(const std::string& aId)
+{
+  this->Do([&] { this->store->Delete("servers/" + aId); });
+}
+
+void PlatformStandin::Kill(const std::string& aId)
+{
+  this->Do([&] { this->servers.at(aId)->Die(); });
+}
+
+ServerUnderTest::ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId)
+  : platform(aPlatform)
+  , caller(std::chrono::seconds(6))
+  , listen(this->ports.Reserve())
+  , readiness(this->ports.Reserve())
+  , operators(this->ports.Reserve())
+{
+  const json document = { { "id", aId },
+                          { "zone", "zone-a" },
+                          { "listen", this->listen.Text() },
+                          { "readiness", this->readiness.Text() },
+                          { "peers", this->ports.Reserve().Text() },
+                          { "operator", this->operators.Text() },
+                          { "store", aPlatform.Store().Address().Text() },
+                          { "stop_period_s", 8 },
+                          { "head_stall_ms", 500 },
+                          { "seed", 7 } };
+  this->settings = std::make_unique<SettingsFile>(document);
+  this->process = std::make_unique<ProcessLauncher>(
+    "toucanstand-server",
+    std::vector<std::string>{ this->settings->Option(), "--log-level=warn" });
+}
+
+void ServerUnderTest::WaitForGroups(std::size_t aCount)
+{
+  const auto deadline = std::chrono::steady_clock::now() + kLongestWait;
+  while (std::chrono::steady_clock::now() < deadline) {
+    const auto state = this->caller.Call(this->operators, "GET", "/state");
+    if (state && state->status == 200) {
+      const auto document = json::parse(state->body);
+      const auto& placements = document.at("placements");
+      const auto heads = this->platform.Heads();
+      if (heads.size() >= aCount && placements.contains("engines") &&
+          placements.at("engines").size() >= aCount) {
+        return;
+      }
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  throw std::runtime_error("the groups were not formed in time");
+}
+
+HttpHeaders ServerUnderTest::GenerationHeaders(const std::string& aAttempt)
+{
+  return { { "Host", "api.example" },       { "X-Attempt-Id", aAttempt },
+           { "X-Model", "large" },          { "X-Token-Usage", "100,60" },
+           { "X-Prompt-Prefix", "1f:100" }, { "X-Deadline-Ms", "5000" },
+           { "Authorization", "Bearer key-1" } };
+}
+
+Result<HttpResponse, HttpFailure> ServerUnderTest::Generate(const std::string& aAttempt)
+{
+  return this->caller.Call(
+    this->listen, "POST", "/chat/1", "prompt", GenerationHeaders(aAttempt));
+}
+
+Result<HttpResponse, HttpFailure> ServerUnderTest::Call(const std::string& aMethod,
+                                                        const std::string& aPath,
+                                                        const std::string& aAttempt,
+                                                        const std::string& aKey)
+{
+  return this->caller.Call(this->listen,
+                           aMethod,
+                           aPath,
+                           aMethod == "POST" ? "body" : "",
+                           { { "Host", "api.example" },
+                             { "X-Attempt-Id", aAttempt },
+                             { "X-Deadline-Ms", "4000" },
+                             { "Authorization", "Bearer " + aKey } });
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/tests/platform/support/PlatformStandin.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include "metrics/MetricsRegistry.h"
+#include "support/EngineStandin.h"
+#include "support/HttpCaller.h"
+#include "support/ProcessLauncher.h"
+#include "support/ReservedPorts.h"
+#include "support/SettingsFile.h"
+#include "support/StoreStandin.h"
+
+namespace toucanstand {
+
+/// The users' platform on loopback: its store, engines of one fabric domain and two
+/// instances of a plain service, on a loop and thread of their own.
+class PlatformStandin
+{
+public:
+  explicit PlatformStandin(int aEngines);
+  ~PlatformStandin();
+  PlatformStandin(const PlatformStandin&) = delete;
+  PlatformStandin& operator=(const PlatformStandin&) = delete;
+
+  /// Runs a function on the loop of the stand-ins and waits for it.
+  void Do(const std::function<void()>& aFunction);
+
+  /// Writes a configuration. @param aChange is merged into the usual one
+  void Configure(std::int64_t aVersion, const nlohmann::json& aChange = {});
+
+  [[nodiscard]] EngineStandin& Engine(const std::string& aId)
+  {
+    return *this->servers.at(aId);
+  }
+  [[nodiscard]] StoreStandin& Store() { return *this->store; }
+  [[nodiscard]] std::vector<StandinRun> Runs();
+  /// The open heads, by group.
+  [[nodiscard]] std::map<std::string, std::string> Heads();
+
+  void Unregister(const std::string& aId);
+  /// Ends a server without a word; its registration stays.
+  void Kill(const std::string& aId);
+
+private:
+  void Add(const std::string& aId,
+           const std::string& aService,
+           const std::string& aDomain);
+  [[nodiscard]] bool IsWhole(const std::string& aGroup) const;
+
+  boost::asio::io_context loop;
+  MetricsRegistry metrics;
+  std::unique_ptr<StoreStandin> store;
+  std::map<std::string, std::unique_ptr<EngineStandin>> servers;
+  std::vector<StandinRun> runs;
+  std::thread thread;
+};
+
+/// A toucanstand-server process on a platform stand-in.
+class ServerUnderTest
+{
+public:
+  ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
+
+  /// Waits until it is ready and the platform has that many open groups.
+  void WaitForGroups(std::size_t aCount);
+
+  /// A generation request; the events of the answer as the caller gets them.
+  Result<HttpResponse, HttpFailure> Generate(const std::string& aAttempt);
+  /// A call of the plain service.
+  Result<HttpResponse, HttpFailure> Call(const std::string& aMethod,
+                                         const std::string& aPath,
+                                         const std::string& aAttempt,
+                                         const std::string& aKey = "key-1");
+
+  [[nodiscard]] static HttpHeaders GenerationHeaders(const std::string& aAttempt);
+
+  PlatformStandin& platform;
+  HttpCaller caller;
+  Endpoint listen;
+  Endpoint readiness;
+  Endpoint operators;
+  std::unique_ptr<ProcessLauncher> process;
+
+private:
+  ReservedPorts ports;
+  std::unique_ptr<SettingsFile> settings;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/tests/platform/support/StoreStandin.cpp
@@ -0,0 +1,274 @@
+#include "support/StoreStandin.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "store/Base64.h"
+
+namespace toucanstand {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kHistory = 100'000;
+
+KeyRange PrefixRange(const std::string& aPrefix)
+{
+  std::string end = aPrefix;
+  if (end.empty()) {
+    return { std::string(1, '\0'), std::string(1, '\0') };
+  }
+  ++end.back();
+  return { aPrefix, end };
+}
+
+/// Value of a field of the query; the stand-in's keys need no decoding.
+std::string QueryField(const std::string& aTarget, const std::string& aName)
+{
+  const auto mark = "&" + aName + "=";
+  const auto query = "&" + aTarget.substr(aTarget.find('?') + 1);
+  const auto start = query.find(mark);
+  if (start == std::string::npos) {
+    return "";
+  }
+  const auto from = start + mark.size();
+  return query.substr(from, query.find('&', from) - from);
+}
+
+json Item(const KeyValue& aValue)
+{
+  return { { "Key", aValue.key },
+           { "Value", EncodeBase64(aValue.value) },
+           { "Revision", aValue.modRevision },
+           { "Created", aValue.createRevision },
+           { "Lease", aValue.lease } };
+}
+
+HttpResponse Status(int aStatus)
+{
+  HttpResponse response;
+  response.status = aStatus;
+  return response;
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(boost::asio::io_context& aLoop, MetricsRegistry& aMetrics)
+  : loop(aLoop)
+  , state(kHistory)
+  , server(
+      aLoop,
+      HttpServerLimits{},
+      [this](HttpExchange& aExchange) { return this->Serve(aExchange); },
+      aMetrics)
+  , expiry(aLoop)
+{
+  this->endpoint = *this->server.Listen({ "127.0.0.1", 0 });
+}
+
+void StoreStandin::Put(const std::string& aKey, const std::string& aValue)
+{
+  StoreTransaction write;
+  write.success.push_back(PutOperation{ aKey, aValue, 0 });
+  (void)this->state.Execute(write);
+  this->Wake();
+}
+
+void StoreStandin::Delete(const std::string& aKey)
+{
+  StoreTransaction write;
+  write.success.push_back(DeleteOperation{ { aKey, "" } });
+  (void)this->state.Execute(write);
+  this->Wake();
+}
+
+void StoreStandin::DropHistory()
+{
+  this->forgottenBefore = this->state.Revision();
+  this->Wake();
+}
+
+void StoreStandin::Wake()
+{
+  for (auto* watcher : this->watchers) {
+    watcher->cancel();
+  }
+  this->ExpireLater();
+}
+
+void StoreStandin::ExpireLater()
+{
+  const auto due = this->state.NextExpiry();
+  if (!due) {
+    return;
+  }
+  this->expiry.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::max(*due - BootClock::now(), Duration::zero())));
+  this->expiry.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError) {
+      this->state.Expire(BootClock::now());
+      this->Wake();
+    }
+  });
+}
+
+Task<> StoreStandin::Serve(HttpExchange& aExchange)
+{
+  ++this->calls;
+  if (this->faults.refuses) {
+    co_await aExchange.Respond(Status(503));
+    co_return;
+  }
+  if (aExchange.Request().target.starts_with("/kv-watch")) {
+    co_await this->Watch(aExchange);
+    co_return;
+  }
+  HttpResponse response = this->Answer(aExchange.Request());
+  const bool written = aExchange.Request().method != "GET";
+  if (written) {
+    this->Wake();
+  }
+  if (written && this->faults.loseWriteAnswers > 0) {
+    --this->faults.loseWriteAnswers;
+    aExchange.BreakOff();
+    co_return;
+  }
+  co_await aExchange.Respond(std::move(response));
+}
+
+Task<> StoreStandin::Watch(HttpExchange& aExchange)
+{
+  const auto target = aExchange.Request().target;
+  const auto after = std::stoll(QueryField(target, "After"));
+  const auto range = PrefixRange(QueryField(target, "PathPrefix"));
+  const auto wait = std::chrono::milliseconds(std::stoll(QueryField(target, "WaitMs")));
+  boost::asio::steady_timer timer(this->loop, wait);
+  const auto place = this->watchers.insert(this->watchers.end(), &timer);
+  bool ended = false;
+  json events = json::array();
+  while (events.empty() && !ended && after >= this->forgottenBefore) {
+    const auto changes = this->state.EventsSince(range, after + 1);
+    for (const auto& event : *changes) {
+      json item = Item(event.keyValue);
+      if (event.deletion) {
+        item = { { "Key", event.keyValue.key },
+                 { "Revision", event.keyValue.modRevision },
+                 { "Deleted", true } };
+      }
+      events.push_back(std::move(item));
+    }
+    if (events.empty()) {
+      auto [error] =
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+      ended = !error || aExchange.CallerGone();
+    }
+  }
+  this->watchers.erase(place);
+  if (after < this->forgottenBefore) {
+    co_await aExchange.Respond(Status(410));
+    co_return;
+  }
+  const json body = { { "events", events }, { "At", this->state.Revision() } };
+  co_await aExchange.Respond(JsonResponse(200, body.dump()));
+}
+
+HttpResponse StoreStandin::Answer(const HttpRequest& aRequest)
+{
+  const auto path = aRequest.target.substr(0, aRequest.target.find('?'));
+  if (path == "/kv-key") {
+    return this->ReadKey(QueryField(aRequest.target, "Key"));
+  }
+  if (path == "/kv-range") {
+    return this->ReadRange(aRequest);
+  }
+  return path == "/kv-txn" ? this->Transact(aRequest) : this->Lease(aRequest);
+}
+
+HttpResponse StoreStandin::ReadKey(const std::string& aKey)
+{
+  StoreTransaction read;
+  read.success.push_back(RangeOperation{ { aKey, "" } });
+  const auto result = this->state.Execute(read);
+  const auto& values = std::get<RangeReply>(result->replies.front()).keyValues;
+  return values.empty() ? Status(404) : JsonResponse(200, Item(values.front()).dump());
+}
+
+HttpResponse StoreStandin::ReadRange(const HttpRequest& aRequest)
+{
+  // Pages of two, so that every reader has to ask for more than one.
+  constexpr std::size_t kPage = 2;
+  const auto after = QueryField(aRequest.target, "After");
+  StoreTransaction read;
+  read.success.push_back(
+    RangeOperation{ PrefixRange(QueryField(aRequest.target, "PathPrefix")) });
+  const auto result = this->state.Execute(read);
+  json items = json::array();
+  bool more = false;
+  for (const auto& value : std::get<RangeReply>(result->replies.front()).keyValues) {
+    if (value.key <= after) {
+      continue;
+    }
+    more = items.size() == kPage;
+    if (more) {
+      break;
+    }
+    items.push_back(Item(value));
+  }
+  const json body = { { "Items", items },
+                      { "HasMore", more },
+                      { "At", this->state.Revision() } };
+  return JsonResponse(200, body.dump());
+}
+
+HttpResponse StoreStandin::Transact(const HttpRequest& aRequest)
+{
+  const auto body = json::parse(aRequest.body);
+  StoreTransaction transaction;
+  for (const auto& row : body.at("Expected")) {
+    Comparison comparison;
+    comparison.target = CompareTarget::Mod;
+    comparison.key = row.at("Key");
+    comparison.number = row.at("Revision");
+    transaction.comparisons.push_back(comparison);
+  }
+  for (const auto& write : body.at("Writes")) {
+    transaction.success.push_back(PutOperation{ write.at("Key"),
+                                                *DecodeBase64(write.at("Value").get<std::string>()),
+                                                write.value("Lease", std::int64_t{ 0 }) });
+  }
+  for (const auto& key : body.at("Deletes")) {
+    transaction.success.push_back(DeleteOperation{ { key, "" } });
+  }
+  const auto result = this->state.Execute(transaction);
+  if (!result) {
+    return Status(result.LastReason() == StoreError::LeaseNotFound ? 404 : 400);
+  }
+  if (!result->succeeded) {
+    return JsonResponse(412, R"({"Items":[]})");
+  }
+  const json reply = { { "Revision", this->state.Revision() } };
+  return JsonResponse(200, reply.dump());
+}
+
+HttpResponse StoreStandin::Lease(const HttpRequest& aRequest)
+{
+  const auto now = BootClock::now();
+  const auto number = aRequest.target.substr(aRequest.target.rfind('/') + 1);
+  if (aRequest.target == "/kv-lease") {
+    const std::chrono::milliseconds asked(
+      json::parse(aRequest.body).at("TtlMs").get<std::int64_t>());
+    const auto lease =
+      this->state.GrantLease(0, std::chrono::ceil<std::chrono::seconds>(asked), now);
+    const json reply = { { "Lease", *lease }, { "TtlMs", asked.count() } };
+    return JsonResponse(200, reply.dump());
+  }
+  if (aRequest.target.starts_with("/kv-keep/")) {
+    const auto left = this->state.KeepAlive(std::stoll(number), now);
+    return left ? JsonResponse(200, R"({"TtlMs":2000})") : Status(404);
+  }
+  (void)this->state.RevokeLease(std::stoll(number));
+  return JsonResponse(200, "{}");
+}
+
+} // namespace toucanstand
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -16,6 +16,13 @@
 add_test(NAME unit/programs COMMAND test_toucanstand_programs)
 set_tests_properties(unit/programs PROPERTIES LABELS unit TIMEOUT 120)
 
+# The adapter's unit tests.
+file(GLOB platform_tests CONFIGURE_DEPENDS tests/unit/toucanstand_platform/*.cpp)
+add_executable(test_toucanstand_platform tests/CatchMain.cpp ${platform_tests})
+target_link_libraries(test_toucanstand_platform PRIVATE toucanstand_platform)
+add_test(NAME unit/toucanstand_platform COMMAND test_toucanstand_platform)
+set_tests_properties(unit/toucanstand_platform PROPERTIES LABELS unit TIMEOUT 120)
+
 # All unit test programs, so that the sanitizer build need not build anything else.
 get_property(directory_targets DIRECTORY PROPERTY BUILDSYSTEM_TARGETS)
 list(FILTER directory_targets INCLUDE REGEX "^test_toucanstand_")
@@ -40,3 +47,17 @@
   add_test(NAME integration/${name} COMMAND integration_${name})
   set_tests_properties(integration/${name} PROPERTIES LABELS integration TIMEOUT 120)
 endforeach()
+
+# toucanstand-server against stand-ins of the platform; the only tests besides the adapter's
+# that know the platform's names.
+file(GLOB platform_support CONFIGURE_DEPENDS tests/platform/support/*.cpp)
+file(GLOB platform_server_tests CONFIGURE_DEPENDS tests/platform/Test*.cpp)
+foreach(source ${platform_server_tests})
+  get_filename_component(name ${source} NAME_WE)
+  add_executable(integration_${name} tests/CatchMain.cpp ${source} ${platform_support})
+  target_include_directories(integration_${name} PRIVATE tests/platform)
+  target_link_libraries(integration_${name} PRIVATE integration_support standins_library)
+  add_dependencies(integration_${name} toucanstand-server)
+  add_test(NAME integration/${name} COMMAND integration_${name})
+  set_tests_properties(integration/${name} PROPERTIES LABELS integration TIMEOUT 180)
+endforeach()
--- /dev/null
+++ b/tests/unit/toucanstand_delivery/TestEventFramer.cpp
@@ -0,0 +1,57 @@
+#include <catch2/catch.hpp>
+
+#include "answers/EventFramer.h"
+
+using namespace toucanstand;
+
+TEST_CASE("Events are passed on whole, however their bytes arrive", "[events]")
+{
+  // Guards against a torn event that a later run would repeat or complete wrongly.
+  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+  for (std::size_t step = 1; step <= stream.size(); ++step) {
+    EventFramer framer;
+    std::string out;
+    for (std::size_t start = 0; start < stream.size(); start += step) {
+      const auto events = framer.Feed(std::string_view(stream).substr(start, step));
+      REQUIRE(events.HasValue());
+      out += *events;
+    }
+    CHECK(out == stream);
+    CHECK(framer.Count() == 3);
+    CHECK(framer.LastId() == "3");
+    CHECK(!framer.HasPart());
+  }
+}
+
+TEST_CASE("A part of an event is dropped when a new run begins", "[events]")
+{
+  EventFramer framer;
+  CHECK(*framer.Feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(framer.HasPart());
+  framer.StartRun();
+  CHECK(!framer.HasPart());
+  CHECK(*framer.Feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK(framer.LastId() == "2");
+}
+
+TEST_CASE("Events that come again are an error", "[events]")
+{
+  // Guards against a second run that starts from the beginning.
+  EventFramer framer;
+  REQUIRE(framer.Feed("id: 5\ndata: a\n\n").HasValue());
+  framer.StartRun();
+  const auto again = framer.Feed("id: 5\ndata: a\n\n");
+  REQUIRE(!again.HasValue());
+  CHECK(again.LastReason() == EventFailure::OutOfOrder);
+
+  EventFramer resumed("7");
+  CHECK(!resumed.Feed("id: 7\ndata: a\n\n").HasValue());
+}
+
+TEST_CASE("An event without end is bounded", "[events]")
+{
+  EventFramer framer;
+  const auto large = framer.Feed(std::string(EventFramer::kMostEventBytes + 1, 'x'));
+  REQUIRE(!large.HasValue());
+  CHECK(large.LastReason() == EventFailure::TooLarge);
+}
--- /dev/null
+++ b/tests/unit/toucanstand_groups/FormationSimulation.cpp
@@ -0,0 +1,371 @@
+#include "FormationSimulation.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace toucanstand {
+
+namespace {
+
+constexpr Duration kJoinTime = std::chrono::milliseconds(400);
+constexpr Duration kLapse = std::chrono::milliseconds(3600);
+constexpr Duration kSilentGroup = std::chrono::milliseconds(600);
+
+EngineCostModel CostModel()
+{
+  EngineCostModel cost;
+  cost.slots = 26;
+  cost.loadsPerSecond = 4;
+  cost.concurrentLoads = 6;
+  cost.models = { { "large", 4, 1.0, 0.67, std::chrono::seconds(16), {} },
+                  { "small", 2, 0.6, 0.33, std::chrono::seconds(12), {} } };
+  return cost;
+}
+
+} // namespace
+
+FormationSimulation::FormationSimulation(Options aOptions, std::uint64_t aSeed)
+  : options(aOptions)
+  , random(aSeed)
+  , cost(CostModel())
+  , controller(PoolId("engines"))
+{
+  for (int domain = 0; domain < aOptions.domains; ++domain) {
+    for (int number = 0; number < aOptions.enginesPerDomain; ++number) {
+      Engine engine;
+      engine.entry.id =
+        ServerId("e" + std::to_string(domain) + "-" + std::to_string(number));
+      engine.entry.pool = PoolId("engines");
+      engine.entry.domain = DomainId("d" + std::to_string(domain));
+      engine.entry.endpoint = { "10.0.0.1",
+                                static_cast<std::uint16_t>(8000 + domain * 100 + number) };
+      engine.entry.startedAtUnixMs = 1;
+      this->directory.Put(engine.entry);
+      this->engines.emplace(engine.entry.id, engine);
+    }
+  }
+  this->controller.Begin(this->term);
+}
+
+void FormationSimulation::Run(Duration aDuration)
+{
+  const auto end = this->now + aDuration;
+  while (this->now < end) {
+    this->Tick();
+  }
+}
+
+void FormationSimulation::Settle()
+{
+  const int domains = this->options.domains;
+  const int perDomain = this->options.enginesPerDomain;
+  this->options = { .domains = domains, .enginesPerDomain = perDomain };
+  for (auto& engine : this->engines | std::views::values) {
+    engine.cutUntil = this->now;
+    engine.storeCutUntil = this->now;
+  }
+}
+
+void FormationSimulation::Tick()
+{
+  this->now += kTick;
+  this->Faults();
+  while (!this->late.empty() && this->late.front().at <= this->now) {
+    const auto order = this->late.front().order;
+    this->late.pop_front();
+    (void)this->Execute(order);
+  }
+  this->AdvanceEngines();
+  this->DeliverRegistrations();
+  this->Lead();
+}
+
+bool FormationSimulation::Happens(double aPerSecond)
+{
+  return this->random.Fraction() < aPerSecond * ToSeconds(kTick);
+}
+
+void FormationSimulation::Faults()
+{
+  const auto any = [this]() -> Engine& {
+    auto place = this->engines.begin();
+    std::advance(place, this->random.Below(this->engines.size()));
+    return place->second;
+  };
+  if (Happens(this->options.deaths)) {
+    this->Kill(any().entry.id, false);
+  }
+  if (Happens(this->options.darkDeaths)) {
+    this->Kill(any().entry.id, true);
+  }
+  if (Happens(this->options.cuts)) {
+    any().cutUntil = this->now + std::chrono::seconds(1 + this->random.Below(15));
+  }
+  if (Happens(this->options.storeCuts)) {
+    this->CutFromStore(any().entry.id, std::chrono::seconds(1 + this->random.Below(15)));
+  }
+  if (Happens(this->options.leaderChanges)) {
+    this->term += 1 + static_cast<std::int64_t>(this->random.Below(50));
+    this->controller = FormationController(PoolId("engines"));
+    this->controller.Begin(this->term);
+  }
+}
+
+void FormationSimulation::Kill(const ServerId& aEngine, bool aDark)
+{
+  auto& engine = this->engines.at(aEngine);
+  if (engine.alive) {
+    engine.alive = false;
+    engine.dark = aDark;
+    engine.diedAt = this->now;
+  }
+}
+
+void FormationSimulation::CutFromStore(const ServerId& aEngine, Duration aDuration)
+{
+  auto& engine = this->engines.at(aEngine);
+  engine.storeCutUntil = this->now + aDuration;
+  engine.diedAt = this->now;
+}
+
+void FormationSimulation::Register(const Engine& aEngine)
+{
+  const Duration lag = std::chrono::milliseconds(100 + this->random.Below(600));
+  const auto at = this->registrations.empty()
+                    ? this->now + lag
+                    : std::max(this->now + lag, this->registrations.back().at);
+  this->registrations.push_back({ at, aEngine.entry.id, false, aEngine.entry });
+}
+
+FormationSimulation::Engine* FormationSimulation::HeadOf(const GroupId& aGroup)
+{
+  const auto list = this->memberLists.find(aGroup);
+  if (list == this->memberLists.end()) {
+    return nullptr;
+  }
+  auto& head = this->engines.at(list->second.front());
+  const bool inGroup = head.alive && head.entry.membership &&
+                       head.entry.membership->group == aGroup;
+  return inGroup ? &head : nullptr;
+}
+
+bool FormationSimulation::HasMissingMember(const GroupId& aGroup) const
+{
+  return std::ranges::any_of(this->memberLists.at(aGroup), [&](const ServerId& aMember) {
+    const auto& engine = this->engines.at(aMember);
+    return !engine.alive || !engine.entry.membership ||
+           engine.entry.membership->group != aGroup;
+  });
+}
+
+void FormationSimulation::AdvanceEngines()
+{
+  for (auto& engine : this->engines | std::views::values) {
+    const bool reachesStore = engine.alive && this->now >= engine.storeCutUntil;
+    if (!reachesStore && engine.registered && this->now - engine.diedAt >= kLapse) {
+      engine.registered = false;
+      this->registrations.push_back({ this->now, engine.entry.id, true, {} });
+    }
+    if (reachesStore && !engine.registered) {
+      engine.registered = true;
+      this->Register(engine);
+    }
+    if (!engine.alive || !engine.entry.membership) {
+      continue;
+    }
+    auto& membership = *engine.entry.membership;
+    if (membership.state == MembershipState::Joining && this->now >= engine.readyAt) {
+      membership.state = MembershipState::Ready;
+      this->everReady[membership.group].insert(engine.entry.id);
+      if (engine.registered) {
+        this->Register(engine);
+      }
+    }
+    const bool serves = membership.state == MembershipState::Open ||
+                        membership.state == MembershipState::Closing;
+    if (!serves) {
+      continue;
+    }
+    const auto& members = this->memberLists.at(membership.group);
+    const auto& ready = this->everReady[membership.group];
+    this->partialGroups += std::ranges::all_of(members, [&ready](const ServerId& aMember) {
+                             return ready.contains(aMember);
+                           })
+                             ? 0
+                             : 1;
+    if (!this->HasMissingMember(membership.group)) {
+      engine.missingSince = TimePoint{};
+    } else if (engine.missingSince == TimePoint{}) {
+      engine.missingSince = this->now;
+    } else if (this->now - engine.missingSince >= kStall) {
+      membership.state = MembershipState::Broken;
+      if (engine.registered) {
+        this->Register(engine);
+      }
+    }
+  }
+}
+
+void FormationSimulation::DeliverRegistrations()
+{
+  while (!this->registrations.empty() && this->registrations.front().at <= this->now) {
+    const auto registration = this->registrations.front();
+    this->registrations.pop_front();
+    if (registration.removed) {
+      this->directory.Remove(registration.server, this->now);
+    } else {
+      this->directory.Put(registration.entry);
+    }
+  }
+}
+
+void FormationSimulation::Examine(const ServerId& aServer)
+{
+  const auto& engine = this->engines.at(aServer);
+  if (engine.alive && this->now >= engine.cutUntil) {
+    this->controller.OnAnswered(aServer);
+  } else {
+    this->controller.OnSilent(aServer);
+  }
+}
+
+void FormationSimulation::Lead()
+{
+  const FormationInputs inputs{
+    this->directory, this->cost, {}, this->traffic, kStall
+  };
+  for (const auto& order : this->controller.Plan(inputs, this->now)) {
+    const auto& engine = this->engines.at(order.server);
+    const double chance = this->random.Fraction();
+    OrderReply reply = OrderReply::Unknown;
+    if (!engine.alive) {
+      reply = engine.dark ? OrderReply::Unknown : OrderReply::ConnectionRefused;
+    } else if (this->now < engine.cutUntil) {
+      reply = OrderReply::Unknown;
+    } else if (chance < this->options.lateOrders) {
+      const Duration delay = std::chrono::milliseconds(2000 + this->random.Below(10'000));
+      this->late.push_back({ this->now + delay, order });
+      std::ranges::stable_sort(this->late, {}, &LateOrder::at);
+    } else {
+      reply = this->Execute(order);
+      const bool lost = chance > 1.0 - this->options.lostAnswers;
+      reply = lost ? OrderReply::Unknown : reply;
+    }
+    this->controller.OnReply(order, reply, this->now);
+  }
+  for (const auto& engine : this->controller.ToExamine()) {
+    this->Examine(engine.server);
+  }
+  const auto silent = this->controller.Silent();
+  for (const auto& server : silent) {
+    if (this->directory.Find(server) != nullptr) {
+      this->Examine(server);
+    }
+  }
+  // Streams of a head that stands still are silent: its members are asked.
+  for (auto& engine : this->engines | std::views::values) {
+    const bool standsStill =
+      engine.missingSince != TimePoint{} && this->now - engine.missingSince >= kSilentGroup;
+    if (engine.alive && engine.entry.membership && standsStill) {
+      for (const auto& member : this->memberLists.at(engine.entry.membership->group)) {
+        this->Examine(member);
+      }
+    }
+  }
+}
+
+OrderReply FormationSimulation::Execute(const EngineOrder& aOrder)
+{
+  auto& engine = this->engines.at(aOrder.server);
+  if (!engine.alive) {
+    return OrderReply::ConnectionRefused;
+  }
+  if (aOrder.fence < engine.highestFence) {
+    return OrderReply::Outdated;
+  }
+  engine.highestFence = aOrder.fence;
+  if (aOrder.kind == OrderKind::Stage) {
+    engine.entry.stagedModels = { aOrder.model };
+    this->Register(engine);
+    return OrderReply::Begun;
+  }
+  if (aOrder.kind == OrderKind::Join) {
+    return this->Join(engine, aOrder);
+  }
+  auto& membership = engine.entry.membership;
+  if (!membership || membership->group != aOrder.group) {
+    return OrderReply::WrongState;
+  }
+  switch (aOrder.kind) {
+    case OrderKind::Open:
+      if (membership->state != MembershipState::Ready) {
+        return OrderReply::WrongState;
+      }
+      membership->state = MembershipState::Open;
+      break;
+    case OrderKind::Close:
+      membership->state = MembershipState::Ready;
+      break;
+    default:
+      membership.reset();
+      engine.missingSince = TimePoint{};
+      break;
+  }
+  this->Register(engine);
+  return OrderReply::Done;
+}
+
+OrderReply FormationSimulation::Join(Engine& aEngine, const EngineOrder& aOrder)
+{
+  if (aOrder.generation < aEngine.highestGeneration) {
+    return OrderReply::Outdated;
+  }
+  auto& membership = aEngine.entry.membership;
+  if (membership && membership->group == aOrder.group) {
+    return OrderReply::Done;
+  }
+  if (membership) {
+    const auto* head = this->HeadOf(membership->group);
+    const bool serves =
+      head != nullptr && (head->entry.membership->state == MembershipState::Open ||
+                          head->entry.membership->state == MembershipState::Closing);
+    this->takenFromServingHead += serves ? 1 : 0;
+  }
+  aEngine.highestGeneration = aOrder.generation;
+  this->memberLists[aOrder.group] = aOrder.members;
+  const auto rank = std::ranges::find(aOrder.members, aEngine.entry.id);
+  membership = GroupMembership{ aOrder.group,
+                                aOrder.generation,
+                                static_cast<std::size_t>(rank - aOrder.members.begin()),
+                                MembershipState::Joining };
+  aEngine.entry.stagedModels = { aOrder.model };
+  aEngine.readyAt = this->now + kJoinTime;
+  aEngine.missingSince = TimePoint{};
+  this->Register(aEngine);
+  return OrderReply::Begun;
+}
+
+int FormationSimulation::OpenGroups(const std::string& aModel) const
+{
+  return static_cast<int>(
+    std::ranges::count_if(this->engines | std::views::values, [&](const Engine& aEngine) {
+      const auto& membership = aEngine.entry.membership;
+      return aEngine.alive && membership && membership->state == MembershipState::Open &&
+             ModelOfGroup(membership->group) == aModel &&
+             !this->HasMissingMember(membership->group);
+    }));
+}
+
+std::vector<ServerId> FormationSimulation::MembersOf(const std::string& aModel) const
+{
+  for (const auto& engine : this->engines | std::views::values) {
+    const auto& membership = engine.entry.membership;
+    if (membership && membership->state == MembershipState::Open &&
+        ModelOfGroup(membership->group) == aModel) {
+      return this->memberLists.at(membership->group);
+    }
+  }
+  return {};
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/tests/unit/toucanstand_platform/TestCallTranslation.cpp
@@ -0,0 +1,126 @@
+#include <catch2/catch.hpp>
+
+#include "platform/CallTranslation.h"
+
+using namespace toucanstand;
+
+namespace {
+
+HttpRequest Request()
+{
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/x/1?a=%2F";
+  request.body = "body";
+  request.headers = { { "Host", "a.example:80" },
+                      { "X-Attempt-Id", "id-1" },
+                      { "X-Deadline-Ms", "8000" },
+                      { "X-Model", "m0" },
+                      { "X-Token-Usage", "1460,80" },
+                      { "X-Length-Hint", "64" },
+                      { "X-Tenant", "forged" },
+                      { "X-Expect-Instance", "forged" },
+                      { "Authorization", "bearer  key-1 " },
+                      { "Connection", "keep-alive, X-Hop" },
+                      { "X-Hop", "1" },
+                      { "Transfer-Encoding", "chunked" },
+                      { "Last-Event-Id", "3" },
+                      { "X-Other", "kept" } };
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("A client's headers are read once into what they mean", "[platform]")
+{
+  const auto facts = platform::ReadCall(Request());
+  REQUIRE(facts.HasValue());
+  CHECK(facts->id == RequestId("id-1"));
+  CHECK(facts->host == "a.example");
+  CHECK(facts->path == "/x/1");
+  CHECK(facts->apiKey == "key-1");
+  CHECK(facts->patience == Duration(std::chrono::seconds(8)));
+  CHECK(facts->model == "m0");
+  CHECK(facts->promptTokens == 1460);
+  CHECK(facts->mostAnswerTokens == 80);
+  CHECK(facts->expectedAnswerTokens == 64.0);
+  CHECK(facts->lastEventId == "3");
+}
+
+TEST_CASE("Headers that steer a request and can't be read are rejected", "[platform]")
+{
+  // Guards against a deadline or size that is silently taken as zero.
+  for (const auto& [name, value] : std::vector<std::pair<std::string, std::string>>{
+         { "X-Deadline-Ms", "soon" },
+         { "X-Deadline-Ms", "-5" },
+         { "X-Token-Usage", "12" },
+         { "X-Token-Usage", "a,b" } }) {
+    HttpRequest request;
+    request.headers.Add(name, value);
+    CHECK(!platform::ReadCall(request).HasValue());
+  }
+}
+
+TEST_CASE("A forwarded request keeps what is the client's and replaces what is ours",
+          "[platform]")
+{
+  // Guards against a forged account or server, a leaked key, and headers of the client's
+  // connection that reach the server.
+  platform::ForwardTerms terms;
+  terms.server = ServerId("i-1");
+  terms.remaining = std::chrono::milliseconds(1234);
+  terms.account = AccountId("shop");
+  terms.urgency = 4;
+  const auto forwarded = platform::ForwardedRequest(Request(), terms);
+  CHECK(forwarded.method == "POST");
+  CHECK(forwarded.target == "/x/1?a=%2F");
+  CHECK(forwarded.body == "body");
+  const auto& headers = forwarded.headers;
+  CHECK(headers.Find("Host") == "a.example:80");
+  CHECK(headers.Find("X-Attempt-Id") == "id-1");
+  CHECK(headers.Find("X-Tenant") == "shop");
+  CHECK(headers.Find("X-Expect-Instance") == "i-1");
+  CHECK(headers.Find("X-Deadline-Ms") == "1234");
+  CHECK(headers.Find("X-Request-Priority") == "4");
+  CHECK(headers.Find("Last-Event-Id") == "3");
+  CHECK(headers.Find("X-Other") == "kept");
+  for (const char* name : { "Authorization", "Connection", "X-Hop", "Transfer-Encoding" }) {
+    INFO(name);
+    CHECK(!headers.Has(name));
+  }
+  for (const char* name : { "X-Tenant", "X-Expect-Instance", "X-Deadline-Ms" }) {
+    CHECK(std::ranges::count(headers.Fields(), name, [](const auto& aField) {
+            return aField.first;
+          }) == 1);
+  }
+
+  terms.lastEventId = "9";
+  terms.account = AccountId();
+  const auto resumed = platform::ForwardedRequest(Request(), terms);
+  CHECK(resumed.headers.Find("Last-Event-Id") == "9");
+  CHECK(!resumed.headers.Has("X-Tenant"));
+}
+
+TEST_CASE("A server's response head says whether the request ran", "[platform]")
+{
+  // Guards against an answer of another request and against a false "not run".
+  const RequestId call("id-1");
+  const auto answered = platform::ReadReply(200,
+                                            { { "X-Attempt-Id", "id-1" },
+                                              { "X-Engine-Stamp", "s" },
+                                              { "X-Engine-Load", "3, 1,8" } },
+                                            call);
+  CHECK(!answered.statesNotRun);
+  CHECK(answered.isSigned);
+  CHECK(answered.answersThisCall);
+  REQUIRE(answered.load.has_value());
+  CHECK(answered.load->waiting == 1);
+
+  CHECK(platform::ReadReply(503, { { "X-Not-Run", "1" } }, call).statesNotRun);
+  CHECK(!platform::ReadReply(503, {}, call).statesNotRun);
+  CHECK(platform::ReadReply(421, {}, call).wrongServer);
+  CHECK(platform::ReadReply(421, { { "At-Server", "i-2" } }, call).serverAtFault ==
+        ServerId("i-2"));
+  CHECK(!platform::ReadReply(200, { { "X-Attempt-Id", "id-2" } }, call).answersThisCall);
+  CHECK(!platform::ReadReply(200, { { "X-Engine-Load", "x" } }, call).load.has_value());
+}
--- /dev/null
+++ b/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
@@ -0,0 +1,117 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "platform/ConfigurationReader.h"
+
+using namespace toucanstand;
+using nlohmann::json;
+
+namespace {
+
+json Document()
+{
+  return json::parse(R"({"Version":7,
+    "Routes":[
+      {"Name":"r1","Host":"a.example","PathPrefix":"/x/","Kind":"streaming","TimeoutMs":8000,
+       "TargetLatencyMs":500,"Priority":1,"MaxAttempts":2,"Public":false,"CanResume":true,
+       "GapTargetMs":300,
+       "TrafficSplit":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}]},
+      {"Name":"r2","Host":"a.example","PathPrefix":"/x/y/","Kind":"unsafe","Service":"s2",
+       "TimeoutMs":2000,"TargetLatencyMs":300,"MaxAttempts":1,"Public":true}],
+    "Services":[
+      {"Name":"s1","MaxConnections":464,"Engine":{"Slots":26,"Stride":5,"step_ms":6.07,
+       "per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":46000.0,"chunk":2048,
+       "LoadsPerS":4.0,"loads_at_once":6,"usual":{"prompt":1076,"answer":116},"FormMs":300.0,
+       "Models":[{"Name":"m0","size":4,"Share":0.67,"pace":1.0,"LoadS":16.0,"WarmS":1.6}]}},
+      {"Name":"s2","MaxConnections":96}],
+    "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,
+              "IdleTimeoutMs":15000},
+    "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":2}]})");
+}
+
+platform::ConfigurationFailure FailureOf(const json& aDocument)
+{
+  const auto read = platform::ReadConfiguration(aDocument.dump());
+  REQUIRE(!read.HasValue());
+  return read.LastReason();
+}
+
+} // namespace
+
+
+TEST_CASE("A configuration is read into the product's types", "[platform]")
+{
+  // Guards against a field that is taken for another one.
+  const auto read = platform::ReadConfiguration(Document().dump());
+  REQUIRE(read.HasValue());
+  CHECK(read->Version() == 7);
+  CHECK(read->RouteCount() == 2);
+
+  const auto* stream = read->FindRoute("a.example", "/x/1");
+  REQUIRE(stream != nullptr);
+  CHECK(stream->kind == CallKind::Stream);
+  CHECK(stream->MayRepeat() == Repeatability::Idempotent);
+  CHECK(stream->timeout == std::chrono::seconds(8));
+  CHECK(stream->targetLatency == std::chrono::milliseconds(500));
+  CHECK(stream->targetPause == std::chrono::milliseconds(300));
+  CHECK(stream->mostServers == 2);
+  REQUIRE(stream->pools.size() == 2);
+  CHECK(stream->pools[0].weight == 90.0);
+
+  const auto* hold = read->FindRoute("a.example", "/x/y/1");
+  REQUIRE(hold != nullptr);
+  CHECK(hold->name == "r2");
+  CHECK(hold->MayRepeat() == Repeatability::OnlyOnce);
+  CHECK(hold->isPublic);
+  CHECK(read->FindRoute("a.example", "/x") == nullptr);
+  CHECK(read->FindRoute("b.example", "/x/1") == nullptr);
+
+  const auto* pool = read->FindPool(PoolId("s1"));
+  REQUIRE(pool != nullptr);
+  REQUIRE(pool->engine.has_value());
+  CHECK(pool->engine->slots == 26);
+  CHECK(pool->engine->promptTokensPerSecond == 46000.0);
+  CHECK(pool->engine->stepsPerPass == 5);
+  REQUIRE(pool->engine->FindModel("m0") != nullptr);
+  CHECK(pool->engine->FindModel("m0")->groupSize == 4);
+  CHECK(pool->engine->FindModel("m0")->loadTime == std::chrono::seconds(16));
+  CHECK(!read->FindPool(PoolId("s2"))->engine.has_value());
+
+  CHECK(read->NeedsKeys());
+  REQUIRE(read->FindKey("k2") != nullptr);
+  CHECK(read->FindKey("k2")->account == AccountId("t1"));
+  CHECK(read->FindKey("k2")->priority == 2);
+  CHECK(read->FindKey("k3") == nullptr);
+  CHECK(read->Limits().headerTimeout == std::chrono::seconds(3));
+}
+
+TEST_CASE("A configuration without accounts needs no key", "[platform]")
+{
+  auto document = Document();
+  document.erase("Tenants");
+  const auto read = platform::ReadConfiguration(document.dump());
+  REQUIRE(read.HasValue());
+  CHECK(!read->NeedsKeys());
+}
+
+TEST_CASE("A configuration that can't be read whole is not taken", "[platform]")
+{
+  // Guards against a part of a configuration that comes into force.
+  CHECK(!platform::ReadConfiguration("{").HasValue());
+  CHECK(!platform::ReadConfiguration("[]").HasValue());
+  auto document = Document();
+  document["Version"] = "7";
+  CHECK(FailureOf(document) == platform::ConfigurationFailure::BadVersion);
+  document = Document();
+  document["Routes"][1]["Kind"] = "other";
+  CHECK(FailureOf(document) == platform::ConfigurationFailure::BadRoute);
+  document = Document();
+  document["Routes"][1].erase("Service");
+  CHECK(FailureOf(document) == platform::ConfigurationFailure::BadRoute);
+  document = Document();
+  document["Services"][0]["Engine"]["read_per_s"] = 0;
+  CHECK(FailureOf(document) == platform::ConfigurationFailure::BadService);
+  document = Document();
+  document["Tenants"][0]["ApiKeys"] = json::array({ 1 });
+  CHECK(FailureOf(document) == platform::ConfigurationFailure::BadKeys);
+}
--- /dev/null
+++ b/tests/unit/toucanstand_platform/TestServerEntryReader.cpp
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "platform/ServerEntryReader.h"
+
+using namespace toucanstand;
+using nlohmann::json;
+
+namespace {
+
+json Entry()
+{
+  return json::parse(R"({"Service":"s1","Address":"10.128.0.9:8080","Zone":"z1",
+    "Version":"v1","Slots":26,"State":"ready","ColdRemainingMs":0,"Seq":4,"born":1790303033000,
+    "Domain":"z1-d0","Staged":["m1"],
+    "group":{"Name":"m0-12","epoch":12,"rank":0,"State":"open"}})");
+}
+
+bool IsRejected(const json& aEntry)
+{
+  return !platform::ReadServerEntry(ServerId("i-1"), aEntry.dump()).HasValue();
+}
+
+} // namespace
+
+TEST_CASE("A registration is read into a server entry", "[platform]")
+{
+  const auto entry = platform::ReadServerEntry(ServerId("i-1"), Entry().dump());
+  REQUIRE(entry.HasValue());
+  CHECK(entry->pool == PoolId("s1"));
+  CHECK(entry->endpoint.Text() == "10.128.0.9:8080");
+  CHECK(entry->domain == DomainId("z1-d0"));
+  CHECK(entry->slots == 26);
+  CHECK(!entry->leaving);
+  CHECK(entry->startedAtUnixMs == 1790303033000);
+  CHECK(entry->stagedModels == std::vector<std::string>{ "m1" });
+  REQUIRE(entry->membership.has_value());
+  CHECK(entry->membership->group == GroupId("m0-12"));
+  CHECK(entry->membership->state == MembershipState::Open);
+
+  auto outside = Entry();
+  outside["group"] = nullptr;
+  outside["State"] = "draining";
+  const auto leaving = platform::ReadServerEntry(ServerId("i-1"), outside.dump());
+  REQUIRE(leaving.HasValue());
+  CHECK(leaving->leaving);
+  CHECK(!leaving->membership.has_value());
+}
+
+TEST_CASE("A registration with a missing or foreign field names no server", "[platform]")
+{
+  // Guards against requests to a server whose registration another writer has damaged.
+  CHECK(!platform::ReadServerEntry(ServerId("i-1"), "\xff{").HasValue());
+  for (const char* field : { "Service", "Address", "Zone", "Slots", "State" }) {
+    INFO(field);
+    auto entry = Entry();
+    entry.erase(field);
+    CHECK(IsRejected(entry));
+    entry = Entry();
+    entry[field] = json::array({ 1 });
+    CHECK(IsRejected(entry));
+  }
+  auto entry = Entry();
+  entry["State"] = "sleeping";
+  CHECK(IsRejected(entry));
+  entry = Entry();
+  entry["group"]["State"] = "dreaming";
+  CHECK(IsRejected(entry));
+  entry = Entry();
+  entry["group"]["epoch"] = -1;
+  CHECK(IsRejected(entry));
+}
+
+TEST_CASE("Only keys of registrations name a server", "[platform]")
+{
+  CHECK(platform::ServerOfKey("servers/i-7f") == ServerId("i-7f"));
+  CHECK(!platform::ServerOfKey("servers/").has_value());
+  CHECK(!platform::ServerOfKey("toucanstand/leader").has_value());
+}
--- /dev/null
+++ b/tests/unit/toucanstand_world/TestServerDirectory.cpp
@@ -0,0 +1,94 @@
+#include <catch2/catch.hpp>
+
+#include "serving/ServerDirectory.h"
+
+using namespace toucanstand;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+ServerEntry Entry(const char* aId)
+{
+  ServerEntry entry;
+  entry.id = ServerId(aId);
+  entry.pool = PoolId("engines");
+  entry.startedAtUnixMs = 1;
+  return entry;
+}
+
+} // namespace
+
+TEST_CASE("Registrations that lapsed during an outage may come back", "[directory]")
+{
+  // Guards against every server being dropped because the store was away for longer than
+  // registrations last.
+  ServerDirectory directory;
+  directory.Put(Entry("a"));
+  directory.Put(Entry("b"));
+  directory.OnStoreBack(kStart);
+  directory.Remove(ServerId("a"), kStart);
+  directory.Remove(ServerId("b"), kStart);
+  CHECK(directory.Find(ServerId("a")) != nullptr);
+
+  directory.Put(Entry("a"));
+  directory.OnTime(kStart + ServerDirectory::kReturnGrace);
+  CHECK(directory.Find(ServerId("a")) != nullptr);
+  CHECK(directory.Find(ServerId("b")) == nullptr);
+
+  directory.Remove(ServerId("a"), kStart + ServerDirectory::kReturnGrace);
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+}
+
+TEST_CASE("A server that leaves stays leaving", "[directory]")
+{
+  // Guards against new requests to a leaving server whose older registration is written
+  // late, and against a grace period for a server that said that it goes.
+  ServerDirectory directory;
+  auto leaving = Entry("a");
+  leaving.leaving = true;
+  directory.Put(leaving);
+  directory.Put(Entry("a"));
+  CHECK(directory.Find(ServerId("a"))->leaving);
+  directory.OnStoreBack(kStart);
+  directory.Remove(ServerId("a"), kStart);
+  CHECK(directory.Find(ServerId("a")) == nullptr);
+
+  directory.Put(leaving);
+  auto restarted = Entry("a");
+  restarted.startedAtUnixMs = 2;
+  directory.Put(restarted);
+  CHECK(!directory.Find(ServerId("a"))->leaving);
+}
+
+TEST_CASE("A heartbeat that changes nothing changes no revision", "[directory]")
+{
+  ServerDirectory directory;
+  directory.Put(Entry("a"));
+  const auto revision = directory.Revision();
+  directory.Put(Entry("a"));
+  CHECK(directory.Revision() == revision);
+  directory.KeepOnly({}, kStart);
+  CHECK(directory.Revision() != revision);
+  CHECK(directory.Servers().empty());
+}
+
+TEST_CASE("Groups are put together from their members' entries", "[directory]")
+{
+  ServerDirectory directory;
+  for (const auto& [id, rank] : { std::pair("b", 1U), std::pair("a", 2U) }) {
+    auto entry = Entry(id);
+    entry.membership = { GroupId("m-1"), 1, rank, MembershipState::Ready };
+    directory.Put(entry);
+  }
+  auto groups = directory.GroupsOf(PoolId("engines"));
+  REQUIRE(groups.size() == 1);
+  CHECK(groups.begin()->second.Head() == nullptr);
+  CHECK(groups.begin()->second.members.front()->id == ServerId("b"));
+  auto head = Entry("c");
+  head.membership = { GroupId("m-1"), 1, 0, MembershipState::Open };
+  directory.Put(head);
+  groups = directory.GroupsOf(PoolId("engines"));
+  CHECK(groups.begin()->second.Head()->id == ServerId("c"));
+  CHECK(directory.GroupsOf(PoolId("other")).empty());
+}
