Tests of the adapter, the joined process and its decisions; refuse nothing while half the slots are free

Cause: a long prompt that no group brings in time was refused although it took nobody's place (TestGroupPlacement, below the crest, failed first).

--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -586,8 +586,8 @@
     const auto* terms = this->inputs->cost.FindModel(record.model);
     const auto seen = this->observed.find(id);
     if (record.phase != Phase::Standing || terms == nullptr ||
-        seen == this->observed.end() ||
-        seen->second.Head() == nullptr || record.model == aLacking.name) {
+        seen == this->observed.end() || seen->second.Head() == nullptr ||
+        record.model == aLacking.name) {
       continue;
     }
     const double donorAfter =
@@ -623,10 +623,11 @@
 bool FormationController::MayForm(const DomainId& aDomain,
                                   const std::string& aModel) const
 {
-  return std::ranges::none_of(this->groups | std::views::values, [&](const auto& aRecord) {
-    return !aRecord.movesTo.empty() && aRecord.phase != Phase::Dissolved &&
-           aRecord.domain == aDomain && aRecord.movesTo != aModel;
-  });
+  return std::ranges::none_of(
+    this->groups | std::views::values, [&](const auto& aRecord) {
+      return !aRecord.movesTo.empty() && aRecord.phase != Phase::Dissolved &&
+             aRecord.domain == aDomain && aRecord.movesTo != aModel;
+    });
 }
 
 bool FormationController::FormOne(const ModelTerms& aModel,
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -141,8 +141,8 @@
     std::map<ServerId, Endpoint> endpoints;
     bool wasComplete = false;
     Duration closeWait = kCloseWait;
-    /// Set while the group is dissolved for the sake of another model: until then the free
-    /// engines of its domain are kept for that model.
+    /// Set while the group is dissolved for the sake of another model: until then the
+    /// free engines of its domain are kept for that model.
     std::string movesTo;
     DomainId domain;
     /// Set once no member is left in the group of a head that does not answer.
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -143,7 +143,13 @@
     return PlacementDelay{ PlacementRefusal::NoGroup, kNoGroupDelay };
   }
   const auto limit = FromSeconds(ToSeconds(aQuery.wanted) * kUsableShare);
-  if (soonest > limit && !aQuery.mustPlace) {
+  const auto slots = static_cast<double>(this->cost.slots);
+  // A long prompt that no group brings in time takes nobody's place while slots are free.
+  const bool placesFree =
+    std::ranges::any_of(choices, [slots](const PlacementChoice& aChoice) {
+      return aChoice.work.reading + aChoice.work.writing < slots * kUncrowdedShare;
+    });
+  if (soonest > limit && !placesFree && !aQuery.mustPlace) {
     return PlacementDelay{ PlacementRefusal::Overloaded,
                            std::max(soonest - limit, kLeastDelay) };
   }
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -100,6 +100,8 @@
 public:
   /// Share of the wanted time that a prediction may use; the rest covers its error.
   static constexpr double kUsableShare = 0.85;
+  /// A group with fewer of its slots taken refuses nothing.
+  static constexpr double kUncrowdedShare = 0.5;
   /// A peer's report is used for this long; peers report ten times a second.
   static constexpr Duration kPeerReportLife = std::chrono::milliseconds(1000);
   /// Load that a server states with an answer is a few hundred milliseconds old.
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -120,10 +120,12 @@
   }
   peer = { aReport.run, aReport.sequence, aNow, aReport.work };
   std::vector<GroupLoad> loads;
-  for (const auto& load : aReport.loads) {
-    loads.push_back(
-      { GroupId(load.destination), load.reading, load.readingTokens, load.writing });
-  }
+  std::ranges::transform(
+    aReport.loads, std::back_inserter(loads), [](const PeerReport::Load& aLoad) {
+      return GroupLoad{
+        GroupId(aLoad.destination), aLoad.reading, aLoad.readingTokens, aLoad.writing
+      };
+    });
   for (auto& placement : this->state.placements | std::views::values) {
     placement.OnPeerLoads(aReport.sender, loads, aNow);
     for (const auto& group : aReport.suspected) {
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -26,7 +26,8 @@
 std::size_t RunsOf(PlatformStandin& aPlatform, const std::string& aAttempt)
 {
   const auto runs = aPlatform.Runs();
-  return static_cast<std::size_t>(std::ranges::count(runs, aAttempt, &StandinRun::attempt));
+  return static_cast<std::size_t>(
+    std::ranges::count(runs, aAttempt, &StandinRun::attempt));
 }
 
 /// Repeats a call until its status is the wanted one.
@@ -49,7 +50,8 @@
 
 } // namespace
 
-TEST_CASE("Requests reach the head of a group with what the platform asks for", "[server]")
+TEST_CASE("Requests reach the head of a group with what the platform asks for",
+          "[server]")
 {
   // Guards against a key that reaches a server, a missing expected server or account, and
   // an answer that is not the server's.
@@ -81,9 +83,10 @@
   CHECK(platform.Runs().back().request.target == "/looks/7?part=2");
 }
 
-TEST_CASE("A broken stream goes on after its last whole event", "[server]")
+TEST_CASE("A stream whose every run breaks ends visibly", "[server]")
 {
-  // Guards against missing, repeated and torn events when a run breaks within an event.
+  // Guards against a part that looks like a whole answer, and against more runs than the
+  // route allows.
   PlatformStandin platform(4);
   ServerUnderTest server(platform, "vm-1");
   server.WaitForGroups(2);
@@ -92,16 +95,8 @@
       platform.Engine("engine-" + std::to_string(number)).faults.breakRuns = 1;
     }
   });
-
-  const auto first = server.Generate("b-1");
-  // Both groups break one run: the stream breaks for good, visibly.
-  REQUIRE(!first.HasValue());
+  CHECK(!server.Generate("b-1").HasValue());
   CHECK(RunsOf(platform, "b-1") == 2);
-
-  platform.Do([&] {
-    const auto head = platform.Runs().front().server;
-    platform.Engine(head).faults.breakRuns = 0;
-  });
 }
 
 TEST_CASE("A stream that breaks once is whole for its caller", "[server]")
@@ -112,8 +107,7 @@
   server.WaitForGroups(2);
   // Whichever head gets the request first breaks it; the other one does not.
   const auto heads = platform.Heads();
-  platform.Do(
-    [&] { platform.Engine(heads.begin()->second).faults.breakRuns = 100; });
+  platform.Do([&] { platform.Engine(heads.begin()->second).faults.breakRuns = 100; });
 
   std::size_t broken = 0;
   for (int number = 0; number < 6; ++number) {
@@ -128,8 +122,8 @@
 
 TEST_CASE("A stream whose second run is rejected does not end as complete", "[server]")
 {
-  // Guards against the fault that a response that refuses a run was also taken as one that
-  // begins it: the caller's stream was then ended as complete.
+  // Guards against the fault that a response that refuses a run was also taken as one
+  // that begins it: the caller's stream was then ended as complete.
   PlatformStandin platform(4);
   ServerUnderTest server(platform, "vm-1");
   server.WaitForGroups(2);
@@ -240,13 +234,12 @@
   server.WaitForGroups(1);
   platform.Do([&] { platform.Engine("stock-0").SetDraining(); });
   server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
-    return std::ranges::any_of(aState.at("servers"), [](const json& aServer) {
+    return std::ranges::any_of(aState.at("state").at("servers"), [](const json& aServer) {
       return aServer.at("id") == "stock-0" && aServer.at("leaving") == true;
     });
   });
   for (int number = 0; number < 20; ++number) {
-    const auto answer =
-      server.Call("GET", "/looks/1", "h-" + std::to_string(number));
+    const auto answer = server.Call("GET", "/looks/1", "h-" + std::to_string(number));
     REQUIRE(answer.HasValue());
     CHECK(answer->body == "answer of stock-1");
   }
@@ -319,7 +312,8 @@
 TEST_CASE("A planned stop finishes its streams, also when it is asked for twice",
           "[server]")
 {
-  // Guards against the fault that a second SIGTERM cut the streams in flight after 250 ms.
+  // Guards against the fault that a second SIGTERM cut the streams in flight after 250
+  // ms.
   PlatformStandin platform(4);
   ServerUnderTest server(platform, "vm-1");
   server.WaitForGroups(2);
@@ -354,11 +348,12 @@
   ServerUnderTest other(platform, "vm-2");
   other.WaitForGroups(2);
   other.caller.WaitFor(other.operators, "/state", [](const json& aState) {
-    return aState.at("leader_term") != 0;
+    return aState.at("state").at("leader_term") != 0;
   });
   server.process->Signal(SIGCONT);
   server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
-    return aState.at("leader_term") == 0 && aState.at("store_age_ms") < 2000;
+    return aState.at("state").at("leader_term") == 0 &&
+           aState.at("state").at("store_age_ms") < 2000;
   });
   CHECK(server.Generate("m-1").HasValue());
   CHECK(other.Generate("m-2").HasValue());
--- a/tests/platform/support/EngineStandin.cpp
+++ b/tests/platform/support/EngineStandin.cpp
@@ -139,10 +139,10 @@
     this->group = name;
     this->model = aOrder.value("Model", "");
     this->staged = { this->model };
-    this->rank =
-      static_cast<int>(std::ranges::find(members, this->id) - members.begin());
+    this->rank = static_cast<int>(std::ranges::find(members, this->id) - members.begin());
     this->Change("joining");
-    boost::asio::co_spawn(this->loop, this->Proceed("ready", name), boost::asio::detached);
+    boost::asio::co_spawn(
+      this->loop, this->Proceed("ready", name), boost::asio::detached);
     return 202;
   }
   if (name != this->group || number != this->epoch) {
@@ -215,8 +215,7 @@
     co_await aExchange.Respond(std::move(refusal));
     co_return;
   }
-  this->onBegan(
-    { this->id, std::string(request.headers.Find("X-Attempt-Id")), request });
+  this->onBegan({ this->id, std::string(request.headers.Find("X-Attempt-Id")), request });
   if (this->domain.empty()) {
     co_await this->RunCall(aExchange);
   } else {
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -40,10 +40,10 @@
   };
   const auto route =
     [](const char* aPrefix, const char* aKind, const char* aService, int aAttempts) {
-      return json{ { "Name", aPrefix },        { "Host", "api.example" },
-                   { "PathPrefix", aPrefix },  { "Kind", aKind },
-                   { "TimeoutMs", 5000 },      { "TargetLatencyMs", 2000 },
-                   { "Priority", 1 },          { "Service", aService },
+      return json{ { "Name", aPrefix },         { "Host", "api.example" },
+                   { "PathPrefix", aPrefix },   { "Kind", aKind },
+                   { "TimeoutMs", 5000 },       { "TargetLatencyMs", 2000 },
+                   { "Priority", 1 },           { "Service", aService },
                    { "MaxAttempts", aAttempts } };
     };
   json chat = route("/chat/", "streaming", "engines", 2);
@@ -93,8 +93,8 @@
                           const std::string& aService,
                           const std::string& aDomain)
 {
-  auto server = std::make_unique<EngineStandin>(
-    this->loop, this->metrics, aId, aService, aDomain);
+  auto server =
+    std::make_unique<EngineStandin>(this->loop, this->metrics, aId, aService, aDomain);
   server->onChanged = [this, aId](const std::string& aEntry) {
     this->store->Put("servers/" + aId, aEntry);
   };
@@ -196,7 +196,7 @@
     const auto state = this->caller.Call(this->operators, "GET", "/state");
     if (state && state->status == 200) {
       const auto document = json::parse(state->body);
-      const auto& placements = document.at("placements");
+      const auto& placements = document.at("state").at("placements");
       const auto heads = this->platform.Heads();
       if (heads.size() >= aCount && placements.contains("engines") &&
           placements.at("engines").size() >= aCount) {
@@ -210,9 +210,12 @@
 
 HttpHeaders ServerUnderTest::GenerationHeaders(const std::string& aAttempt)
 {
-  return { { "Host", "api.example" },       { "X-Attempt-Id", aAttempt },
-           { "X-Model", "large" },          { "X-Token-Usage", "100,60" },
-           { "X-Prompt-Prefix", "1f:100" }, { "X-Deadline-Ms", "5000" },
+  return { { "Host", "api.example" },
+           { "X-Attempt-Id", aAttempt },
+           { "X-Model", "large" },
+           { "X-Token-Usage", "100,60" },
+           { "X-Prompt-Prefix", "1f:100" },
+           { "X-Deadline-Ms", "5000" },
            { "Authorization", "Bearer key-1" } };
 }
 
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -66,6 +66,8 @@
 /// A toucanstand-server process on a platform stand-in.
 class ServerUnderTest
 {
+  ReservedPorts ports;
+
 public:
   ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
 
@@ -90,7 +92,6 @@
   std::unique_ptr<ProcessLauncher> process;
 
 private:
-  ReservedPorts ports;
   std::unique_ptr<SettingsFile> settings;
 };
 
--- a/tests/platform/support/StoreStandin.cpp
+++ b/tests/platform/support/StoreStandin.cpp
@@ -233,9 +233,10 @@
     transaction.comparisons.push_back(comparison);
   }
   for (const auto& write : body.at("Writes")) {
-    transaction.success.push_back(PutOperation{ write.at("Key"),
-                                                *DecodeBase64(write.at("Value").get<std::string>()),
-                                                write.value("Lease", std::int64_t{ 0 }) });
+    transaction.success.push_back(
+      PutOperation{ write.at("Key"),
+                    *DecodeBase64(write.at("Value").get<std::string>()),
+                    write.value("Lease", std::int64_t{ 0 }) });
   }
   for (const auto& key : body.at("Deletes")) {
     transaction.success.push_back(DeleteOperation{ { key, "" } });
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -6,7 +6,7 @@
 target_include_directories(
   test_toucanstand_programs
   PRIVATE programs/toucanstand-entry programs/toucanstand-groups programs/toucanstand-ledger
-          programs/toucanstand-node programs/toucanstandctl)
+          programs/toucanstand-node programs/toucanstand-server programs/toucanstandctl)
 target_compile_definitions(test_toucanstand_programs
                            PRIVATE TOUCANSTAND_DOCS_DIRECTORY="${CMAKE_SOURCE_DIR}/docs")
 target_link_libraries(
--- a/tests/unit/programs/TestSettingsPage.cpp
+++ b/tests/unit/programs/TestSettingsPage.cpp
@@ -12,6 +12,7 @@
 #include "GroupsSettings.h"
 #include "LedgerSettings.h"
 #include "NodeSettings.h"
+#include "ServerSettings.h"
 
 using namespace toucanstand;
 using nlohmann::json;
@@ -27,6 +28,7 @@
     { "toucanstand-groups", [](auto& aReader) { (void)ReadGroupsSettings(aReader); } },
     { "toucanstand-ledger", [](auto& aReader) { (void)ReadLedgerSettings(aReader); } },
     { "toucanstand-node", [](auto& aReader) { (void)ReadNodeSettings(aReader); } },
+    { "toucanstand-server", [](auto& aReader) { (void)ReadServerSettings(aReader); } },
     { "toucanstandctl", [](auto& aReader) { (void)ReadControlSettings(aReader); } },
   };
   return kPrograms;
--- a/tests/unit/toucanstand_delivery/TestEventFramer.cpp
+++ b/tests/unit/toucanstand_delivery/TestEventFramer.cpp
@@ -7,7 +7,8 @@
 TEST_CASE("Events are passed on whole, however their bytes arrive", "[events]")
 {
   // Guards against a torn event that a later run would repeat or complete wrongly.
-  const std::string stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+  const std::string stream =
+    "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
   for (std::size_t step = 1; step <= stream.size(); ++step) {
     EventFramer framer;
     std::string out;
--- a/tests/unit/toucanstand_groups/FormationSimulation.cpp
+++ b/tests/unit/toucanstand_groups/FormationSimulation.cpp
@@ -37,8 +37,9 @@
         ServerId("e" + std::to_string(domain) + "-" + std::to_string(number));
       engine.entry.pool = PoolId("engines");
       engine.entry.domain = DomainId("d" + std::to_string(domain));
-      engine.entry.endpoint = { "10.0.0.1",
-                                static_cast<std::uint16_t>(8000 + domain * 100 + number) };
+      engine.entry.endpoint = {
+        "10.0.0.1", static_cast<std::uint16_t>(8000 + domain * 100 + number)
+      };
       engine.entry.startedAtUnixMs = 1;
       this->directory.Put(engine.entry);
       this->engines.emplace(engine.entry.id, engine);
@@ -144,8 +145,8 @@
     return nullptr;
   }
   auto& head = this->engines.at(list->second.front());
-  const bool inGroup = head.alive && head.entry.membership &&
-                       head.entry.membership->group == aGroup;
+  const bool inGroup =
+    head.alive && head.entry.membership && head.entry.membership->group == aGroup;
   return inGroup ? &head : nullptr;
 }
 
@@ -188,11 +189,11 @@
     }
     const auto& members = this->memberLists.at(membership.group);
     const auto& ready = this->everReady[membership.group];
-    this->partialGroups += std::ranges::all_of(members, [&ready](const ServerId& aMember) {
-                             return ready.contains(aMember);
-                           })
-                             ? 0
-                             : 1;
+    this->partialGroups +=
+      std::ranges::all_of(
+        members, [&ready](const ServerId& aMember) { return ready.contains(aMember); })
+        ? 0
+        : 1;
     if (!this->HasMissingMember(membership.group)) {
       engine.missingSince = TimePoint{};
     } else if (engine.missingSince == TimePoint{}) {
@@ -231,9 +232,7 @@
 
 void FormationSimulation::Lead()
 {
-  const FormationInputs inputs{
-    this->directory, this->cost, {}, this->traffic, kStall
-  };
+  const FormationInputs inputs{ this->directory, this->cost, {}, this->traffic, kStall };
   for (const auto& order : this->controller.Plan(inputs, this->now)) {
     const auto& engine = this->engines.at(order.server);
     const double chance = this->random.Fraction();
@@ -264,8 +263,8 @@
   }
   // Streams of a head that stands still are silent: its members are asked.
   for (auto& engine : this->engines | std::views::values) {
-    const bool standsStill =
-      engine.missingSince != TimePoint{} && this->now - engine.missingSince >= kSilentGroup;
+    const bool standsStill = engine.missingSince != TimePoint{} &&
+                             this->now - engine.missingSince >= kSilentGroup;
     if (engine.alive && engine.entry.membership && standsStill) {
       for (const auto& member : this->memberLists.at(engine.entry.membership->group)) {
         this->Examine(member);
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -68,8 +68,8 @@
 TEST_CASE("No head serves without a member and none loses one to another group",
           "[formation]")
 {
-  // Guards against any order of lost answers, late orders, deaths, cuts and changes of the
-  // leader that breaks one of the two promises.
+  // Guards against any order of lost answers, late orders, deaths, cuts and changes of
+  // the leader that breaks one of the two promises.
   FormationSimulation::Options options;
   options.lostAnswers = 0.15;
   options.lateOrders = 0.15;
--- a/tests/unit/toucanstand_membership/TestPeerReport.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerReport.cpp
@@ -56,5 +56,6 @@
       }
     }
   }
-  CHECK(!DecodePeerReport(nlohmann::json::to_msgpack(nlohmann::json{ { "a", 1 } })).HasValue());
+  CHECK(!DecodePeerReport(nlohmann::json::to_msgpack(nlohmann::json{ { "a", 1 } }))
+           .HasValue());
 }
--- a/tests/unit/toucanstand_platform/TestCallTranslation.cpp
+++ b/tests/unit/toucanstand_platform/TestCallTranslation.cpp
@@ -50,11 +50,11 @@
 TEST_CASE("Headers that steer a request and can't be read are rejected", "[platform]")
 {
   // Guards against a deadline or size that is silently taken as zero.
-  for (const auto& [name, value] : std::vector<std::pair<std::string, std::string>>{
-         { "X-Deadline-Ms", "soon" },
-         { "X-Deadline-Ms", "-5" },
-         { "X-Token-Usage", "12" },
-         { "X-Token-Usage", "a,b" } }) {
+  for (const auto& [name, value] :
+       std::vector<std::pair<std::string, std::string>>{ { "X-Deadline-Ms", "soon" },
+                                                         { "X-Deadline-Ms", "-5" },
+                                                         { "X-Token-Usage", "12" },
+                                                         { "X-Token-Usage", "a,b" } }) {
     HttpRequest request;
     request.headers.Add(name, value);
     CHECK(!platform::ReadCall(request).HasValue());
@@ -84,7 +84,8 @@
   CHECK(headers.Find("X-Request-Priority") == "4");
   CHECK(headers.Find("Last-Event-Id") == "3");
   CHECK(headers.Find("X-Other") == "kept");
-  for (const char* name : { "Authorization", "Connection", "X-Hop", "Transfer-Encoding" }) {
+  for (const char* name :
+       { "Authorization", "Connection", "X-Hop", "Transfer-Encoding" }) {
     INFO(name);
     CHECK(!headers.Has(name));
   }
--- a/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
+++ b/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
@@ -38,7 +38,6 @@
 
 } // namespace
 
-
 TEST_CASE("A configuration is read into the product's types", "[platform]")
 {
   // Guards against a field that is taken for another one.
--- /dev/null
+++ b/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
@@ -0,0 +1,325 @@
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "placement/GroupPlacement.h"
+
+using namespace toucanstand;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint kStart{ std::chrono::hours(1) };
+
+EngineCostModel CostModel()
+{
+  EngineCostModel cost;
+  cost.slots = 26;
+  cost.stepTime = std::chrono::microseconds(6070);
+  cost.stepTimePerWriter = std::chrono::microseconds(241);
+  cost.stepsPerPass = 5;
+  cost.promptTokensPerSecond = 46'000;
+  cost.promptChunk = 2048;
+  cost.usualPromptTokens = 1076;
+  cost.usualAnswerTokens = 116;
+  cost.models = { { "m", 4, 1.0, 1.0, {}, {} } };
+  return cost;
+}
+
+ServingGroup Group(int aNumber, const char* aZone = "z1")
+{
+  return { GroupId("m-" + std::to_string(aNumber)),
+           "m",
+           ServerId("h"),
+           { "10.0.0.1", 80 },
+           ZoneId(aZone) };
+}
+
+GroupPlacement Placement(int aGroups, std::uint64_t aSeed = 1)
+{
+  GroupPlacement placement(ZoneId("z1"), Random(aSeed));
+  placement.SetCost(CostModel());
+  std::vector<ServingGroup> groups;
+  groups.reserve(static_cast<std::size_t>(aGroups));
+  for (int number = 0; number < aGroups; ++number) {
+    groups.push_back(Group(number));
+  }
+  placement.Update(groups);
+  return placement;
+}
+
+PlacementQuery Query(double aTokens = 1000)
+{
+  PlacementQuery query;
+  query.model = "m";
+  query.promptTokens = aTokens;
+  query.wanted = milliseconds(500);
+  return query;
+}
+
+} // namespace
+
+TEST_CASE("Prompts in progress count by their tokens", "[placement]")
+{
+  // Guards against a short request behind a long prompt while another group is idle.
+  auto placement = Placement(2);
+  const auto first = placement.Choose(Query(6000), kStart);
+  REQUIRE(first.HasValue());
+  placement.OnSent(*first, 6000, kStart);
+  for (int number = 0; number < 3; ++number) {
+    const auto next = placement.Choose(Query(100), kStart);
+    REQUIRE(next.HasValue());
+    CHECK(next->group.id != first->group.id);
+    placement.OnSent(*next, 100, kStart);
+  }
+}
+
+TEST_CASE("Requests of peers fill a group as own ones do", "[placement]")
+{
+  // Guards against several entry VMs that send into the same gap.
+  auto placement = Placement(2);
+  placement.OnPeerLoads(VmId("vm-2"), { { GroupId("m-0"), 2, 1000, 20 } }, kStart);
+  for (int number = 0; number < 5; ++number) {
+    CHECK(placement.Choose(Query(), kStart)->group.id == GroupId("m-1"));
+  }
+  // A peer that fell silent is not believed for long.
+  const auto later = kStart + GroupPlacement::kPeerReportLife + milliseconds(1);
+  std::set<GroupId> chosen;
+  for (int number = 0; number < 50; ++number) {
+    chosen.insert(placement.Choose(Query(), later)->group.id);
+  }
+  CHECK(chosen.size() == 2);
+}
+
+TEST_CASE("What can't be in time is refused at once with an honest delay", "[placement]")
+{
+  auto placement = Placement(1);
+  placement.OnPeerLoads(VmId("vm-2"), { { GroupId("m-0"), 10, 20'000, 26 } }, kStart);
+  const auto refused = placement.Choose(Query(), kStart);
+  REQUIRE(!refused.HasValue());
+  CHECK(refused.LastReason().refusal == PlacementRefusal::Overloaded);
+  CHECK(refused.LastReason().until >= milliseconds(100));
+  auto query = Query();
+  query.mustPlace = true;
+  CHECK(placement.Choose(query, kStart).HasValue());
+  query.model = "other";
+  CHECK(placement.Choose(query, kStart).LastReason().refusal ==
+        PlacementRefusal::NoGroup);
+}
+
+TEST_CASE("A group whose streams pause gets nothing until they go on", "[placement]")
+{
+  // Guards against requests into a group that lost a member.
+  auto placement = Placement(2);
+  const auto choice = placement.Choose(Query(), kStart);
+  const auto ticket = placement.OnSent(*choice, 1000, kStart);
+  placement.OnEvents(ticket, kStart);
+  const auto silent = kStart + GroupPlacement::kSilence + milliseconds(10);
+  for (int number = 0; number < 20; ++number) {
+    CHECK(placement.Choose(Query(), silent)->group.id != choice->group.id);
+  }
+  CHECK(placement.TakeSuspicions(silent) == std::vector<GroupId>{ choice->group.id });
+  CHECK(placement.TakeSuspicions(silent).empty());
+  placement.OnEvents(ticket, silent + milliseconds(1));
+  auto query = Query();
+  query.excluded = { placement.Choose(Query(), silent)->group.id };
+  CHECK(placement.Choose(query, silent + milliseconds(2)).HasValue());
+}
+
+TEST_CASE("A group that stalls, rejects or fails is avoided for a time", "[placement]")
+{
+  auto placement = Placement(2);
+  const auto end = [&](GroupRunEnd aEnd, TimePoint aNow) {
+    PlacementChoice choice;
+    choice.group = Group(0);
+    placement.OnEnded(placement.OnSent(choice, 10, aNow), aEnd, aNow);
+  };
+  end(GroupRunEnd::Unusable, kStart);
+  CHECK(placement.Choose(Query(), kStart)->group.id == GroupId("m-1"));
+  const auto second = kStart + seconds(10);
+  end(GroupRunEnd::Stalled, second);
+  CHECK(placement.IsSuspected(GroupId("m-0"), second));
+  const auto third = second + seconds(10);
+  for (int number = 0; number < GroupPlacement::kFailuresInARow; ++number) {
+    end(GroupRunEnd::Failed, third);
+  }
+  CHECK(placement.Choose(Query(), third)->group.id == GroupId("m-1"));
+  CHECK(!placement.IsSuspected(GroupId("m-0"), third));
+}
+
+namespace {
+
+/// Groups that run requests by the cost model with a fixed time to the first event that
+/// the operator does not state; callers come at a rate.
+class CrestModel
+{
+public:
+  using Chooser = std::function<std::optional<int>(double aTokens, TimePoint aNow)>;
+
+  struct Outcome
+  {
+    int inTime = 0;
+    int late = 0;
+    int refused = 0;
+  };
+
+  static constexpr int kGroups = 4;
+  static constexpr int kSlots = 26;
+  static constexpr auto kStep = milliseconds(10);
+
+  /// Called when a request's first event arrives and when it ends.
+  std::function<void(int aRequest, TimePoint aNow)> onFirst = [](int, TimePoint) {};
+  std::function<void(int aRequest, TimePoint aNow)> onEnd = [](int, TimePoint) {};
+
+  Outcome Play(double aPerSecond, std::uint64_t aSeed, const Chooser& aChoose)
+  {
+    Random random(aSeed);
+    Outcome outcome;
+    std::vector<std::vector<Request>> groups(kGroups);
+    double due = 0;
+    int number = 0;
+    for (auto now = kStart; now < kStart + seconds(30); now += kStep) {
+      for (due += aPerSecond * 0.01; due >= 1; due -= 1) {
+        // The users' longest prompts have about 5,900 tokens.
+        const double tokens = 100 + std::pow(random.Fraction(), 4) * 5800;
+        const auto group = aChoose(tokens, now);
+        ++number;
+        if (!group) {
+          ++outcome.refused;
+          continue;
+        }
+        groups[static_cast<std::size_t>(*group)].push_back({ number, now, tokens, 116 });
+      }
+      for (auto& group : groups) {
+        this->Advance(group, now, outcome);
+      }
+    }
+    return outcome;
+  }
+
+private:
+  struct Request
+  {
+    int number = 0;
+    TimePoint sentAt{};
+    double toRead = 0;
+    double toWrite = 0;
+    bool first = false;
+  };
+
+  void Advance(std::vector<Request>& aGroup, TimePoint aNow, Outcome& aOutcome)
+  {
+    double readable = 46'000 * 0.01;
+    const auto writers = std::ranges::count_if(
+      aGroup, [](const Request& aRequest) { return aRequest.toRead <= 0; });
+    const double step =
+      0.00607 + 0.000241 * static_cast<double>(std::min<long>(writers, kSlots));
+    int running = 0;
+    for (auto& request : aGroup) {
+      if (++running > kSlots) {
+        break;
+      }
+      if (request.toRead > 0) {
+        const double read = std::min(readable, request.toRead);
+        request.toRead -= read;
+        readable -= read;
+        continue;
+      }
+      const bool begins = !request.first && aNow - request.sentAt > milliseconds(150);
+      if (begins) {
+        request.first = true;
+        const bool inTime = aNow - request.sentAt <= milliseconds(500);
+        ++(inTime ? aOutcome.inTime : aOutcome.late);
+        this->onFirst(request.number, aNow);
+      }
+      request.toWrite -= request.first ? 0.01 / step : 0;
+    }
+    for (const auto& request : aGroup) {
+      if (request.toWrite <= 0) {
+        this->onEnd(request.number, aNow);
+      }
+    }
+    std::erase_if(aGroup, [](const Request& aRequest) { return aRequest.toWrite <= 0; });
+  }
+};
+
+CrestModel::Outcome PlayPredicted(double aPerSecond, std::uint64_t aSeed)
+{
+  auto placement = Placement(CrestModel::kGroups, aSeed);
+  std::map<int, GroupPlacement::Ticket> tickets;
+  std::set<int> writing;
+  CrestModel model;
+  int number = 0;
+  model.onFirst = [&](int aRequest, TimePoint aNow) {
+    writing.insert(aRequest);
+    placement.OnEvents(tickets.at(aRequest), aNow);
+  };
+  model.onEnd = [&](int aRequest, TimePoint aNow) {
+    writing.erase(aRequest);
+    placement.OnEnded(tickets.at(aRequest), GroupRunEnd::Answered, aNow);
+  };
+  return model.Play(
+    aPerSecond, aSeed, [&](double aTokens, TimePoint aNow) -> std::optional<int> {
+      ++number;
+      // Streams are not modelled event by event; those that write never pause.
+      std::ranges::for_each(
+        writing, [&](int aRequest) { placement.OnEvents(tickets.at(aRequest), aNow); });
+      const auto choice = placement.Choose(Query(aTokens), aNow);
+      if (!choice) {
+        return std::nullopt;
+      }
+      tickets[number] = placement.OnSent(*choice, aTokens, aNow);
+      return std::stoi(choice->group.id.Value().substr(2));
+    });
+}
+
+CrestModel::Outcome PlayLeastOutstanding(double aPerSecond, std::uint64_t aSeed)
+{
+  std::map<int, int> groupOf;
+  std::vector<int> outstanding(CrestModel::kGroups);
+  CrestModel model;
+  int number = 0;
+  model.onEnd = [&](int aRequest, TimePoint) { --outstanding[groupOf.at(aRequest)]; };
+  return model.Play(aPerSecond, aSeed, [&](double, TimePoint) -> std::optional<int> {
+    ++number;
+    const auto least = std::ranges::min_element(outstanding);
+    ++*least;
+    groupOf[number] = static_cast<int>(least - outstanding.begin());
+    return groupOf[number];
+  });
+}
+
+} // namespace
+
+TEST_CASE(
+  "Past the crest of demand more callers are served in time than without refusals",
+  "[placement]")
+{
+  // Plays 1.5 times what four full groups can serve: requests that can't be in time must
+  // not take the place of those that can.
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const auto predicted = PlayPredicted(75, seed);
+    const auto least = PlayLeastOutstanding(75, seed);
+    INFO("seed " << seed << ": in time " << predicted.inTime << ", late "
+                 << predicted.late << ", refused " << predicted.refused
+                 << "; least outstanding in time " << least.inTime << ", late "
+                 << least.late);
+    CHECK(predicted.inTime > least.inTime);
+    CHECK(predicted.late < predicted.inTime / 5);
+  }
+}
+
+TEST_CASE("Below the crest nothing is refused", "[placement]")
+{
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const auto predicted = PlayPredicted(25, seed);
+    CHECK(predicted.refused == 0);
+    CHECK(predicted.late == 0);
+  }
+}
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -185,3 +185,89 @@
   loop.run_for(20s);
   CHECK(noticed);
 }
+
+TEST_CASE("An answer to HEAD has the head of the whole answer and no body", "[http]")
+{
+  // Guards against a body that the caller takes for the next answer on the connection.
+  Fixture fixture;
+  const auto reply = fixture.Raw("HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                                 "Connection: close\r\n\r\nbody");
+  CHECK(reply.find("Content-Length: 4") != std::string::npos);
+  CHECK(reply.ends_with("\r\n\r\n"));
+}
+
+TEST_CASE("A request without exactly one Host field is rejected", "[http]")
+{
+  // RFC 9112, section 3.2.
+  Fixture fixture;
+  CHECK(fixture.Raw("GET / HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 400"));
+  fixture.loop.restart();
+  CHECK(fixture.Raw("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n")
+          .starts_with("HTTP/1.1 400"));
+}
+
+TEST_CASE("A caller that sends one byte and no more is not kept", "[http]")
+{
+  // Guards against connections that stay open for the idle time of a connection in use.
+  Fixture fixture;
+  fixture.limits.headerTimeout = 50ms;
+  fixture.limits.idleTimeout = 20s;
+  const auto startedAt = BootClock::now();
+  CHECK(fixture.Raw("G").empty());
+  CHECK(BootClock::now() - startedAt < 10s);
+}
+
+namespace {
+
+/// Serves one connection with raw bytes and closes it in order.
+Result<HttpResponse, HttpFailure> FetchRaw(const std::string& aReply,
+                                           UnframedBody aUnframed)
+{
+  asio::io_context loop;
+  MetricsRegistry metrics;
+  const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  asio::ip::tcp::acceptor acceptor(loop, any);
+  const Endpoint endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
+  asio::co_spawn(
+    loop,
+    [&]() -> Task<> {
+      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+      std::string request(16, '\0');
+      co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+      co_await asio::async_write(socket, asio::buffer(aReply), asio::use_awaitable);
+      socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+      boost::system::error_code ended;
+      std::string rest;
+      co_await asio::async_read(socket,
+                                asio::dynamic_buffer(rest),
+                                asio::redirect_error(asio::use_awaitable, ended));
+    },
+    asio::detached);
+  HttpClient client(loop, metrics, aUnframed);
+  Result<HttpResponse, HttpFailure> result(HttpFailure::Cancelled);
+  RunUntilDone(loop, [&]() -> Task<> {
+    const HttpDeadlines deadlines;
+    result = co_await client.Fetch(
+      endpoint, HttpRequest(), deadlines, 1024, ConnectionUse::Single);
+  }());
+  return result;
+}
+
+} // namespace
+
+TEST_CASE("A body without a length ends with its connection only where that is allowed",
+          "[http]")
+{
+  // Guards against a part of an answer that is taken for the whole, and against whole
+  // answers of a service that states no length.
+  const std::string reply = "HTTP/1.1 200 OK\r\n\r\nwhole";
+  const auto accepted = FetchRaw(reply, UnframedBody::EndsWithConnection);
+  REQUIRE(accepted.HasValue());
+  CHECK(accepted->body == "whole");
+  const auto refused = FetchRaw(reply, UnframedBody::Refuse);
+  REQUIRE(!refused.HasValue());
+  CHECK(refused.LastReason() == HttpFailure::BrokenInBody);
+  CHECK(!FetchRaw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole",
+                  UnframedBody::EndsWithConnection)
+           .HasValue());
+}
--- /dev/null
+++ b/tests/unit/toucanstand_transport/TestStoreMirror.cpp
@@ -0,0 +1,134 @@
+#include <deque>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "store/StoreMirror.h"
+
+using namespace toucanstand;
+
+namespace {
+
+/// Answers from a script and stops the loop at its end.
+class ScriptedFeed final : public ChangeFeed
+{
+public:
+  explicit ScriptedFeed(boost::asio::io_context& aLoop)
+    : loop(aLoop)
+  {
+  }
+
+  Task<Result<StorePage, StoreFailure>> ReadPage(std::string /*aPrefix*/,
+                                                 std::string aAfterKey) override
+  {
+    this->asked.push_back("page " + aAfterKey);
+    if (this->pages.empty()) {
+      this->loop.stop();
+      co_return StoreFailure::NotSent;
+    }
+    auto page = this->pages.front();
+    this->pages.pop_front();
+    co_return page;
+  }
+
+  Task<Result<StoreChanges, StoreFailure>> ReadChanges(
+    std::string /*aPrefix*/,
+    StoreRevision aAfter,
+    std::chrono::milliseconds /*aWait*/) override
+  {
+    this->asked.push_back("changes " + std::to_string(aAfter));
+    if (this->changes.empty()) {
+      this->loop.stop();
+      co_return StoreFailure::NotSent;
+    }
+    auto next = this->changes.front();
+    this->changes.pop_front();
+    co_return next;
+  }
+
+  boost::asio::io_context& loop; // NOLINT(misc-non-private-member-variables-in-classes)
+  std::deque<Result<StorePage, StoreFailure>> pages;
+  std::deque<Result<StoreChanges, StoreFailure>> changes;
+  std::vector<std::string> asked;
+};
+
+struct Heard
+{
+  std::vector<std::string> events;
+
+  StoreMirrorListener Listener()
+  {
+    return { [this](const StoreChange& aChange) {
+              this->events.push_back(aChange.key + "=" + aChange.value.value_or("gone"));
+            },
+             [this](const std::vector<std::string>& aKeys) {
+               this->events.push_back("all " + std::to_string(aKeys.size()));
+             },
+             [this](StoreFailure) { this->events.push_back("lost"); },
+             [this](Duration) { this->events.push_back("regained"); } };
+  }
+};
+
+StoreMirrorSettings Settings()
+{
+  StoreMirrorSettings settings;
+  settings.interval = Duration::zero();
+  settings.retryPause = std::chrono::milliseconds(1);
+  return settings;
+}
+
+} // namespace
+
+TEST_CASE("Changes made while pages are read are not lost", "[mirror]")
+{
+  // Guards against going on from the last page, whose revision is newer than the first
+  // page's content.
+  boost::asio::io_context loop;
+  ScriptedFeed feed(loop);
+  feed.pages.push_back(StorePage{ { { "a", "1", 3 } }, true, 10 });
+  feed.pages.push_back(StorePage{ { { "b", "1", 4 } }, false, 12 });
+  feed.changes.push_back(StoreChanges{ { { "a", "2", 11 } }, 12 });
+  Heard heard;
+  StoreMirror mirror(loop, feed, Settings(), heard.Listener());
+  boost::asio::co_spawn(loop, mirror.Run(), boost::asio::detached);
+  loop.run();
+  CHECK(feed.asked ==
+        std::vector<std::string>{ "page ", "page a", "changes 10", "changes 12" });
+  CHECK(heard.events == std::vector<std::string>{ "a=1", "b=1", "all 2", "a=2", "lost" });
+  CHECK(mirror.IsComplete());
+}
+
+TEST_CASE("A lost history is read anew and is no outage", "[mirror]")
+{
+  boost::asio::io_context loop;
+  ScriptedFeed feed(loop);
+  feed.pages.push_back(StorePage{ {}, false, 5 });
+  feed.changes.push_back(StoreFailure::HistoryLost);
+  feed.pages.push_back(StorePage{ { { "a", "1", 8 } }, false, 9 });
+  feed.changes.push_back(StoreChanges{ {}, 9 });
+  Heard heard;
+  StoreMirror mirror(loop, feed, Settings(), heard.Listener());
+  boost::asio::co_spawn(loop, mirror.Run(), boost::asio::detached);
+  loop.run();
+  CHECK(heard.events == std::vector<std::string>{ "all 0", "a=1", "all 1", "lost" });
+}
+
+TEST_CASE("The end of an outage is heard before what it removed", "[mirror]")
+{
+  // Guards against registrations that are dropped because they lapsed while the store was
+  // away.
+  boost::asio::io_context loop;
+  ScriptedFeed feed(loop);
+  feed.pages.push_back(StorePage{ { { "a", "1", 1 } }, false, 5 });
+  feed.changes.push_back(StoreFailure::EffectUnknown);
+  feed.changes.push_back(StoreFailure::NotSent);
+  feed.changes.push_back(StoreChanges{ { { "a", std::nullopt, 7 } }, 7 });
+  Heard heard;
+  StoreMirror mirror(loop, feed, Settings(), heard.Listener());
+  boost::asio::co_spawn(loop, mirror.Run(), boost::asio::detached);
+  loop.run();
+  CHECK(heard.events ==
+        std::vector<std::string>{ "a=1", "all 1", "lost", "regained", "a=gone", "lost" });
+}
