Quarantine requests that crash servers on the users' platform; log what decided a refusal

Cause: a request that crashes each server that runs it would have been sent on by every VM; a refused placement did not say which prediction and limit decided. Change: the joined process uses CrashQuarantine, asks a server whose exchange broke, and tells its peers what it quarantined itself.

--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -257,6 +257,18 @@
   return entries;
 }
 
+std::vector<std::uint64_t> CrashQuarantine::QuarantinedHere(TimePoint aNow) const
+{
+  std::vector<std::uint64_t> fingerprints;
+  for (const auto& [fingerprint, record] : this->records) {
+    if (record.until > aNow && !record.quarantinedByNode &&
+        LevelOf(record) == SuspicionLevel::Quarantined) {
+      fingerprints.push_back(fingerprint);
+    }
+  }
+  return fingerprints;
+}
+
 void CrashQuarantine::OnTime(TimePoint aNow)
 {
   std::erase_if(this->records,
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.h
@@ -154,6 +154,10 @@
   /// Quarantined fingerprints, for a WorldView snapshot.
   [[nodiscard]] std::vector<QuarantineEntry> Quarantined(TimePoint aNow) const;
 
+  /// Fingerprints that are quarantined for crashes seen here, not on another's word:
+  /// those must not be passed on, or each would renew the other without end.
+  [[nodiscard]] std::vector<std::uint64_t> QuarantinedHere(TimePoint aNow) const;
+
   /// Forgets what has outlived its lifetime. Call about once a second.
   void OnTime(TimePoint aNow);
 
--- a/modules/toucanstand_membership/peers/PeerReport.cpp
+++ b/modules/toucanstand_membership/peers/PeerReport.cpp
@@ -65,10 +65,6 @@
     loads.push_back(
       json::array({ load.destination, load.reading, load.readingTokens, load.writing }));
   }
-  json crashes = json::array();
-  for (const auto& [fingerprint, count] : aReport.crashes) {
-    crashes.push_back(json::array({ fingerprint, count }));
-  }
   json work = json::array();
   for (const auto& [model, seconds] : aReport.work) {
     work.push_back(json::array({ model, seconds }));
@@ -78,7 +74,7 @@
                                         aReport.sequence,
                                         std::move(loads),
                                         aReport.suspected,
-                                        std::move(crashes),
+                                        aReport.quarantined,
                                         std::move(work) }));
 }
 
@@ -108,12 +104,8 @@
   for (const auto& group : reader.List(fields[4], 0)) {
     report.suspected.push_back(reader.Text(group));
   }
-  for (const auto& row : reader.List(fields[5], 0)) {
-    const auto& items = reader.List(row, 2);
-    if (!items.empty()) {
-      report.crashes[reader.Whole(items[0])] =
-        static_cast<std::uint32_t>(std::min<std::uint64_t>(reader.Whole(items[1]), 1000));
-    }
+  for (const auto& fingerprint : reader.List(fields[5], 0)) {
+    report.quarantined.push_back(reader.Whole(fingerprint));
   }
   for (const auto& row : reader.List(fields[6], 0)) {
     const auto& items = reader.List(row, 2);
--- a/modules/toucanstand_membership/peers/PeerReport.h
+++ b/modules/toucanstand_membership/peers/PeerReport.h
@@ -33,9 +33,8 @@
   std::vector<Load> loads;
   /// Groups that went silent at the sender.
   std::vector<std::string> suspected;
-  /// Request fingerprints whose runs ended with the crash of their server, with the
-  /// number of crashes.
-  std::map<std::uint64_t, std::uint32_t> crashes;
+  /// Fingerprints of requests that no server may run, because they crashed several.
+  std::vector<std::uint64_t> quarantined;
   /// Work that the sender's callers ask for, by model, in engine seconds a second.
   std::map<std::string, double> work;
 };
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -140,7 +140,7 @@
     choices.push_back(std::move(choice));
   }
   if (choices.empty()) {
-    return PlacementDelay{ PlacementRefusal::NoGroup, kNoGroupDelay };
+    return PlacementDelay{ PlacementRefusal::NoGroup, kNoGroupDelay, 0, {}, {} };
   }
   const auto limit = FromSeconds(ToSeconds(aQuery.wanted) * kUsableShare);
   const auto slots = static_cast<double>(this->cost.slots);
@@ -151,7 +151,10 @@
     });
   if (soonest > limit && !placesFree && !aQuery.mustPlace) {
     return PlacementDelay{ PlacementRefusal::Overloaded,
-                           std::max(soonest - limit, kLeastDelay) };
+                           std::max(soonest - limit, kLeastDelay),
+                           choices.size(),
+                           soonest,
+                           limit };
   }
   std::erase_if(choices, [soonest](const PlacementChoice& aChoice) {
     return aChoice.predicted > soonest + kTie;
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -70,6 +70,10 @@
 {
   PlacementRefusal refusal = PlacementRefusal::NoGroup;
   Duration until{ 0 };
+  /// Groups that could have been chosen, the soonest prediction and the longest allowed.
+  std::size_t considered = 0;
+  Duration soonest{ 0 };
+  Duration limit{ 0 };
 };
 
 /// How a request on a group ended, as far as placement is concerned.
--- a/programs/toucanstand-server/Call.h
+++ b/programs/toucanstand-server/Call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
   AccountId account = {};
   int priority = 0;
   PoolId pool = {};
+  /// The same for each repetition of the request.
+  std::uint64_t fingerprint = 0;
   TimePoint arrivedAt{};
   /// The final answer is due.
   TimePoint deadline{};
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -47,7 +47,12 @@
     }
     this->destination = choice->group.id.Value();
     this->tracker.OnAttemptStarted(this->destination);
+    const auto run = this->state.NoteSent(
+      this->call.facts.id, this->call.fingerprint, choice->group.head);
     const auto loss = co_await this->Attempt(*choice);
+    this->state.NoteRunEnded(run,
+                             { choice->group.head, choice->group.endpoint },
+                             loss ? std::optional(loss->failure) : std::nullopt);
     this->LogAttempt(*choice, loss);
     if (!loss) {
       this->tracker.OnAnswered();
@@ -225,6 +230,16 @@
 Task<CallEnd> GenerationCall::Refuse(const PlacementDelay& aDelay)
 {
   const char* reason = Name(aDelay.refusal);
+  this->state.log.Write(LogWeight::Notable,
+                        "placement_refused",
+                        { { "request", this->call.facts.id.Value() },
+                          { "model", this->call.facts.model },
+                          { "reason", reason },
+                          { "groups", static_cast<std::int64_t>(aDelay.considered) },
+                          { "soonest_ms", ToMilliseconds(aDelay.soonest).count() },
+                          { "limit_ms", ToMilliseconds(aDelay.limit).count() },
+                          { "prompt_tokens", this->call.facts.promptTokens },
+                          { "retry_after_ms", ToMilliseconds(aDelay.until).count() } });
   if (this->answerBegun) {
     this->call.exchange.BreakOff();
     co_return this->End(CallOutcome::Unknown, 200, reason);
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -94,6 +94,7 @@
   report.run = this->run;
   report.sequence = ++this->sequence;
   report.work = this->state.work.Rates(aNow);
+  report.quarantined = this->state.quarantine.QuarantinedHere(aNow);
   for (auto& placement : this->state.placements | std::views::values) {
     for (const auto& load : placement.OwnLoads(aNow)) {
       report.loads.push_back(
@@ -119,6 +120,10 @@
     return;
   }
   peer = { aReport.run, aReport.sequence, aNow, aReport.work };
+  for (const auto fingerprint : aReport.quarantined) {
+    this->state.quarantine.Merge(
+      QuarantineEntry{ fingerprint, aNow + CrashQuarantine::kLifetime }, aNow);
+  }
   std::vector<GroupLoad> loads;
   std::ranges::transform(
     aReport.loads, std::back_inserter(loads), [](const PeerReport::Load& aLoad) {
--- a/programs/toucanstand-server/PlainCall.cpp
+++ b/programs/toucanstand-server/PlainCall.cpp
@@ -61,7 +61,12 @@
     this->destination = candidate->id;
     this->tracker.OnAttemptStarted(candidate->id);
     this->state.router.OnSent(candidate->id, sentAt);
+    const auto run = this->state.NoteSent(
+      this->call.facts.id, this->call.fingerprint, candidate->server);
     auto loss = co_await this->Attempt(*candidate);
+    this->state.NoteRunEnded(run,
+                             { candidate->server, candidate->endpoint },
+                             loss ? std::optional(loss->failure) : std::nullopt);
     this->NoteEnd(*candidate, loss, sentAt);
     if (!loss) {
       this->tracker.OnAnswered();
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -6,6 +6,7 @@
 #include "CallAnswer.h"
 #include "GenerationCall.h"
 #include "PlainCall.h"
+#include "hashing/Fingerprint.h"
 #include "platform/CallTranslation.h"
 
 namespace toucanstand {
@@ -70,6 +71,13 @@
     call.account = holder->account;
     call.priority = holder->priority.value_or(call.priority);
   }
+  const auto& request = aExchange.Request();
+  call.fingerprint =
+    Hash64(request.body, Hash64(request.target, Hash64(call.account.Value())));
+  if (this->state.quarantine.Level(call.fingerprint, aNow) ==
+      SuspicionLevel::Quarantined) {
+    return Rejection{ 503, "crashes_servers" };
+  }
   call.pool = this->PickPool(*route);
   call.arrivedAt = aNow;
   call.deadline =
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -147,6 +147,7 @@
   const auto now = BootClock::now();
   this->state.storeReadAt = this->storeLink.UpToDateAt();
   this->state.directory.OnTime(now);
+  this->state.quarantine.OnTime(now);
   this->state.retryBudget.Configure(
     RetryPart(this->state.settings, this->peers.PeerCount()));
   this->state.RefreshDestinations(now);
@@ -260,6 +261,7 @@
            { "placements", std::move(placements) },
            { "groups", this->keeper.Describe() },
            { "router", this->state.router.Describe(now) },
+           { "quarantine", this->state.quarantine.Describe(now) },
            { "retry_budget", this->state.retryBudget.Describe() },
            { "log_lines_left_out", this->state.log.LeftOut() } };
 }
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <ranges>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <unistd.h>
 
 #include "formation/FormationController.h"
@@ -140,6 +142,48 @@
   this->router.Update(view, aNow);
 }
 
+RequestId ServingState::NoteSent(const RequestId& aCall,
+                                 std::uint64_t aFingerprint,
+                                 const ServerId& aServer)
+{
+  // A later run of the same request must not end the suspicion of an earlier one.
+  const RequestId run(aCall.Value() + "/" + std::to_string(++this->runCount));
+  this->quarantine.OnSent(run, aFingerprint, aServer);
+  return run;
+}
+
+void ServingState::NoteRunEnded(const RequestId& aRun,
+                                const Destination& aDestination,
+                                std::optional<AttemptFailure> aFailure)
+{
+  const auto now = BootClock::now();
+  if (!aFailure || *aFailure == AttemptFailure::ServerError) {
+    this->quarantine.OnEnded(aRun, RunEnd::Survived, now);
+    return;
+  }
+  this->quarantine.OnEnded(
+    aRun, ProvesNotRun(*aFailure) ? RunEnd::NotRun : RunEnd::Abandoned, now);
+  const bool broke = *aFailure == AttemptFailure::BrokenBeforeHead ||
+                     *aFailure == AttemptFailure::BrokenInBody;
+  if (broke) {
+    boost::asio::co_spawn(
+      this->loop, this->ExamineCrash(aDestination), boost::asio::detached);
+  }
+}
+
+Task<> ServingState::ExamineCrash(Destination aDestination)
+{
+  if (co_await this->engines.Answers(aDestination.server, aDestination.endpoint)) {
+    co_return;
+  }
+  const auto suspects =
+    this->quarantine.OnServerCrashed(aDestination.server, BootClock::now());
+  this->log.Write(LogWeight::Notable,
+                  "server_crashed",
+                  { { "server", aDestination.server.Value() },
+                    { "suspects", static_cast<std::int64_t>(suspects.size()) } });
+}
+
 GroupPlacement* ServingState::PlacementOf(const PoolId& aPool)
 {
   const auto found = this->placements.find(aPool);
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -7,7 +7,9 @@
 #include <boost/asio/io_context.hpp>
 
 #include "ServerSettings.h"
+#include "attempts/AttemptFailure.h"
 #include "attempts/RetryBudget.h"
+#include "crashes/CrashQuarantine.h"
 #include "demand/WorkMeter.h"
 #include "http/HttpClient.h"
 #include "logging/DecisionLog.h"
@@ -43,6 +45,24 @@
   /// for it.
   [[nodiscard]] bool IsInTouch(TimePoint aNow) const;
 
+  /// A request is about to be sent to a server. @returns the name of the run
+  RequestId NoteSent(const RequestId& aCall,
+                     std::uint64_t aFingerprint,
+                     const ServerId& aServer);
+
+  /// A server and where it listens.
+  struct Destination
+  {
+    ServerId server;
+    Endpoint endpoint;
+  };
+
+  /// A run ended. When its connection broke, the server is asked whether it lives: the
+  /// requests that it was running are suspected of crashing servers if it does not.
+  void NoteRunEnded(const RequestId& aRun,
+                    const Destination& aDestination,
+                    std::optional<AttemptFailure> aFailure);
+
   // NOLINTBEGIN(misc-non-private-member-variables-in-classes): shared parts by design
   boost::asio::io_context& loop;
   ServerSettings settings;
@@ -55,6 +75,7 @@
   std::map<PoolId, GroupPlacement> placements;
   Router router;
   RetryBudget retryBudget;
+  CrashQuarantine quarantine;
   WorkMeter work;
   HttpClient backends;
   platform::EngineClient engines;
@@ -64,10 +85,12 @@
   // NOLINTEND(misc-non-private-member-variables-in-classes)
 
 private:
+  Task<> ExamineCrash(Destination aDestination);
   void RefreshGroups(const ServingPool& aPool);
   void RefreshServices(TimePoint aNow);
 
   std::optional<std::uint64_t> builtFrom;
+  std::uint64_t runCount = 0;
 };
 
 } // namespace toucanstand
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -359,3 +359,24 @@
   CHECK(other.Generate("m-2").HasValue());
   CHECK(platform.Heads().size() == 2);
 }
+
+TEST_CASE("A request that crashes its servers is refused after the second", "[server]")
+{
+  // Guards against a request that takes every server down, one after the other.
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  platform.Do([&] {
+    platform.Engine("stock-0").faults.diesOnRun = true;
+    platform.Engine("stock-1").faults.diesOnRun = true;
+  });
+  const auto crashed = server.Call("GET", "/looks/deadly", "n-1");
+  REQUIRE(crashed.HasValue());
+  CHECK(crashed->status == 502);
+  server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
+    return aState.at("state").at("quarantine").dump().find("quarantined") !=
+           std::string::npos;
+  });
+  CHECK(BecomesStatus(server, "/looks/deadly", "key-1", 503));
+  CHECK(RunsOf(platform, "n-1") == 2);
+}
--- a/tests/platform/support/EngineStandin.cpp
+++ b/tests/platform/support/EngineStandin.cpp
@@ -225,6 +225,11 @@
 
 Task<> EngineStandin::RunCall(HttpExchange& aExchange)
 {
+  if (this->faults.diesOnRun) {
+    this->Die();
+    aExchange.BreakOff();
+    co_return;
+  }
   if (TakeOne(this->faults.loseAnswers)) {
     aExchange.BreakOff();
     co_return;
--- a/tests/platform/support/EngineStandin.h
+++ b/tests/platform/support/EngineStandin.h
@@ -34,6 +34,8 @@
   int rejectAsFull = 0;
   /// Requests of a plain service whose connection closes after the run.
   int loseAnswers = 0;
+  /// A run ends the server.
+  bool diesOnRun = false;
   /// Answers without the signature of the server.
   int unsignedAnswers = 0;
   /// Responses that name another request.
--- a/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
+++ b/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
@@ -364,3 +364,18 @@
   }
   CHECK(quarantine.AllDeltas(now).size() == CrashQuarantine::kMaximumFingerprints);
 }
+
+TEST_CASE("A quarantine that another told of is not passed on", "[crashes]")
+{
+  // Guards against two entry VMs that renew each other's quarantine without end.
+  CrashQuarantine quarantine;
+  const TimePoint now{ std::chrono::hours(1) };
+  quarantine.Merge(QuarantineEntry{ 5, now + std::chrono::minutes(1) }, now);
+  CHECK(quarantine.Level(5, now) == SuspicionLevel::Quarantined);
+  CHECK(quarantine.QuarantinedHere(now).empty());
+  quarantine.OnSent(RequestId("a"), 7, ServerId("s1"));
+  quarantine.OnServerCrashed(ServerId("s1"), now);
+  quarantine.OnSent(RequestId("b"), 7, ServerId("s2"));
+  quarantine.OnServerCrashed(ServerId("s2"), now);
+  CHECK(quarantine.QuarantinedHere(now) == std::vector<std::uint64_t>{ 7 });
+}
