--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -51,7 +51,10 @@
     const auto now = BootClock::now();
     const auto report = this->MakeReport(now);
     const auto bytes = EncodePeerReport(report);
-    for (const auto& endpoint : this->peers | std::views::values) {
+    // Copied: a peer's registration may end while the loop waits.
+    const auto registered = this->peers | std::views::values;
+    const std::vector<udp::endpoint> endpoints(registered.begin(), registered.end());
+    for (const auto& endpoint : endpoints) {
       // A datagram that can't be sent is lost like any other.
       auto [error, sent] =
         co_await this->socket.async_send_to(asio::buffer(bytes), endpoint, kAwait);
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -380,3 +380,40 @@
   CHECK(BecomesStatus(server, "/looks/deadly", "key-1", 503));
   CHECK(RunsOf(platform, "n-1") == 2);
 }
+
+TEST_CASE("Peers may go while a report is on its way to them", "[server]")
+{
+  // Guards against the fault that a peer's registration that ended while reports were
+  // sent ended the process (seen on the bench, kfh trouble-2, seed 1072851403524).
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  // Enough for a report to be on its way for a good part of the time.
+  constexpr int kPeers = 4000;
+  const auto key = [](int aNumber) {
+    return "toucanstand/vms/peer-" + std::to_string(aNumber);
+  };
+  for (int round = 0; round < 6; ++round) {
+    platform.Do([&] {
+      for (int number = 0; number < kPeers; ++number) {
+        platform.Store().Put(key(number), "127.0.0.1:" + std::to_string(20000 + number));
+      }
+    });
+    server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
+      return aState.at("state").at("peers") == kPeers;
+    });
+    platform.Do([&] {
+      for (int number = 0; number < kPeers; ++number) {
+        platform.Store().Delete(key(number));
+      }
+    });
+    // A request in progress makes the process send ten reports a second.
+    for (int number = 0; number < 4; ++number) {
+      const auto attempt = "o-" + std::to_string(round) + "-" + std::to_string(number);
+      REQUIRE(server.Generate(attempt).HasValue());
+    }
+    server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
+      return aState.at("state").at("peers") == 0;
+    });
+  }
+}
