--- a/programs/toucanstandctl/Connections.cpp
+++ b/programs/toucanstandctl/Connections.cpp
@@ -78,11 +78,13 @@
                                         ChangeAction aAction)
 {
   if (const auto* swap = std::get_if<SwapConfiguration>(&aAction)) {
-    const auto written =
-      swap->modRevision == 0
-        ? co_await this->store.CreateIfAbsent(kConfigurationKey, swap->text, 0)
-        : co_await this->store.ReplaceIf(
-            kConfigurationKey, swap->modRevision, swap->text, 0);
+    Result<StoreRevision, StoreFailure> written(StoreFailure::NotSent);
+    if (swap->modRevision == 0) {
+      written = co_await this->store.CreateIfAbsent(kConfigurationKey, swap->text, 0);
+    } else {
+      written = co_await this->store.ReplaceIf(
+        kConfigurationKey, swap->modRevision, swap->text, 0);
+    }
     if (written || written.LastReason() == StoreFailure::Conflict) {
       co_return aChange.OnSwapped(written.HasValue());
     }
