--- /dev/null
+++ b/modules/toucanstand_groups/formation/WeightStaging.cpp
@@ -0,0 +1,110 @@
+#include "formation/WeightStaging.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "formation/GroupRecord.h"
+
+namespace toucanstand {
+
+namespace {
+
+/// A staging order is given again after this many load times.
+constexpr int kRepeatStaging = 4;
+/// Loads that may be in progress before the first request, relative to the number
+/// beyond which they slow one another down.
+constexpr std::size_t kEarlyLoads = 2;
+
+bool IsStaged(const ServerEntry& aEntry, const std::string& aModel)
+{
+  return std::ranges::find(aEntry.stagedModels, aModel) != aEntry.stagedModels.end();
+}
+
+} // namespace
+
+void WeightStaging::Begin(std::int64_t aTerm)
+{
+  this->term = aTerm;
+  this->inProgress.clear();
+  this->orders.clear();
+}
+
+void WeightStaging::Update(const PoolId& aPool,
+                           const FormationInputs& aInputs,
+                           TimePoint aNow)
+{
+  this->NoteMemberships(aPool, aInputs.directory);
+  this->ForgetEnded(aInputs, aNow);
+}
+
+void WeightStaging::NoteMemberships(const PoolId& aPool,
+                                    const ServerDirectory& aDirectory)
+{
+  for (const auto& entry : aDirectory.Servers() | std::views::values) {
+    if (entry.pool == aPool && entry.membership &&
+        entry.membership->state != MembershipState::Joining) {
+      this->lastModels[entry.id] = { entry.startedAtUnixMs,
+                                     ModelOfGroup(entry.membership->group) };
+    }
+  }
+  std::erase_if(this->lastModels, [&aDirectory](const auto& aLast) {
+    return aDirectory.Find(aLast.first) == nullptr;
+  });
+}
+
+void WeightStaging::ForgetEnded(const FormationInputs& aInputs, TimePoint aNow)
+{
+  std::erase_if(this->inProgress, [&](const auto& aStaging) {
+    const auto& [server, staging] = aStaging;
+    const auto* entry = aInputs.directory.Find(server);
+    const auto* terms = aInputs.cost.FindModel(staging.model);
+    return entry == nullptr || terms == nullptr || IsStaged(*entry, staging.model) ||
+           aNow - staging.orderedAt >= terms->loadTime * kRepeatStaging;
+  });
+}
+
+JoinCost WeightStaging::CostOf(const ServerEntry& aEntry, const std::string& aModel) const
+{
+  const auto last = this->lastModels.find(aEntry.id);
+  if (last != this->lastModels.end() &&
+      last->second.startedAtUnixMs == aEntry.startedAtUnixMs &&
+      last->second.model == aModel) {
+    return JoinCost::Hot;
+  }
+  return IsStaged(aEntry, aModel) ? JoinCost::Warm : JoinCost::Cold;
+}
+
+void WeightStaging::StageIfAffordable(const ServerEntry& aEntry,
+                                      const std::string& aModel,
+                                      const FormationInputs& aInputs,
+                                      TimePoint aNow)
+{
+  const bool mayStage = !this->inProgress.contains(aEntry.id) &&
+                        (!aInputs.trafficStarted ||
+                         this->loads.TryTake(1, aInputs.cost.loadsPerSecond, aNow));
+  if (!mayStage) {
+    return;
+  }
+  this->inProgress[aEntry.id] = { aModel, aNow };
+  EngineOrder order;
+  order.server = aEntry.id;
+  order.endpoint = aEntry.endpoint;
+  order.kind = OrderKind::Stage;
+  order.model = aModel;
+  order.fence = this->term;
+  this->orders.push_back(std::move(order));
+}
+
+bool WeightStaging::IsBusy(const FormationInputs& aInputs) const
+{
+  const std::size_t factor = aInputs.trafficStarted ? 1 : kEarlyLoads;
+  return this->inProgress.size() >= aInputs.cost.concurrentLoads * factor;
+}
+
+std::vector<EngineOrder> WeightStaging::TakeOrders()
+{
+  return std::exchange(this->orders, {});
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_groups/formation/WeightStaging.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "formation/EngineOrder.h"
+#include "formation/FormationInputs.h"
+#include "formation/LoadBudget.h"
+
+namespace toucanstand {
+
+/// How an engine gets the weights of a model, from fastest to slowest.
+enum class JoinCost
+{
+  /// It had the model in its last group.
+  Hot,
+  /// The weights are staged on its host.
+  Warm,
+  /// The weights must be loaded from the weight store.
+  Cold,
+};
+
+/// Loads weights onto engines ahead of the groups that will need them, within the rate
+/// of the weight store.
+class WeightStaging
+{
+public:
+  /// The lease was gained. What engines have loaded stays known.
+  void Begin(std::int64_t aTerm);
+
+  /// Takes over what the engines of a pool report.
+  void Update(const PoolId& aPool, const FormationInputs& aInputs, TimePoint aNow);
+
+  [[nodiscard]] JoinCost CostOf(const ServerEntry& aEntry,
+                                const std::string& aModel) const;
+
+  /// Orders a load unless the engine has one in progress or the rate is used up.
+  void StageIfAffordable(const ServerEntry& aEntry,
+                         const std::string& aModel,
+                         const FormationInputs& aInputs,
+                         TimePoint aNow);
+
+  /// True while further loads would slow down those in progress.
+  [[nodiscard]] bool IsBusy(const FormationInputs& aInputs) const;
+
+  [[nodiscard]] std::vector<EngineOrder> TakeOrders();
+
+private:
+  void NoteMemberships(const PoolId& aPool, const ServerDirectory& aDirectory);
+  void ForgetEnded(const FormationInputs& aInputs, TimePoint aNow);
+
+  /// Model of the last group of each engine in its present run.
+  struct LastModel
+  {
+    std::int64_t startedAtUnixMs = 0;
+    std::string model;
+  };
+  struct StagingOrder
+  {
+    std::string model;
+    TimePoint orderedAt{};
+  };
+
+  std::int64_t term = 0;
+  std::map<ServerId, LastModel> lastModels;
+  std::map<ServerId, StagingOrder> inProgress;
+  LoadBudget loads;
+  std::vector<EngineOrder> orders;
+};
+
+} // namespace toucanstand
--- a/modules/toucanstand_transport/http/HttpMessage.cpp
+++ b/modules/toucanstand_transport/http/HttpMessage.cpp
@@ -1,24 +1,14 @@
 #include "http/HttpMessage.h"
 
 #include <algorithm>
-#include <cctype>
 
 #include <nlohmann/json.hpp>
 
 #include "serialization/BoundedJson.h"
+#include "text/AsciiCase.h"
 
 namespace toucanstand {
 
-namespace {
-
-bool SameName(std::string_view aLeft, std::string_view aRight)
-{
-  const auto lower = [](unsigned char aCharacter) { return std::tolower(aCharacter); };
-  return std::ranges::equal(aLeft, aRight, {}, lower, lower);
-}
-
-} // namespace
-
 HttpHeaders::HttpHeaders(
   std::initializer_list<std::pair<std::string, std::string>> aFields)
   : fields(aFields)
@@ -32,16 +22,26 @@
 
 std::string_view HttpHeaders::Find(std::string_view aName) const
 {
-  const auto found = std::ranges::find_if(
-    this->fields, [aName](const auto& aField) { return SameName(aField.first, aName); });
+  const auto found = std::ranges::find_if(this->fields, [aName](const auto& aField) {
+    return EqualIgnoringCase(aField.first, aName);
+  });
   return found == this->fields.end() ? std::string_view{}
                                      : std::string_view(found->second);
 }
 
 bool HttpHeaders::Has(std::string_view aName) const
 {
-  return std::ranges::any_of(
-    this->fields, [aName](const auto& aField) { return SameName(aField.first, aName); });
+  return std::ranges::any_of(this->fields, [aName](const auto& aField) {
+    return EqualIgnoringCase(aField.first, aName);
+  });
+}
+
+bool HttpHeaders::IsAmbiguous(std::string_view aName) const
+{
+  const auto first = this->Find(aName);
+  return std::ranges::any_of(this->fields, [aName, first](const auto& aField) {
+    return EqualIgnoringCase(aField.first, aName) && aField.second != first;
+  });
 }
 
 HttpResponse ErrorResponse(int aStatus, std::string_view aType, std::string_view aMessage)
--- a/modules/toucanstand_transport/http/HttpMessage.h
+++ b/modules/toucanstand_transport/http/HttpMessage.h
@@ -22,6 +22,10 @@
 
   [[nodiscard]] bool Has(std::string_view aName) const;
 
+  /// True when fields of that name have different values, so that readers of the first
+  /// and of the last one would act on different requests.
+  [[nodiscard]] bool IsAmbiguous(std::string_view aName) const;
+
   [[nodiscard]] const std::vector<std::pair<std::string, std::string>>& Fields() const
   {
     return this->fields;
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 #include <spdlog/spdlog.h>
 
+#include "http/RequestTarget.h"
 #include "http/SocketOptions.h"
 
 namespace toucanstand {
@@ -138,6 +139,11 @@
     co_await this->Reject(400, "malformed_request", "exactly one Host field is needed");
     co_return false;
   }
+  if (!IsOriginForm(this->request.target) || HasDotSegments(this->request.target)) {
+    co_await this->Reject(
+      400, "malformed_request", "the target must be a path without dot segments");
+    co_return false;
+  }
   co_return true;
 }
 
--- a/modules/toucanstand_world/serving/ServingConfiguration.cpp
+++ b/modules/toucanstand_world/serving/ServingConfiguration.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <functional>
 
+#include "text/AsciiCase.h"
+
 namespace toucanstand {
 
 Repeatability ServingRoute::MayRepeat() const
@@ -25,7 +27,7 @@
   , routeCount(aRoutes.size())
 {
   for (auto& route : aRoutes) {
-    this->routesByHost[route.host].push_back(std::move(route));
+    this->routesByHost[LowerCase(route.host)].push_back(std::move(route));
   }
   for (auto& [host, routes] : this->routesByHost) {
     std::ranges::stable_sort(routes, std::greater{}, [](const ServingRoute& aRoute) {
@@ -37,7 +39,7 @@
 const ServingRoute* ServingConfiguration::FindRoute(std::string_view aHost,
                                                     std::string_view aPath) const
 {
-  const auto routes = this->routesByHost.find(std::string(aHost));
+  const auto routes = this->routesByHost.find(LowerCase(aHost));
   if (routes == this->routesByHost.end()) {
     return nullptr;
   }
--- a/programs/toucanstand-entry/CallReader.cpp
+++ b/programs/toucanstand-entry/CallReader.cpp
@@ -71,6 +71,18 @@
   return std::nullopt;
 }
 
+std::optional<CallRejection> CheckRepeatedHeaders(const HttpHeaders& aHeaders)
+{
+  for (const char* name : { "Idempotency-Key", "Client-Account", "Request-Timeout-Ms" }) {
+    if (aHeaders.IsAmbiguous(name)) {
+      return Rejection(400,
+                       "ambiguous_header",
+                       std::string(name) + " is given twice with different values");
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 CallReader::CallReader(VmId aVm, std::uint64_t aRunNumber, std::int64_t aLongTokens)
@@ -91,6 +103,9 @@
   if (contract == nullptr) {
     return Rejection(404, "unknown_route", "no contract covers this path");
   }
+  if (auto rejection = CheckRepeatedHeaders(aRequest.headers)) {
+    return std::move(*rejection);
+  }
   CallRequest call;
   call.contract = *contract;
   call.id = RequestId(this->idPrefix + std::to_string(this->nextNumber++));
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -26,13 +26,7 @@
   , call(aCall)
   , placement(*aState.PlacementOf(aCall.pool))
   , sender(aState, aCall)
-  , answer(aState, aCall.exchange, aCall.facts.id)
-  , tracker(aCall.route->MayRepeat(),
-            aCall.account,
-            aCall.pool,
-            aCall.deadline,
-            aState.retryBudget,
-            aCall.route->mostServers)
+  , progress(aState, aCall)
   , framer(aCall.facts.lastEventId)
 {
 }
@@ -43,27 +37,29 @@
   while (true) {
     const auto choice = this->placement.Choose(this->Query(), BootClock::now());
     if (!choice) {
-      co_return co_await this->Refuse(choice.LastReason());
+      const auto& delay = choice.LastReason();
+      this->LogRefusal(delay);
+      co_return co_await this->progress.GiveUp(Name(delay.refusal), delay.until);
     }
-    this->destination = choice->group.id.Value();
-    this->tracker.OnAttemptStarted(this->destination);
+    this->progress.destination = choice->group.id.Value();
+    this->progress.tracker.OnAttemptStarted(this->progress.destination);
     const auto run = this->state.NoteSent(
       this->call.facts.id, this->call.fingerprint, choice->group.head);
-    const auto loss = co_await this->Attempt(*choice);
+    auto loss = co_await this->Attempt(*choice);
     this->state.NoteRunEnded(run,
                              { choice->group.head, choice->group.endpoint },
                              loss ? std::optional(loss->failure) : std::nullopt);
     this->LogAttempt(*choice, loss);
     if (!loss) {
-      this->tracker.OnAnswered();
-      co_return this->End(CallOutcome::Answered, 200, "");
+      this->progress.tracker.OnAnswered();
+      co_return this->progress.End(CallOutcome::Answered, 200);
     }
-    this->lastFailure = loss->response;
+    this->progress.serverFailure = std::move(loss->response);
     this->tried.push_back(choice->group.id);
-    const auto step =
-      this->tracker.OnFailure(loss->failure, this->destination, BootClock::now());
+    const auto step = this->progress.tracker.OnFailure(
+      loss->failure, this->progress.destination, BootClock::now());
     if (step.kind == StepKind::GiveUp) {
-      co_return co_await this->GiveUp(step);
+      co_return co_await this->progress.GiveUp(Name(step.reason), kAfterFullGroup);
     }
   }
 }
@@ -175,9 +171,9 @@
 Task<bool> GenerationCall::PassOn(const HttpClientStream& aStream,
                                   const std::string& aEvents)
 {
-  if (!this->answerBegun) {
-    this->answerBegun = true;
-    this->firstEvent = BootClock::now() - this->call.arrivedAt;
+  if (!this->progress.answerBegun) {
+    this->progress.answerBegun = true;
+    this->progress.firstByte = BootClock::now() - this->call.arrivedAt;
     HttpHeaders headers = platform::ReturnedHeaders(aStream.Headers());
     if (!co_await this->call.exchange.BeginStream(aStream.Status(), std::move(headers))) {
       co_return false;
@@ -186,7 +182,7 @@
   if (aEvents.empty()) {
     co_return !this->call.exchange.CallerGone();
   }
-  this->tracker.OnTokensReceived(this->framer.Count());
+  this->progress.tracker.OnTokensReceived(this->framer.Count());
   co_return co_await this->call.exchange.WriteChunk(aEvents);
 }
 
@@ -227,50 +223,18 @@
   }
 }
 
-Task<CallEnd> GenerationCall::Refuse(const PlacementDelay& aDelay)
+void GenerationCall::LogRefusal(const PlacementDelay& aDelay)
 {
-  const char* reason = Name(aDelay.refusal);
   this->state.log.Write(LogWeight::Notable,
                         "placement_refused",
                         { { "request", this->call.facts.id.Value() },
                           { "model", this->call.facts.model },
-                          { "reason", reason },
+                          { "reason", Name(aDelay.refusal) },
                           { "groups", static_cast<std::int64_t>(aDelay.considered) },
                           { "soonest_ms", ToMilliseconds(aDelay.soonest).count() },
                           { "limit_ms", ToMilliseconds(aDelay.limit).count() },
                           { "prompt_tokens", this->call.facts.promptTokens },
                           { "retry_after_ms", ToMilliseconds(aDelay.until).count() } });
-  if (this->answerBegun) {
-    this->call.exchange.BreakOff();
-    co_return this->End(CallOutcome::Unknown, 200, reason);
-  }
-  if (this->tracker.Outcome() == CallOutcome::NotRun) {
-    co_await this->answer.RefuseNotRun(reason, aDelay.until);
-    co_return this->End(CallOutcome::NotRun, 503, reason);
-  }
-  co_await this->answer.FailUnknown(reason, false);
-  co_return this->End(CallOutcome::Unknown, 502, reason);
-}
-
-Task<CallEnd> GenerationCall::GiveUp(const NextStep& aStep)
-{
-  const char* reason = Name(aStep.reason);
-  if (aStep.reason == GiveUpReason::CallerLeft || this->answerBegun) {
-    this->call.exchange.BreakOff();
-    co_return this->End(aStep.outcome, this->answerBegun ? 200 : 0, reason);
-  }
-  if (aStep.outcome == CallOutcome::NotRun) {
-    co_await this->answer.RefuseNotRun(reason, kAfterFullGroup);
-    co_return this->End(CallOutcome::NotRun, 503, reason);
-  }
-  if (this->lastFailure) {
-    const int status = this->lastFailure->status;
-    co_await this->call.exchange.Respond(std::move(*this->lastFailure));
-    co_return this->End(CallOutcome::Unknown, status, reason);
-  }
-  const bool late = BootClock::now() >= this->call.deadline;
-  co_await this->answer.FailUnknown(reason, late);
-  co_return this->End(CallOutcome::Unknown, late ? 504 : 502, reason);
 }
 
 void GenerationCall::LogAttempt(const PlacementChoice& aChoice,
@@ -288,16 +252,4 @@
                           { "end", aLoss ? Name(aLoss->failure) : "answered" } });
 }
 
-CallEnd GenerationCall::End(CallOutcome aOutcome, int aStatus, std::string aReason) const
-{
-  CallEnd end;
-  end.outcome = aOutcome;
-  end.status = aStatus;
-  end.reason = std::move(aReason);
-  end.attempts = this->tracker.Attempts();
-  end.destination = this->destination;
-  end.firstByte = this->firstEvent;
-  return end;
-}
-
 } // namespace toucanstand
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "Call.h"
-#include "CallAnswer.h"
+#include "CallProgress.h"
 #include "CallSender.h"
 #include "ServingState.h"
 #include "answers/EventFramer.h"
@@ -31,30 +31,23 @@
   Task<std::optional<AttemptLoss>> TakeFailure(HttpClientStream& aStream,
                                                const ReplyFacts& aFacts);
   Task<bool> PassOn(const HttpClientStream& aStream, const std::string& aEvents);
-  Task<CallEnd> Refuse(const PlacementDelay& aDelay);
-  Task<CallEnd> GiveUp(const NextStep& aStep);
+  void LogRefusal(const PlacementDelay& aDelay);
   [[nodiscard]] PlacementQuery Query() const;
   [[nodiscard]] CallSender::Target TargetFor(const PlacementChoice& aChoice) const;
   [[nodiscard]] Duration SilenceLimit(Duration aLimit) const;
   [[nodiscard]] GroupRunEnd RunEndOf(const std::optional<AttemptLoss>& aLoss) const;
   void LogAttempt(const PlacementChoice& aChoice,
                   const std::optional<AttemptLoss>& aLoss);
-  [[nodiscard]] CallEnd End(CallOutcome aOutcome, int aStatus, std::string aReason) const;
 
   ServingState& state;
   Call& call;
   GroupPlacement& placement;
   CallSender sender;
-  CallAnswer answer;
-  AttemptTracker tracker;
+  CallProgress progress;
   EventFramer framer;
   std::vector<GroupId> tried;
-  std::string destination;
-  std::optional<HttpResponse> lastFailure;
   GroupPlacement::Ticket ticket = 0;
-  bool answerBegun = false;
   bool memberLost = false;
-  std::optional<Duration> firstEvent;
 };
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/PlainCall.cpp
+++ b/programs/toucanstand-server/PlainCall.cpp
@@ -35,13 +35,7 @@
   : state(aState)
   , call(aCall)
   , sender(aState, aCall)
-  , answer(aState, aCall.exchange, aCall.facts.id)
-  , tracker(aCall.route->MayRepeat(),
-            aCall.account,
-            aCall.pool,
-            aCall.deadline,
-            aState.retryBudget,
-            aCall.route->mostServers)
+  , progress(aState, aCall)
 {
 }
 
@@ -54,12 +48,11 @@
     query.excluded = this->tried;
     const auto candidate = this->state.router.Choose(query, BootClock::now());
     if (!candidate) {
-      co_return co_await this->GiveUp(this->tracker.Outcome(),
-                                      Name(candidate.LastReason()));
+      co_return co_await this->progress.GiveUp(Name(candidate.LastReason()), kRetryAfter);
     }
     const auto sentAt = BootClock::now();
-    this->destination = candidate->id;
-    this->tracker.OnAttemptStarted(candidate->id);
+    this->progress.destination = candidate->id;
+    this->progress.tracker.OnAttemptStarted(candidate->id);
     this->state.router.OnSent(candidate->id, sentAt);
     const auto run = this->state.NoteSent(
       this->call.facts.id, this->call.fingerprint, candidate->server);
@@ -69,17 +62,17 @@
                              loss ? std::optional(loss->failure) : std::nullopt);
     this->NoteEnd(*candidate, loss, sentAt);
     if (!loss) {
-      this->tracker.OnAnswered();
+      this->progress.tracker.OnAnswered();
       const int status = this->received->status;
       co_await this->call.exchange.Respond(std::move(*this->received));
-      co_return this->End(CallOutcome::Answered, status, "");
+      co_return this->progress.End(CallOutcome::Answered, status);
     }
-    this->lastFailure = std::move(loss->response);
+    this->progress.serverFailure = std::move(loss->response);
     this->tried.push_back(candidate->id);
     const auto step =
-      this->tracker.OnFailure(loss->failure, candidate->id, BootClock::now());
+      this->progress.tracker.OnFailure(loss->failure, candidate->id, BootClock::now());
     if (step.kind == StepKind::GiveUp) {
-      co_return co_await this->GiveUp(step.outcome, Name(step.reason));
+      co_return co_await this->progress.GiveUp(Name(step.reason), kRetryAfter);
     }
   }
 }
@@ -88,7 +81,7 @@
 {
   const auto remaining =
     std::max(this->call.deadline - BootClock::now(), Duration::zero());
-  const bool last = this->tracker.Attempts() >= this->call.route->mostServers;
+  const bool last = this->progress.tracker.Attempts() >= this->call.route->mostServers;
   if (last || this->call.route->MayRepeat() == Repeatability::OnlyOnce) {
     return remaining;
   }
@@ -112,7 +105,7 @@
 
 Task<std::optional<AttemptLoss>> PlainCall::Receive(HttpClientStream& aStream)
 {
-  this->firstByte = BootClock::now() - this->call.arrivedAt;
+  this->progress.firstByte = BootClock::now() - this->call.arrivedAt;
   const int status = aStream.Status();
   const auto facts = platform::ReadReply(status, aStream.Headers(), this->call.facts.id);
   if (facts.statesNotRun) {
@@ -152,36 +145,4 @@
                           { "end", aLoss ? Name(aLoss->failure) : "answered" } });
 }
 
-Task<CallEnd> PlainCall::GiveUp(CallOutcome aOutcome, std::string aReason)
-{
-  if (this->call.exchange.CallerGone()) {
-    this->call.exchange.BreakOff();
-    co_return this->End(aOutcome, 0, std::move(aReason));
-  }
-  if (aOutcome == CallOutcome::NotRun) {
-    co_await this->answer.RefuseNotRun(aReason, kRetryAfter);
-    co_return this->End(aOutcome, 503, std::move(aReason));
-  }
-  if (this->lastFailure) {
-    const int status = this->lastFailure->status;
-    co_await this->call.exchange.Respond(std::move(*this->lastFailure));
-    co_return this->End(aOutcome, status, std::move(aReason));
-  }
-  const bool late = BootClock::now() >= this->call.deadline;
-  co_await this->answer.FailUnknown(aReason, late);
-  co_return this->End(aOutcome, late ? 504 : 502, std::move(aReason));
-}
-
-CallEnd PlainCall::End(CallOutcome aOutcome, int aStatus, std::string aReason) const
-{
-  CallEnd end;
-  end.outcome = aOutcome;
-  end.status = aStatus;
-  end.reason = std::move(aReason);
-  end.attempts = this->tracker.Attempts();
-  end.destination = this->destination;
-  end.firstByte = this->firstByte;
-  return end;
-}
-
 } // namespace toucanstand
--- a/programs/toucanstand-server/PlainCall.h
+++ b/programs/toucanstand-server/PlainCall.h
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "Call.h"
-#include "CallAnswer.h"
+#include "CallProgress.h"
 #include "CallSender.h"
 #include "ServingState.h"
 
@@ -24,23 +24,17 @@
 private:
   Task<std::optional<AttemptLoss>> Attempt(const Candidate& aCandidate);
   Task<std::optional<AttemptLoss>> Receive(HttpClientStream& aStream);
-  Task<CallEnd> GiveUp(CallOutcome aOutcome, std::string aReason);
   void NoteEnd(const Candidate& aCandidate,
                const std::optional<AttemptLoss>& aLoss,
                TimePoint aSentAt);
   [[nodiscard]] Duration HeadTimeout() const;
-  [[nodiscard]] CallEnd End(CallOutcome aOutcome, int aStatus, std::string aReason) const;
 
   ServingState& state;
   Call& call;
   CallSender sender;
-  CallAnswer answer;
-  AttemptTracker tracker;
+  CallProgress progress;
   std::vector<std::string> tried;
-  std::string destination;
   std::optional<HttpResponse> received;
-  std::optional<HttpResponse> lastFailure;
-  std::optional<Duration> firstByte;
 };
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <unistd.h>
 
-#include "formation/FormationController.h"
+#include "formation/GroupRecord.h"
 
 namespace toucanstand {
 
--- a/tests/unit/toucanstand_platform/TestCallTranslation.cpp
+++ b/tests/unit/toucanstand_platform/TestCallTranslation.cpp
@@ -61,6 +61,18 @@
   }
 }
 
+TEST_CASE("Steering headers with two values are rejected", "[platform]")
+{
+  // Guards against an engine that acts on another value than the one decided by.
+  for (const std::string name :
+       { "X-Attempt-Id", "X-Deadline-Ms", "Authorization", "X-Model" }) {
+    auto request = Request();
+    request.headers.Add(name, "1");
+    INFO(name);
+    CHECK(!platform::ReadCall(request).HasValue());
+  }
+}
+
 TEST_CASE("A forwarded request keeps what is the client's and replaces what is ours",
           "[platform]")
 {
--- a/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
+++ b/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
@@ -46,6 +46,8 @@
   CHECK(read->Version() == 7);
   CHECK(read->RouteCount() == 2);
 
+  // Host names compare without regard to case (RFC 9110, 4.2.3).
+  CHECK(read->FindRoute("A.Example", "/x/1") != nullptr);
   const auto* stream = read->FindRoute("a.example", "/x/1");
   REQUIRE(stream != nullptr);
   CHECK(stream->kind == CallKind::Stream);
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -206,6 +206,40 @@
           .starts_with("HTTP/1.1 400"));
 }
 
+TEST_CASE("A target whose path may name another resource is rejected", "[http]")
+{
+  // Guards against a path that evades the contract of the route that it belongs to.
+  for (const std::string target : { "/catalogue/../holds",
+                                    "/catalogue/%2e%2E/holds",
+                                    "/catalogue/..%2fholds",
+                                    "/catalogue/..\\holds",
+                                    "/catalogue/./holds",
+                                    "/catalogue/..",
+                                    "http://other/holds" }) {
+    Fixture fixture;
+    INFO(target);
+    CHECK(fixture.Raw("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n")
+            .starts_with("HTTP/1.1 400"));
+  }
+  for (const std::string target : { "/a..b/...", "/a?path=/../b", "/%2", "/a%2Fb" }) {
+    Fixture fixture;
+    INFO(target);
+    CHECK(
+      fixture.Raw("GET " + target + " HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        .starts_with("HTTP/1.1 200"));
+  }
+}
+
+TEST_CASE("A field that is given twice is ambiguous only with two values", "[http]")
+{
+  // Guards against two servers that act on different keys of one request.
+  HttpHeaders headers{ { "Key", "a" }, { "KEY", "a" } };
+  CHECK_FALSE(headers.IsAmbiguous("key"));
+  CHECK_FALSE(headers.IsAmbiguous("other"));
+  headers.Add("key", "b");
+  CHECK(headers.IsAmbiguous("Key"));
+}
+
 TEST_CASE("A caller that sends one byte and no more is not kept", "[http]")
 {
   // Guards against connections that stay open for the idle time of a connection in use.
