--- /dev/null
+++ b/modules/toucanstand_core/serialization/Datagram.cpp
@@ -0,0 +1,94 @@
+#include "serialization/Datagram.h"
+
+#include <array>
+#include <cmath>
+
+#include "serialization/BoundedJson.h"
+
+namespace toucanstand {
+
+using nlohmann::json;
+
+namespace {
+
+/// Rises when the fields of any kind change.
+constexpr std::uint64_t kVersion = 2;
+constexpr std::uint64_t kKinds = 3;
+/// Version, kind and fields.
+constexpr std::size_t kParts = 3;
+/// Lists of a datagram; one holds fewer.
+constexpr std::size_t kMostItems = 4096;
+/// A UDP datagram is smaller.
+constexpr DecodeLimits kLimits = { 64U << 10U, 6 };
+
+} // namespace
+
+const char* Name(DatagramFailure aFailure)
+{
+  // In the order of the enumeration.
+  constexpr std::array kNames = {
+    "malformed", "other_version", "unknown_kind", "bad_field"
+  };
+  return kNames.at(static_cast<std::size_t>(aFailure));
+}
+
+std::vector<std::uint8_t> EncodeDatagram(DatagramKind aKind, json aFields)
+{
+  return json::to_msgpack(
+    json::array({ kVersion, static_cast<std::uint64_t>(aKind), std::move(aFields) }));
+}
+
+Result<Datagram, DatagramFailure> DecodeDatagram(std::span<const std::uint8_t> aBytes)
+{
+  auto document = DecodeMessagePack(aBytes, kLimits);
+  if (!document || !document->is_array() || document->size() != kParts) {
+    return DatagramFailure::Malformed;
+  }
+  FieldReader reader;
+  const auto version = reader.Whole((*document)[0]);
+  const auto kind = reader.Whole((*document)[1]);
+  if (reader.Failed()) {
+    return DatagramFailure::Malformed;
+  }
+  if (version != kVersion) {
+    return DatagramFailure::OtherVersion;
+  }
+  if (kind >= kKinds) {
+    return DatagramFailure::UnknownKind;
+  }
+  if (!(*document)[2].is_array()) {
+    return DatagramFailure::Malformed;
+  }
+  return Datagram{ static_cast<DatagramKind>(kind), std::move((*document)[2]) };
+}
+
+double FieldReader::Number(const json& aValue)
+{
+  const bool good = aValue.is_number() && std::isfinite(aValue.get<double>()) &&
+                    aValue.get<double>() >= 0;
+  this->failed = this->failed || !good;
+  return good ? aValue.get<double>() : 0;
+}
+
+std::uint64_t FieldReader::Whole(const json& aValue)
+{
+  this->failed = this->failed || !aValue.is_number_unsigned();
+  return aValue.is_number_unsigned() ? aValue.get<std::uint64_t>() : 0;
+}
+
+std::string FieldReader::Text(const json& aValue)
+{
+  this->failed = this->failed || !aValue.is_string();
+  return aValue.is_string() ? aValue.get<std::string>() : std::string();
+}
+
+const json& FieldReader::List(const json& aValue, std::size_t aLength)
+{
+  static const json kEmpty = json::array();
+  const bool good = aValue.is_array() && (aLength == 0 || aValue.size() == aLength) &&
+                    aValue.size() <= kMostItems;
+  this->failed = this->failed || !good;
+  return good ? aValue : kEmpty;
+}
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_core/serialization/Datagram.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "errors/Result.h"
+
+namespace toucanstand {
+
+/// What a datagram between entry VMs carries.
+enum class DatagramKind
+{
+  LoadReport,
+  ChangeQuery,
+  ChangeAnswer,
+};
+
+/// Why a datagram was dropped.
+enum class DatagramFailure
+{
+  Malformed,
+  /// A program of another version sent it.
+  OtherVersion,
+  UnknownKind,
+  /// A field is missing or of another type.
+  BadField,
+};
+
+/// Name of a failure for metrics.
+[[nodiscard]] const char* Name(DatagramFailure aFailure);
+
+/// A datagram whose fields are still to be read.
+struct Datagram
+{
+  DatagramKind kind = DatagramKind::LoadReport;
+  /// A list; positions instead of names, because most of the traffic between entry VMs
+  /// consists of these.
+  nlohmann::json fields;
+};
+
+[[nodiscard]] std::vector<std::uint8_t> EncodeDatagram(DatagramKind aKind,
+                                                       nlohmann::json aFields);
+
+[[nodiscard]] Result<Datagram, DatagramFailure> DecodeDatagram(
+  std::span<const std::uint8_t> aBytes);
+
+/// Reads fields from outside by position and remembers whether one of them was missing
+/// or of another type.
+class FieldReader
+{
+public:
+  [[nodiscard]] bool Failed() const { return this->failed; }
+
+  /// A finite number of 0 or more.
+  double Number(const nlohmann::json& aValue);
+  std::uint64_t Whole(const nlohmann::json& aValue);
+  std::string Text(const nlohmann::json& aValue);
+  /// A list of that length, or of any when it is 0; an empty list when it is none.
+  const nlohmann::json& List(const nlohmann::json& aValue, std::size_t aLength = 0);
+
+private:
+  bool failed = false;
+};
+
+} // namespace toucanstand
--- a/modules/toucanstand_membership/peers/PeerReport.h
+++ b/modules/toucanstand_membership/peers/PeerReport.h
@@ -2,13 +2,12 @@
 
 #include <cstdint>
 #include <map>
-#include <span>
 #include <string>
 #include <vector>
 
 #include "errors/Result.h"
 #include "identifiers/Identifiers.h"
-#include "serialization/BoundedJson.h"
+#include "serialization/Datagram.h"
 
 namespace toucanstand {
 
@@ -30,6 +29,8 @@
   std::uint64_t run = 0;
   /// Rises with each report of a run; an older report that arrives late is dropped.
   std::uint64_t sequence = 0;
+  /// Other entry VMs whose reports are added up in this one; 0 for a VM's own report.
+  std::uint64_t others = 0;
   std::vector<Load> loads;
   /// Groups that went silent at the sender.
   std::vector<std::string> suspected;
@@ -39,15 +40,10 @@
   std::map<std::string, double> work;
 };
 
-/// Why a datagram was dropped.
-enum class PeerReportFailure
-{
-  Malformed,
-  BadField,
-};
-
 [[nodiscard]] std::vector<std::uint8_t> EncodePeerReport(const PeerReport& aReport);
-[[nodiscard]] Result<PeerReport, PeerReportFailure> DecodePeerReport(
-  std::span<const std::uint8_t> aBytes);
+
+/// @param aFields of a datagram of that kind
+[[nodiscard]] Result<PeerReport, DatagramFailure> DecodePeerReport(
+  const nlohmann::json& aFields);
 
 } // namespace toucanstand
--- a/modules/toucanstand_transport/store/ChangeFeed.h
+++ b/modules/toucanstand_transport/store/ChangeFeed.h
@@ -22,6 +22,8 @@
   std::vector<StoreChange> changes;
   /// Where to go on from.
   StoreRevision at = 0;
+  /// Time since the store was asked, when the answer does not come from the store itself.
+  Duration age{ 0 };
 };
 
 /// A part of the keys with a prefix. Successive pages are not one snapshot.
--- /dev/null
+++ b/modules/toucanstand_transport/store/ChangeLog.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+
+#include "store/ChangeFeed.h"
+
+namespace toucanstand {
+
+/// The changes of the last seconds, for other processes that ask what they missed.
+class ChangeLog
+{
+public:
+  /// Others ask twice a second; one that was silent for longer reads the store.
+  static constexpr Duration kLife = std::chrono::seconds(15);
+
+  /// The copy was read whole: what happened before the revision is not known.
+  void Restart(StoreRevision aAt);
+
+  /// A change of the copy, in the order of the revisions.
+  void Note(const StoreChange& aChange, TimePoint aNow);
+
+  /// Changes after a revision; nothing when the log does not reach back that far.
+  [[nodiscard]] std::optional<std::vector<StoreChange>> After(StoreRevision aAfter) const;
+
+private:
+  struct Entry
+  {
+    StoreChange change;
+    TimePoint notedAt{};
+  };
+
+  std::deque<Entry> entries;
+  /// Changes up to this revision are not in the log; unset before the first whole read.
+  std::optional<StoreRevision> floor;
+};
+
+} // namespace toucanstand
--- /dev/null
+++ b/modules/toucanstand_transport/store/ChangeRelay.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "serialization/Datagram.h"
+#include "store/ChangeFeed.h"
+
+namespace toucanstand {
+
+/// Asks another process for the changes since a revision.
+struct ChangeQuery
+{
+  /// Names the query in its answer.
+  std::uint64_t number = 0;
+  StoreRevision after = 0;
+};
+
+/// Answers a query with what the sender's copy of the store has.
+struct ChangeAnswer
+{
+  std::uint64_t number = 0;
+  /// False when the sender can't tell; the store has to be asked.
+  bool known = false;
+  StoreChanges changes;
+};
+
+/// Largest answer: a few fragments on the way, of which none must be lost.
+constexpr std::size_t kMostAnswerBytes = 16U << 10U;
+
+[[nodiscard]] std::vector<std::uint8_t> EncodeChangeQuery(const ChangeQuery& aQuery);
+/// Changes that do not fit into an answer make it one that does not know.
+[[nodiscard]] std::vector<std::uint8_t> EncodeChangeAnswer(const ChangeAnswer& aAnswer);
+
+/// @param aFields of a datagram of that kind
+[[nodiscard]] Result<ChangeQuery, DatagramFailure> DecodeChangeQuery(
+  const nlohmann::json& aFields);
+[[nodiscard]] Result<ChangeAnswer, DatagramFailure> DecodeChangeAnswer(
+  const nlohmann::json& aFields);
+
+} // namespace toucanstand
--- a/modules/toucanstand_transport/store/StoreMirror.cpp
+++ b/modules/toucanstand_transport/store/StoreMirror.cpp
@@ -69,10 +69,10 @@
     more = page->hasMore && !page->items.empty();
     after = keys.empty() ? std::string() : keys.back();
   }
-  this->listener.onReadAll(keys);
   this->at = firstAt;
   this->needsAll = false;
   this->complete = true;
+  this->listener.onReadAll(keys);
   co_return Done{};
 }
 
@@ -85,7 +85,7 @@
     co_return changes.LastReason();
   }
   // The owner hears of the end of an outage before it hears what the outage removed.
-  this->NoteAnswer(aStartedAt);
+  this->NoteAnswer(aStartedAt - changes->age);
   std::ranges::for_each(changes->changes, this->listener.onChange);
   this->at = std::max(this->at, changes->at);
   co_return Done{};
@@ -111,11 +111,12 @@
   this->listener.onLost(aFailure);
 }
 
-void StoreMirror::NoteAnswer(TimePoint aStartedAt)
+void StoreMirror::NoteAnswer(TimePoint aAsOf)
 {
-  const auto previous = std::exchange(this->upToDateAt, aStartedAt);
+  const auto previous = this->upToDateAt;
+  this->upToDateAt = std::max(previous, aAsOf);
   if (std::exchange(this->lost, false) && previous != TimePoint{}) {
-    this->listener.onRegained(aStartedAt - previous);
+    this->listener.onRegained(this->upToDateAt - previous);
   }
 }
 
--- a/modules/toucanstand_transport/store/StoreMirror.h
+++ b/modules/toucanstand_transport/store/StoreMirror.h
@@ -59,13 +59,17 @@
   /// Start of the last call that brought the mirror up to date; unset before the first.
   [[nodiscard]] TimePoint UpToDateAt() const { return this->upToDateAt; }
 
+  /// Revision of the store that the mirror has reached.
+  [[nodiscard]] StoreRevision At() const { return this->at; }
+
 private:
   Task<Result<Done, StoreFailure>> ReadOnce(TimePoint aStartedAt);
   Task<Result<Done, StoreFailure>> ReadAll(TimePoint aStartedAt);
   Task<Result<Done, StoreFailure>> ReadChanges(TimePoint aStartedAt);
   Task<> Wait(Duration aDuration);
   void NoteFailure(StoreFailure aFailure);
-  void NoteAnswer(TimePoint aStartedAt);
+  /// @param aAsOf when the store was asked for the answer
+  void NoteAnswer(TimePoint aAsOf);
 
   boost::asio::steady_timer timer;
   ChangeFeed& feed;
--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -15,18 +15,19 @@
   return found == this->members.end() ? nullptr : *found;
 }
 
-void ServerDirectory::Put(ServerEntry aEntry)
+bool ServerDirectory::Put(ServerEntry aEntry)
 {
-  this->pendingRemovals.erase(aEntry.id);
+  const bool restored = this->pendingRemovals.erase(aEntry.id) > 0;
   auto& known = this->servers[aEntry.id];
   // Leaving is final for one run of a server: an older entry may be written late.
   const bool sameRun = known.startedAtUnixMs == aEntry.startedAtUnixMs;
   aEntry.leaving = aEntry.leaving || (sameRun && known.leaving);
   if (known == aEntry) {
-    return;
+    return restored;
   }
   known = std::move(aEntry);
   ++this->revision;
+  return true;
 }
 
 void ServerDirectory::Remove(const ServerId& aServer, TimePoint aNow)
--- a/modules/toucanstand_world/serving/ServerDirectory.h
+++ b/modules/toucanstand_world/serving/ServerDirectory.h
@@ -36,7 +36,8 @@
   /// its return; the rest covers the delay of the change feed.
   static constexpr Duration kReturnGrace = std::chrono::milliseconds(2700);
 
-  void Put(ServerEntry aEntry);
+  /// @returns false when the entry was known as it is and was not being removed
+  bool Put(ServerEntry aEntry);
   void Remove(const ServerId& aServer, TimePoint aNow);
 
   /// The store answers again after an outage.
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "Session.h"
+#include "peers/ReportSum.h"
 
 namespace toucanstand {
 
@@ -19,14 +20,38 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 /// A peer whose last report is older has no part in the demand.
 constexpr Duration kWorkLife = std::chrono::seconds(5);
+/// A report that is older says nothing about the load now.
+constexpr Duration kLoadLife = GroupPlacement::kPeerReportLife;
+
+/// The name under which placement keeps the sum of a relay.
+const VmId& AllOthers()
+{
+  static const VmId kAll("sum of the others");
+  return kAll;
+}
+
+std::vector<GroupLoad> LoadsOf(const PeerReport& aReport)
+{
+  std::vector<GroupLoad> loads;
+  std::ranges::transform(
+    aReport.loads, std::back_inserter(loads), [](const PeerReport::Load& aLoad) {
+      return GroupLoad{
+        GroupId(aLoad.destination), aLoad.reading, aLoad.readingTokens, aLoad.writing
+      };
+    });
+  return loads;
+}
 
 } // namespace
 
-PeerLink::PeerLink(ServingState& aState, std::uint64_t aRun)
+PeerLink::PeerLink(ServingState& aState,
+                   std::uint64_t aRunNumber,
+                   const std::string& aRun)
   : state(aState)
   , socket(aState.loop)
   , timer(aState.loop)
-  , run(aRun)
+  , runNumber(aRunNumber)
+  , directory(aRun)
 {
 }
 
@@ -42,27 +67,23 @@
   if (!error) {
     this->socket.bind(local, error);
   }
+  if (!error) {
+    this->socket.non_blocking(true, error);
+  }
   return !error;
 }
 
-Task<> PeerLink::Send()
+Task<> PeerLink::Report()
 {
   while (true) {
     const auto now = BootClock::now();
     const auto report = this->MakeReport(now);
-    const auto bytes = EncodePeerReport(report);
-    // Copied: a peer's registration may end while the loop waits.
-    const auto registered = this->peers | std::views::values;
-    const std::vector<udp::endpoint> endpoints(registered.begin(), registered.end());
-    for (const auto& endpoint : endpoints) {
-      // A datagram that can't be sent is lost like any other.
-      auto [error, sent] =
-        co_await this->socket.async_send_to(asio::buffer(bytes), endpoint, kAwait);
-      if (error) {
-        this->state.metrics.Count("peer_send_errors_total");
-      }
+    this->SendReport(report);
+    const bool relays = !this->ReportsDirectly() && this->directory.IsRelay();
+    if (relays) {
+      this->SendSums(report, now);
     }
-    const Duration pause = report.loads.empty() ? kIdleInterval : kInterval;
+    const Duration pause = report.loads.empty() && !relays ? kIdleInterval : kInterval;
     this->timer.expires_after(
       std::chrono::duration_cast<std::chrono::steady_clock::duration>(pause));
     co_await this->timer.async_wait(kAwait);
@@ -78,15 +99,110 @@
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error) {
-      continue;
+    if (!error) {
+      this->TakeDatagram(std::span(this->buffer.data(), bytes),
+                         { sender.address().to_string(), sender.port() });
+    }
+  }
+}
+
+void PeerLink::Send(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aTo.address, error);
+  if (!error) {
+    const udp::endpoint destination(address, aTo.port);
+    this->socket.send_to(asio::buffer(aBytes), destination, 0, error);
+  }
+  // A datagram that can't be sent is lost like any other.
+  if (error) {
+    this->state.metrics.Count("peer_send_errors_total");
+  }
+}
+
+void PeerLink::TakeDatagram(std::span<const std::uint8_t> aBytes, const Endpoint& aFrom)
+{
+  const auto now = BootClock::now();
+  auto datagram = DecodeDatagram(aBytes);
+  if (!datagram) {
+    this->Refuse(datagram.LastReason());
+    return;
+  }
+  if (datagram->kind == DatagramKind::LoadReport) {
+    auto report = DecodePeerReport(datagram->fields);
+    if (report) {
+      this->TakeReport(std::move(*report), aFrom, now);
+    } else {
+      this->Refuse(report.LastReason());
     }
-    const auto report = DecodePeerReport(std::span(this->buffer.data(), bytes));
-    if (!report) {
-      this->state.metrics.Count("peer_reports_unreadable_total");
-      continue;
+    return;
+  }
+  if (datagram->kind == DatagramKind::ChangeQuery) {
+    const auto query = DecodeChangeQuery(datagram->fields);
+    if (query) {
+      this->TakeQuery(*query, aFrom, now);
+    } else {
+      this->Refuse(query.LastReason());
     }
-    this->Take(*report, BootClock::now());
+    return;
+  }
+  auto answer = DecodeChangeAnswer(datagram->fields);
+  if (answer) {
+    this->onAnswer(std::move(*answer));
+  } else {
+    this->Refuse(answer.LastReason());
+  }
+}
+
+void PeerLink::Refuse(DatagramFailure aFailure)
+{
+  this->state.metrics.Count(std::string("peer_datagrams_refused_total{reason=\"") +
+                            Name(aFailure) + "\"}");
+}
+
+void PeerLink::TakeQuery(const ChangeQuery& aQuery, const Endpoint& aFrom, TimePoint aNow)
+{
+  this->subscribers[aFrom] = aNow;
+  this->Send(EncodeChangeAnswer(this->onQuery(aQuery)), aFrom);
+}
+
+void PeerLink::TakeReport(PeerReport aReport, const Endpoint& aFrom, TimePoint aNow)
+{
+  if (aReport.sender == this->state.settings.id) {
+    return;
+  }
+  const bool isSum = aReport.others > 0;
+  auto& known = isSum ? this->sum : this->news[aReport.sender];
+  // Sums of two relays may alternate while a VM goes from one to the other.
+  const bool outdated = known.report.sender == aReport.sender &&
+                        known.report.run == aReport.run &&
+                        aReport.sequence <= known.report.sequence;
+  if (outdated) {
+    return;
+  }
+  for (const auto fingerprint : aReport.quarantined) {
+    this->state.quarantine.Merge(
+      QuarantineEntry{ fingerprint, aNow + CrashQuarantine::kLifetime }, aNow);
+  }
+  const auto loads = LoadsOf(aReport);
+  for (auto& placement : this->state.placements | std::views::values) {
+    placement.OnPeerLoads(isSum ? AllOthers() : aReport.sender, loads, aNow);
+    for (const auto& group : aReport.suspected) {
+      placement.OnPeerSuspicion(GroupId(group), aNow);
+    }
+  }
+  this->Suspect(aReport.suspected);
+  if (!isSum) {
+    std::ranges::copy(aReport.suspected, std::back_inserter(this->suspicionsToPassOn));
+  }
+  known = { std::move(aReport), aNow, aFrom };
+}
+
+void PeerLink::Suspect(const std::vector<std::string>& aGroups)
+{
+  if (this->onSuspicion) {
+    std::ranges::for_each(
+      aGroups, [this](const std::string& aGroup) { this->onSuspicion(GroupId(aGroup)); });
   }
 }
 
@@ -94,7 +210,7 @@
 {
   PeerReport report;
   report.sender = this->state.settings.id;
-  report.run = this->run;
+  report.run = this->runNumber;
   report.sequence = ++this->sequence;
   report.work = this->state.work.Rates(aNow);
   report.quarantined = this->state.quarantine.QuarantinedHere(aNow);
@@ -105,46 +221,54 @@
     }
     for (const auto& group : placement.TakeSuspicions(aNow)) {
       report.suspected.push_back(group.Value());
-      if (this->onSuspicion) {
-        this->onSuspicion(group);
-      }
     }
   }
+  this->Suspect(report.suspected);
   return report;
 }
 
-void PeerLink::Take(const PeerReport& aReport, TimePoint aNow)
+void PeerLink::SendReport(const PeerReport& aReport)
 {
-  if (aReport.sender == this->state.settings.id) {
-    return;
-  }
-  auto& peer = this->news[aReport.sender];
-  if (peer.run == aReport.run && aReport.sequence <= peer.sequence) {
+  const auto bytes = EncodePeerReport(aReport);
+  if (!this->ReportsDirectly()) {
+    for (const auto& relay : this->directory.Relays()) {
+      this->Send(bytes, relay);
+    }
     return;
   }
-  peer = { aReport.run, aReport.sequence, aNow, aReport.work };
-  for (const auto fingerprint : aReport.quarantined) {
-    this->state.quarantine.Merge(
-      QuarantineEntry{ fingerprint, aNow + CrashQuarantine::kLifetime }, aNow);
+  for (const auto& peer : this->directory.Others() | std::views::values) {
+    this->Send(bytes, peer);
   }
-  std::vector<GroupLoad> loads;
-  std::ranges::transform(
-    aReport.loads, std::back_inserter(loads), [](const PeerReport::Load& aLoad) {
-      return GroupLoad{
-        GroupId(aLoad.destination), aLoad.reading, aLoad.readingTokens, aLoad.writing
-      };
-    });
-  for (auto& placement : this->state.placements | std::views::values) {
-    placement.OnPeerLoads(aReport.sender, loads, aNow);
-    for (const auto& group : aReport.suspected) {
-      placement.OnPeerSuspicion(GroupId(group), aNow);
+}
+
+void PeerLink::SendSums(const PeerReport& aOwn, TimePoint aNow)
+{
+  std::erase_if(this->subscribers, [aNow](const auto& aSubscriber) {
+    return aNow - aSubscriber.second > kSubscription;
+  });
+  std::erase_if(this->news, [aNow](const auto& aNews) {
+    return aNow - aNews.second.receivedAt > kWorkLife;
+  });
+  ReportSum total;
+  total.Add(aOwn);
+  std::map<Endpoint, const PeerReport*> reports;
+  for (const auto& peer : this->news | std::views::values) {
+    if (aNow - peer.receivedAt <= kLoadLife) {
+      total.Add(peer.report);
+      reports[peer.endpoint] = &peer.report;
     }
   }
-  for (const auto& group : aReport.suspected) {
-    if (this->onSuspicion) {
-      this->onSuspicion(GroupId(group));
-    }
+  for (const auto& endpoint : this->subscribers | std::views::keys) {
+    const auto own = reports.find(endpoint);
+    PeerReport sums = own == reports.end() ? total.Total() : total.Without(*own->second);
+    sums.sender = aOwn.sender;
+    sums.run = aOwn.run;
+    sums.sequence = aOwn.sequence;
+    sums.suspected = this->suspicionsToPassOn;
+    std::ranges::copy(aOwn.suspected, std::back_inserter(sums.suspected));
+    this->Send(EncodePeerReport(sums), endpoint);
   }
+  this->suspicionsToPassOn.clear();
 }
 
 void PeerLink::OnOwnKey(const StoreChange& aChange)
@@ -152,8 +276,9 @@
   if (!aChange.key.starts_with(Session::kPresencePrefix)) {
     return;
   }
+  const auto run = aChange.key.substr(Session::kPresencePrefix.size());
   if (!aChange.value) {
-    this->peers.erase(aChange.key);
+    this->directory.Remove(run);
     return;
   }
   const auto endpoint = Endpoint::Parse(*aChange.value);
@@ -161,22 +286,27 @@
     this->state.metrics.Count("peer_registrations_unreadable_total");
     return;
   }
-  if (*endpoint != this->state.settings.peers) {
-    this->peers[aChange.key] =
-      udp::endpoint(asio::ip::make_address(endpoint->address), endpoint->port);
-  }
+  this->directory.Put(run, *endpoint);
 }
 
-std::map<std::string, double> PeerLink::WorkOfAll(TimePoint aNow) const
+std::map<std::string, double> PeerLink::WorkOfAll(TimePoint aNow)
 {
   auto total = this->state.work.Rates(aNow);
-  for (const auto& peer : this->news | std::views::values) {
-    if (aNow - peer.receivedAt > kWorkLife) {
-      continue;
-    }
-    for (const auto& [model, seconds] : peer.work) {
+  const auto add = [&total](const PeerReport& aReport) {
+    for (const auto& [model, seconds] : aReport.work) {
       total[model] += seconds;
     }
+  };
+  if (!this->ReportsDirectly() && !this->directory.IsRelay()) {
+    if (aNow - this->sum.receivedAt <= kWorkLife) {
+      add(this->sum.report);
+    }
+    return total;
+  }
+  for (const auto& peer : this->news | std::views::values) {
+    if (aNow - peer.receivedAt <= kWorkLife) {
+      add(peer.report);
+    }
   }
   return total;
 }
--- a/programs/toucanstand-server/PeerLink.h
+++ b/programs/toucanstand-server/PeerLink.h
@@ -4,19 +4,25 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "ServingState.h"
+#include "peers/PeerDirectory.h"
 #include "peers/PeerReport.h"
 #include "store/ChangeFeed.h"
+#include "store/ChangeRelay.h"
 
 namespace toucanstand {
 
-/// Exchanges load, suspicions and demand with the other entry VMs by datagrams. A lost
-/// datagram is replaced by the next one.
+/// Datagrams to and from the other entry VMs: reports of load, suspicions and demand,
+/// and queries for changes of the store. A lost datagram is replaced by the next one.
+///
+/// A few VMs report to one another directly. Of many, each reports to the relays, which
+/// tell every VM that asks them for changes what all others have in progress.
 class PeerLink
 {
 public:
@@ -24,46 +30,74 @@
   static constexpr Duration kInterval = std::chrono::milliseconds(100);
   /// Without any request in progress.
   static constexpr Duration kIdleInterval = std::chrono::milliseconds(1000);
+  /// Above this, direct reports would be more datagrams than reports through relays.
+  static constexpr std::size_t kMostDirect = 16;
+  /// VMs that asked for changes within this time get sums of reports; they ask about
+  /// every half second.
+  static constexpr Duration kSubscription = std::chrono::milliseconds(1500);
 
-  PeerLink(ServingState& aState, std::uint64_t aRun);
+  /// @param aRun names this run of this process among all
+  PeerLink(ServingState& aState, std::uint64_t aRunNumber, const std::string& aRun);
 
   /// @returns false when the endpoint can't be used.
   bool Listen(const Endpoint& aEndpoint);
 
   /// Runs until the process ends.
-  Task<> Send();
+  Task<> Report();
   Task<> Receive();
 
+  /// Sends a datagram now or not at all.
+  void Send(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo);
+
   /// A key of the system changed.
   void OnOwnKey(const StoreChange& aChange);
 
   /// Called for each group that a peer or this process found silent.
   std::function<void(const GroupId&)> onSuspicion;
+  /// Answers a peer that asks for changes.
+  std::function<ChangeAnswer(const ChangeQuery&)> onQuery;
+  /// Called with a relay's answer.
+  std::function<void(ChangeAnswer)> onAnswer;
 
   /// Work that the callers of all entry VMs ask for, by model.
-  [[nodiscard]] std::map<std::string, double> WorkOfAll(TimePoint aNow) const;
-  [[nodiscard]] std::size_t PeerCount() const { return this->peers.size(); }
+  [[nodiscard]] std::map<std::string, double> WorkOfAll(TimePoint aNow);
+
+  [[nodiscard]] PeerDirectory& Directory() { return this->directory; }
+  [[nodiscard]] std::size_t PeerCount() const { return this->directory.Others().size(); }
 
 private:
   struct PeerNews
   {
-    std::uint64_t run = 0;
-    std::uint64_t sequence = 0;
+    PeerReport report;
     TimePoint receivedAt{};
-    std::map<std::string, double> work;
+    Endpoint endpoint;
   };
 
+  void TakeDatagram(std::span<const std::uint8_t> aBytes, const Endpoint& aFrom);
+  void TakeReport(PeerReport aReport, const Endpoint& aFrom, TimePoint aNow);
+  void TakeQuery(const ChangeQuery& aQuery, const Endpoint& aFrom, TimePoint aNow);
+  void Refuse(DatagramFailure aFailure);
+  void Suspect(const std::vector<std::string>& aGroups);
+
   [[nodiscard]] PeerReport MakeReport(TimePoint aNow);
-  void Take(const PeerReport& aReport, TimePoint aNow);
+  void SendReport(const PeerReport& aReport);
+  /// Tells those that ask this relay what all others have in progress.
+  void SendSums(const PeerReport& aOwn, TimePoint aNow);
+  [[nodiscard]] bool ReportsDirectly() const { return this->PeerCount() <= kMostDirect; }
 
   ServingState& state;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
-  std::uint64_t run;
+  std::uint64_t runNumber;
   std::uint64_t sequence = 0;
-  /// Datagram endpoints by presence key.
-  std::map<std::string, boost::asio::ip::udp::endpoint> peers;
+  PeerDirectory directory;
   std::map<VmId, PeerNews> news;
+  /// The last sum of a relay.
+  PeerNews sum;
+  /// When each VM asked for changes last.
+  std::map<Endpoint, TimePoint> subscribers;
+  /// Groups that peers found silent since the last sums were sent.
+  std::vector<std::string> suspicionsToPassOn;
   std::array<std::uint8_t, 65536> buffer{};
 };
 
--- /dev/null
+++ b/programs/toucanstand-server/RelayedFeed.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "metrics/MetricsRegistry.h"
+#include "peers/PeerDirectory.h"
+#include "store/ChangeRelay.h"
+
+namespace toucanstand {
+
+/// The store's changes, from a relay that can tell and from the store otherwise. A relay
+/// itself reads the store.
+class RelayedFeed final : public ChangeFeed
+{
+public:
+  /// A relay answers within a round trip; the rest is for one that is busy.
+  static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(200);
+  /// Older answers are not used: a change has to be in force 2 s after it was made.
+  static constexpr Duration kMostAge = std::chrono::milliseconds(900);
+  /// A relay that did not answer is not asked for this long; a dead one leaves the list
+  /// within it.
+  static constexpr Duration kAvoidance = std::chrono::milliseconds(2500);
+
+  using Sender =
+    std::function<void(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo)>;
+
+  /// All but the sender must outlive the feed.
+  RelayedFeed(boost::asio::io_context& aLoop,
+              ChangeFeed& aStore,
+              PeerDirectory& aPeers,
+              MetricsRegistry& aMetrics,
+              Sender aSender);
+
+  Task<Result<StorePage, StoreFailure>> ReadPage(std::string aPrefix,
+                                                 std::string aAfterKey) override;
+
+  /// One call at a time.
+  Task<Result<StoreChanges, StoreFailure>> ReadChanges(
+    std::string aPrefix,
+    StoreRevision aAfter,
+    std::chrono::milliseconds aWait) override;
+
+  void OnAnswer(ChangeAnswer aAnswer);
+
+private:
+  Task<std::optional<StoreChanges>> Ask(Endpoint aRelay, StoreRevision aAfter);
+  [[nodiscard]] std::optional<Endpoint> PickRelay(TimePoint aNow);
+
+  ChangeFeed& store;
+  PeerDirectory& peers;
+  MetricsRegistry& metrics;
+  Sender sender;
+  boost::asio::steady_timer timer;
+  std::uint64_t number = 0;
+  std::optional<ChangeAnswer> answer;
+  std::map<Endpoint, TimePoint> avoidedUntil;
+};
+
+} // namespace toucanstand
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -62,15 +62,21 @@
   , shutdown(this->loop, DrainPeriod(aSettings), RepeatedSignal::IsIgnored)
   , state(this->loop, aSettings)
   , settingsFile(std::move(aSettingsFile))
-  , run(this->state.random.Engine()())
+  , runNumber(this->state.random.Engine()())
+  , run(this->state.settings.id.Value() + "." + std::to_string(this->runNumber))
   , store(this->loop,
           platform::StoreClientSettings{ this->state.settings.store },
           this->state.metrics)
-  , storeLink(this->state, this->store)
-  , session(this->state,
-            this->store,
-            this->state.settings.id.Value() + "." + std::to_string(this->run))
-  , peers(this->state, this->run)
+  , peers(this->state, this->runNumber, this->run)
+  , feed(this->loop,
+         this->store,
+         this->peers.Directory(),
+         this->state.metrics,
+         [this](const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo) {
+           this->peers.Send(aBytes, aTo);
+         })
+  , storeLink(this->state, this->feed)
+  , session(this->state, this->store, this->peers.Directory(), this->run)
   , keeper(this->state, this->session, this->peers)
   , handler(this->state)
   , callers(
@@ -109,12 +115,18 @@
     this->session.OnOwnKey(aChange);
     this->peers.OnOwnKey(aChange);
   });
+  this->peers.onQuery = [this](const ChangeQuery& aQuery) {
+    return this->storeLink.Answer(aQuery, BootClock::now());
+  };
+  this->peers.onAnswer = [this](ChangeAnswer aAnswer) {
+    this->feed.OnAnswer(std::move(aAnswer));
+  };
   this->peers.onSuspicion = [this](const GroupId& aGroup) {
     this->keeper.OnSuspicion(aGroup);
   };
   asio::co_spawn(this->loop, this->storeLink.Run(), asio::detached);
   asio::co_spawn(this->loop, this->session.Run(), asio::detached);
-  asio::co_spawn(this->loop, this->peers.Send(), asio::detached);
+  asio::co_spawn(this->loop, this->peers.Report(), asio::detached);
   asio::co_spawn(this->loop, this->peers.Receive(), asio::detached);
   asio::co_spawn(this->loop, this->keeper.Run(), asio::detached);
   this->WaitForReload();
@@ -188,7 +200,7 @@
     "stop_begins",
     { { "in_flight", static_cast<std::int64_t>(this->callers.ActiveExchanges()) } });
   this->callers.AnnounceClose();
-  asio::co_spawn(this->loop, this->RevokeSession(), asio::detached);
+  asio::co_spawn(this->loop, this->session.End(), asio::detached);
   this->listenerTimer.expires_after(TimerDuration(kBalancerNotice));
   this->listenerTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
@@ -199,11 +211,6 @@
   });
 }
 
-Task<> ServerProcess::RevokeSession()
-{
-  co_await this->session.End();
-}
-
 void ServerProcess::WaitForReload()
 {
   this->reloads.async_wait([this](const boost::system::error_code& aError, int) {
@@ -242,7 +249,7 @@
   co_await aExchange.Respond(std::move(response));
 }
 
-nlohmann::json ServerProcess::DescribeState() const
+nlohmann::json ServerProcess::DescribeState()
 {
   const auto now = BootClock::now();
   nlohmann::json placements = nlohmann::json::object();
@@ -255,6 +262,7 @@
            { "store_age_ms", ToMilliseconds(now - this->state.storeReadAt).count() },
            { "leader_term", this->session.LeaderTerm(now) },
            { "peers", this->peers.PeerCount() },
+           { "relay", this->peers.Directory().IsRelay() },
            { "open_connections", this->callers.OpenConnections() },
            { "in_flight", this->callers.ActiveExchanges() },
            { "servers", this->state.directory.Describe() },
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -8,6 +8,7 @@
 
 #include "GroupKeeper.h"
 #include "PeerLink.h"
+#include "RelayedFeed.h"
 #include "RequestHandler.h"
 #include "ServerSettings.h"
 #include "ServingState.h"
@@ -32,24 +33,26 @@
 private:
   bool Listen();
   void BeginStop();
-  Task<> RevokeSession();
   void WaitForReload();
   void Reload();
   void Tick();
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsBusy() const;
-  [[nodiscard]] nlohmann::json DescribeState() const;
+  [[nodiscard]] nlohmann::json DescribeState();
   Task<> ServeReadiness(HttpExchange& aExchange);
 
   boost::asio::io_context loop;
   ShutdownSequence shutdown;
   ServingState state;
   std::string settingsFile;
-  std::uint64_t run;
+  std::uint64_t runNumber;
+  /// Names this run of this process among all.
+  std::string run;
   platform::StoreClient store;
+  PeerLink peers;
+  RelayedFeed feed;
   StoreLink storeLink;
   Session session;
-  PeerLink peers;
   GroupKeeper keeper;
   RequestHandler handler;
   HttpServer callers;
--- a/programs/toucanstand-server/Session.cpp
+++ b/programs/toucanstand-server/Session.cpp
@@ -7,9 +7,13 @@
 
 namespace toucanstand {
 
-Session::Session(ServingState& aState, PlatformStore& aStore, std::string aRun)
+Session::Session(ServingState& aState,
+                 PlatformStore& aStore,
+                 PeerDirectory& aPeers,
+                 std::string aRun)
   : state(aState)
   , store(aStore)
+  , peers(aPeers)
   , timer(aState.loop)
   , run(std::move(aRun))
 {
@@ -24,9 +28,15 @@
       co_await this->Renew();
     }
     if (this->lease != 0 && this->leader.empty() && !this->ended) {
-      co_await this->Compete();
+      if (!this->peers.IsRelay()) {
+        co_await this->Wait(kHesitation);
+      }
+      if (this->leader.empty() && !this->ended) {
+        co_await this->Compete();
+      }
     }
-    co_await this->Wait(kRenewal);
+    const bool leads = this->LeaderTerm(BootClock::now()) != 0;
+    co_await this->Wait(leads ? kRenewal : kIdleRenewal);
   }
 }
 
--- a/programs/toucanstand-server/Session.h
+++ b/programs/toucanstand-server/Session.h
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "ServingState.h"
+#include "peers/PeerDirectory.h"
 #include "store/ChangeFeed.h"
 #include "store/PlatformStore.h"
 
@@ -23,12 +24,22 @@
   static constexpr std::string_view kLeaderKey = "toucanstand/leader";
   /// A leader that died is replaced after this.
   static constexpr std::chrono::seconds kLease{ 2 };
+  /// The leader renews early enough for two lost answers.
   static constexpr Duration kRenewal = std::chrono::milliseconds(500);
+  /// A VM that does not lead loses little when its registration lapses for a moment.
+  static constexpr Duration kIdleRenewal = std::chrono::milliseconds(900);
+  /// VMs that are no relays leave the leadership to those for this long, so that not all
+  /// write to the store at once. They hear of a new leader within two readings.
+  static constexpr Duration kHesitation = std::chrono::milliseconds(1000);
   /// Leadership is given up this long before the lease could end, so that orders on their
   /// way arrive within it.
   static constexpr Duration kMargin = std::chrono::milliseconds(300);
 
-  Session(ServingState& aState, PlatformStore& aStore, std::string aRun);
+  /// All must outlive the session. @param aRun names this run of this process among all
+  Session(ServingState& aState,
+          PlatformStore& aStore,
+          PeerDirectory& aPeers,
+          std::string aRun);
 
   /// Runs until the process ends.
   Task<> Run();
@@ -53,6 +64,7 @@
 
   ServingState& state;
   PlatformStore& store;
+  PeerDirectory& peers;
   boost::asio::steady_timer timer;
   std::string run;
   StoreLease lease = 0;
--- a/programs/toucanstand-server/StoreLink.cpp
+++ b/programs/toucanstand-server/StoreLink.cpp
@@ -1,6 +1,7 @@
 #include "StoreLink.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "platform/ConfigurationReader.h"
 #include "platform/ServerEntryReader.h"
@@ -10,8 +11,9 @@
 namespace {
 
 /// One answer brings all heartbeats of this time. A configuration must be in force 2 s
-/// after it was accepted, and a leaving server must get nothing 2 s after it said so.
-constexpr Duration kReadInterval = std::chrono::milliseconds(600);
+/// after it was accepted, and a leaving server must get nothing 2 s after it said so; a
+/// change takes two intervals through a relay.
+constexpr Duration kReadInterval = std::chrono::milliseconds(450);
 /// Registrations lapse after three heartbeats of 1.2 s; a shorter outage removes none.
 constexpr Duration kShortestLapse = std::chrono::milliseconds(2000);
 
@@ -24,10 +26,10 @@
 
 } // namespace
 
-StoreLink::StoreLink(ServingState& aState, platform::StoreClient& aStore)
+StoreLink::StoreLink(ServingState& aState, ChangeFeed& aFeed)
   : state(aState)
   , mirror(aState.loop,
-           aStore,
+           aFeed,
            MirrorSettings(),
            StoreMirrorListener{
              [this](const StoreChange& aChange) { this->Take(aChange); },
@@ -39,27 +41,48 @@
 
 void StoreLink::Take(const StoreChange& aChange)
 {
+  bool isNews = true;
   if (aChange.key == platform::kConfigurationKey) {
     if (aChange.value) {
       this->TakeConfiguration(*aChange.value);
     }
-    return;
+  } else if (const auto server = platform::ServerOfKey(aChange.key)) {
+    isNews = this->TakeServer(*server, aChange);
+  } else if (aChange.key.starts_with(kOwnPrefix)) {
+    this->TakeOwnKey(aChange);
+  } else {
+    isNews = false;
   }
-  if (const auto server = platform::ServerOfKey(aChange.key)) {
-    this->TakeServer(*server, aChange);
-    return;
+  if (isNews) {
+    this->changeLog.Note(aChange, BootClock::now());
   }
-  if (aChange.key.starts_with(kOwnPrefix)) {
-    std::erase(this->ownKeys, aChange.key);
-    if (aChange.value) {
-      this->ownKeys.push_back(aChange.key);
-    }
-    if (this->ownKeyListener) {
-      this->ownKeyListener(aChange);
-    }
+}
+
+void StoreLink::TakeOwnKey(const StoreChange& aChange)
+{
+  std::erase(this->ownKeys, aChange.key);
+  if (aChange.value) {
+    this->ownKeys.push_back(aChange.key);
+  }
+  if (this->ownKeyListener) {
+    this->ownKeyListener(aChange);
   }
 }
 
+ChangeAnswer StoreLink::Answer(const ChangeQuery& aQuery, TimePoint aNow) const
+{
+  ChangeAnswer answer;
+  answer.number = aQuery.number;
+  auto changes = this->changeLog.After(aQuery.after);
+  answer.known = changes.has_value();
+  if (changes) {
+    answer.changes = { std::move(*changes),
+                       this->mirror.At(),
+                       aNow - this->mirror.UpToDateAt() };
+  }
+  return answer;
+}
+
 void StoreLink::TakeConfiguration(const std::string& aText)
 {
   auto configuration = platform::ReadConfiguration(aText);
@@ -79,7 +102,7 @@
                         { { "version", version }, { "routes", routes } });
 }
 
-void StoreLink::TakeServer(const ServerId& aServer, const StoreChange& aChange)
+bool StoreLink::TakeServer(const ServerId& aServer, const StoreChange& aChange)
 {
   const auto now = BootClock::now();
   const auto* known = this->state.directory.Find(aServer);
@@ -92,7 +115,7 @@
                               { "revision", aChange.revision } });
     }
     this->state.directory.Remove(aServer, now);
-    return;
+    return true;
   }
   auto entry = platform::ReadServerEntry(aServer, *aChange.value);
   if (!entry) {
@@ -103,7 +126,7 @@
                           { { "server", aServer.Value() },
                             { "reason", platform::Name(entry.LastReason()) } });
     this->state.directory.Remove(aServer, now);
-    return;
+    return true;
   }
   if (known == nullptr || known->leaving != entry->leaving) {
     this->state.log.Write(LogWeight::Notable,
@@ -112,7 +135,7 @@
                             { "pool", entry->pool.Value() },
                             { "revision", aChange.revision } });
   }
-  this->state.directory.Put(std::move(*entry));
+  return this->state.directory.Put(std::move(*entry));
 }
 
 void StoreLink::TakeAll(const std::vector<std::string>& aKeys)
@@ -132,8 +155,9 @@
   std::vector<std::string> missing;
   std::ranges::copy_if(this->ownKeys, std::back_inserter(missing), gone);
   for (const auto& key : missing) {
-    this->Take({ key, std::nullopt, 0 });
+    this->TakeOwnKey({ key, std::nullopt, 0 });
   }
+  this->changeLog.Restart(this->mirror.At());
   this->state.log.Write(LogWeight::Notable,
                         "store_read_whole",
                         { { "keys", static_cast<std::int64_t>(aKeys.size()) },
--- a/programs/toucanstand-server/StoreLink.h
+++ b/programs/toucanstand-server/StoreLink.h
@@ -3,7 +3,8 @@
 #include <functional>
 
 #include "ServingState.h"
-#include "platform/StoreClient.h"
+#include "store/ChangeLog.h"
+#include "store/ChangeRelay.h"
 #include "store/StoreMirror.h"
 
 namespace toucanstand {
@@ -18,7 +19,8 @@
   /// Keys that the system writes begin with this.
   static constexpr std::string_view kOwnPrefix = "toucanstand/";
 
-  StoreLink(ServingState& aState, platform::StoreClient& aStore);
+  /// @param aFeed must outlive the link
+  StoreLink(ServingState& aState, ChangeFeed& aFeed);
 
   void OnOwnKey(OwnKeyListener aListener) { this->ownKeyListener = std::move(aListener); }
 
@@ -30,10 +32,17 @@
   /// Start of the last call that brought the copy of the store up to date.
   [[nodiscard]] TimePoint UpToDateAt() const { return this->mirror.UpToDateAt(); }
 
+  /// Tells a peer what changed since a revision, if this copy of the store reaches back
+  /// that far.
+  [[nodiscard]] ChangeAnswer Answer(const ChangeQuery& aQuery, TimePoint aNow) const;
+
 private:
+  /// Takes a change over and notes it for the peers if it says something new.
   void Take(const StoreChange& aChange);
   void TakeConfiguration(const std::string& aText);
-  void TakeServer(const ServerId& aServer, const StoreChange& aChange);
+  /// @returns false for a heartbeat that repeats what is known
+  bool TakeServer(const ServerId& aServer, const StoreChange& aChange);
+  void TakeOwnKey(const StoreChange& aChange);
   void TakeAll(const std::vector<std::string>& aKeys);
   void NoteLost(StoreFailure aFailure);
   void NoteRegained(Duration aOutage);
@@ -41,6 +50,7 @@
   ServingState& state;
   OwnKeyListener ownKeyListener;
   std::vector<std::string> ownKeys;
+  ChangeLog changeLog;
   StoreMirror mirror;
 };
 
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -417,3 +417,53 @@
     });
   }
 }
+
+TEST_CASE("VMs that are no relays follow the store through one", "[server]")
+{
+  // Guards against calls to the store that grow with the number of VMs, and against a VM
+  // that goes on with an old configuration when its relays are gone.
+  PlatformStandin platform(2);
+  constexpr int kVms = 4;
+  std::vector<std::unique_ptr<ServerUnderTest>> servers;
+  for (int number = 0; number < kVms; ++number) {
+    servers.push_back(
+      std::make_unique<ServerUnderTest>(platform, "vm-" + std::to_string(number)));
+  }
+  for (const auto& server : servers) {
+    server->caller.WaitFor(server->operators, "/state", [](const json& aState) {
+      return aState.at("state").at("peers") == kVms - 1;
+    });
+  }
+  servers.front()->WaitForGroups(1);
+  std::vector<ServerUnderTest*> relays;
+  std::vector<ServerUnderTest*> followers;
+  for (const auto& server : servers) {
+    const auto state = server->caller.Json(server->operators, "GET", "/state");
+    (state.at("state").at("relay") == true ? relays : followers).push_back(server.get());
+  }
+  REQUIRE(relays.size() == 2);
+
+  platform.Configure(7, { { "Routes", json::array() } });
+  for (auto* follower : followers) {
+    follower->caller.WaitFor(follower->operators, "/state", [](const json& aState) {
+      return aState.at("state").at("configuration_version") == 7;
+    });
+    const auto metrics = follower->caller.Call(follower->operators, "GET", "/metrics");
+    REQUIRE(metrics.HasValue());
+    CHECK(metrics->body.find("store_changes_relayed_total") != std::string::npos);
+  }
+
+  // The relays fall silent without leaving the list.
+  for (auto* relay : relays) {
+    relay->process->Signal(SIGSTOP);
+  }
+  platform.Configure(8, { { "Routes", json::array() } });
+  for (auto* follower : followers) {
+    follower->caller.WaitFor(follower->operators, "/state", [](const json& aState) {
+      return aState.at("state").at("configuration_version") == 8;
+    });
+  }
+  for (auto* relay : relays) {
+    relay->process->Signal(SIGCONT);
+  }
+}
--- /dev/null
+++ b/tests/unit/toucanstand_transport/TestChangeRelay.cpp
@@ -0,0 +1,110 @@
+#include <catch2/catch.hpp>
+
+#include "random/Random.h"
+#include "store/ChangeLog.h"
+#include "store/ChangeRelay.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+ChangeAnswer Answer()
+{
+  ChangeAnswer answer;
+  answer.number = 7;
+  answer.known = true;
+  answer.changes.at = 120;
+  answer.changes.age = 250ms;
+  answer.changes.changes = { { "servers/a", std::string("\0\xff{}", 4), 118 },
+                             { "servers/b", std::nullopt, 119 } };
+  return answer;
+}
+
+Result<ChangeAnswer, DatagramFailure> Decode(std::span<const std::uint8_t> aBytes)
+{
+  const auto datagram = DecodeDatagram(aBytes);
+  if (!datagram) {
+    return datagram.LastReason();
+  }
+  return DecodeChangeAnswer(datagram->fields);
+}
+
+const TimePoint kStart{ 1h };
+
+StoreChange Change(StoreRevision aRevision)
+{
+  return { "key-" + std::to_string(aRevision), "value", aRevision };
+}
+
+} // namespace
+
+TEST_CASE("An answer arrives as it was sent", "[relay]")
+{
+  const auto decoded = Decode(EncodeChangeAnswer(Answer()));
+  REQUIRE(decoded.HasValue());
+  CHECK(decoded->number == 7);
+  CHECK(decoded->known);
+  CHECK(decoded->changes.at == 120);
+  CHECK(decoded->changes.age == Duration(250ms));
+  REQUIRE(decoded->changes.changes.size() == 2);
+  CHECK(decoded->changes.changes[0].value == std::string("\0\xff{}", 4));
+  CHECK_FALSE(decoded->changes.changes[1].value.has_value());
+
+  const auto query = DecodeDatagram(EncodeChangeQuery({ 9, 55 }));
+  REQUIRE(query.HasValue());
+  CHECK(query->kind == DatagramKind::ChangeQuery);
+  CHECK(DecodeChangeQuery(query->fields)->after == 55);
+}
+
+TEST_CASE("Changes that do not fit into a datagram send the asker to the store",
+          "[relay]")
+{
+  // Guards against a configuration of hundreds of routes that is cut short on the way.
+  auto answer = Answer();
+  answer.changes.changes[0].value = std::string(kMostAnswerBytes, 'x');
+  const auto bytes = EncodeChangeAnswer(answer);
+  CHECK(bytes.size() < 200);
+  const auto decoded = Decode(bytes);
+  REQUIRE(decoded.HasValue());
+  CHECK_FALSE(decoded->known);
+  CHECK(decoded->changes.changes.empty());
+}
+
+TEST_CASE("A damaged answer is refused and never throws", "[relay]")
+{
+  // Guards against a peer's bytes that end the process.
+  const auto bytes = EncodeChangeAnswer(Answer());
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    CHECK(!Decode(std::span(bytes.data(), length)).HasValue());
+  }
+  Random random(20261204);
+  for (int round = 0; round < 20'000; ++round) {
+    auto damaged = bytes;
+    damaged[random.Below(damaged.size())] = static_cast<std::uint8_t>(random.Below(256));
+    (void)Decode(damaged);
+  }
+}
+
+TEST_CASE("The log tells what changed after a revision or that it can't", "[relay]")
+{
+  // Guards against a VM that misses a change and believes to be up to date.
+  ChangeLog log;
+  CHECK_FALSE(log.After(0).has_value());
+  log.Note(Change(3), kStart);
+  log.Restart(10);
+  CHECK_FALSE(log.After(9).has_value());
+  REQUIRE(log.After(10).has_value());
+  CHECK(log.After(10)->empty());
+  log.Note(Change(12), kStart);
+  log.Note(Change(15), kStart + 10s);
+  CHECK(log.After(10)->size() == 2);
+  CHECK(log.After(12)->size() == 1);
+  CHECK(log.After(15)->empty());
+  CHECK(log.After(99)->empty());
+  // The first entry is forgotten, and with it what lies before it.
+  log.Note(Change(20), kStart + ChangeLog::kLife + 1s);
+  CHECK_FALSE(log.After(10).has_value());
+  CHECK_FALSE(log.After(11).has_value());
+  CHECK(log.After(12)->size() == 2);
+}
--- a/tests/unit/toucanstand_transport/TestStoreMirror.cpp
+++ b/tests/unit/toucanstand_transport/TestStoreMirror.cpp
@@ -132,3 +132,23 @@
   CHECK(heard.events ==
         std::vector<std::string>{ "a=1", "all 1", "lost", "regained", "a=gone", "lost" });
 }
+
+TEST_CASE("A relayed answer makes the copy as old as the relay's", "[mirror]")
+{
+  // Guards against a VM that takes the word of a relay for newer than it is, and rejects
+  // a request for a configuration that has changed meanwhile.
+  boost::asio::io_context loop;
+  ScriptedFeed feed(loop);
+  feed.pages.push_back(StorePage{ {}, false, 5 });
+  feed.changes.push_back(StoreChanges{ {}, 6, std::chrono::hours(1) });
+  feed.changes.push_back(StoreChanges{ { { "a", "1", 7 } }, 7, std::chrono::minutes(1) });
+  Heard heard;
+  StoreMirror mirror(loop, feed, Settings(), heard.Listener());
+  const auto startedAt = BootClock::now();
+  boost::asio::co_spawn(loop, mirror.Run(), boost::asio::detached);
+  loop.run();
+  // The first reading came from the store itself; older answers do not undo it.
+  CHECK(mirror.UpToDateAt() >= startedAt);
+  CHECK(mirror.UpToDateAt() <= BootClock::now());
+  CHECK(mirror.At() == 7);
+}
--- a/tests/unit/toucanstand_world/TestServerDirectory.cpp
+++ b/tests/unit/toucanstand_world/TestServerDirectory.cpp
@@ -31,7 +31,8 @@
   directory.Remove(ServerId("b"), kStart);
   CHECK(directory.Find(ServerId("a")) != nullptr);
 
-  directory.Put(Entry("a"));
+  // Guards against a return that is not passed on to the VMs that heard of the removal.
+  CHECK(directory.Put(Entry("a")));
   directory.OnTime(kStart + ServerDirectory::kReturnGrace);
   CHECK(directory.Find(ServerId("a")) != nullptr);
   CHECK(directory.Find(ServerId("b")) == nullptr);
@@ -66,7 +67,7 @@
   ServerDirectory directory;
   directory.Put(Entry("a"));
   const auto revision = directory.Revision();
-  directory.Put(Entry("a"));
+  CHECK_FALSE(directory.Put(Entry("a")));
   CHECK(directory.Revision() == revision);
   directory.KeepOnly({}, kStart);
   CHECK(directory.Revision() != revision);
