--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -426,6 +426,7 @@
   PlatformStandin platform(2);
   constexpr int kVms = 4;
   std::vector<std::unique_ptr<ServerUnderTest>> servers;
+  servers.reserve(kVms);
   for (int number = 0; number < kVms; ++number) {
     servers.push_back(
       std::make_unique<ServerUnderTest>(platform, "vm-" + std::to_string(number)));
