--- a/modules/toucanstand_core/logging/DecisionLog.cpp
+++ b/modules/toucanstand_core/logging/DecisionLog.cpp
@@ -16,6 +16,9 @@
 
 /// Lines that wait for a slow reader; the rest is dropped.
 constexpr std::size_t kMostWaitingBytes = 32U << 10U;
+/// Longer values, such as an id that fills a caller's header, are cut: a line must not
+/// take the place of all others that wait.
+constexpr std::size_t kMostValueBytes = 400;
 
 void AppendQuoted(std::string& aOutput, std::string_view aText)
 {
@@ -23,7 +26,7 @@
   constexpr unsigned char kFirstPrintable = 0x20;
   constexpr unsigned char kFirstNonAscii = 0x7f;
   aOutput += '"';
-  for (const char character : aText) {
+  for (const char character : aText.substr(0, kMostValueBytes)) {
     const auto byte = static_cast<unsigned char>(character);
     if (character == '"' || character == '\\') {
       aOutput += '\\';
--- a/programs/toucanstandctl/Commands.cpp
+++ b/programs/toucanstandctl/Commands.cpp
@@ -6,6 +6,8 @@
 #include <sstream>
 #include <utility>
 
+#include "Printing.h"
+#include "RequestStory.h"
 #include "Table.h"
 #include "hashing/Fingerprint.h"
 #include "random/Random.h"
@@ -53,6 +55,8 @@
   std::string argumentNames;
   std::size_t arguments = 0;
   ExitCode (Commands::*run)(const Arguments&) = nullptr;
+  /// More arguments than those may follow.
+  bool mayHaveMore = false;
 };
 
 const std::vector<Commands::Command>& Commands::All()
@@ -75,6 +79,8 @@
     { { "revisions" }, "", 0, &Commands::ShowRevisions },
     { { "dump" }, "ADDRESS:PORT", 1, &Commands::Dump },
     { { "drain" }, "ADDRESS:PORT", 1, &Commands::Drain },
+    { { "server" }, "ADDRESS:PORT", 1, &Commands::ShowServer },
+    { { "explain" }, "REQUEST [FILE...]", 1, &Commands::Explain, true },
   };
   return kCommands;
 }
@@ -104,7 +110,10 @@
 {
   for (const auto& command : All()) {
     const auto words = command.words.size();
-    if (aArguments.size() == words + command.arguments &&
+    const auto least = words + command.arguments;
+    const bool fits =
+      command.mayHaveMore ? aArguments.size() >= least : aArguments.size() == least;
+    if (fits &&
         std::equal(command.words.begin(), command.words.end(), aArguments.begin())) {
       return (this->*command.run)(
         { aArguments.begin() + static_cast<long>(words), aArguments.end() });
@@ -298,6 +307,56 @@
   return ExitCode::Success;
 }
 
+ExitCode Commands::ShowServer(const Arguments& aArguments)
+{
+  const auto endpoint = Endpoint::Parse(aArguments[0]);
+  if (!endpoint) {
+    return WrongUsage(aArguments[0] + ": must be ADDRESS:PORT");
+  }
+  const auto state = this->Fetch(*endpoint, "/state");
+  if (state.is_null()) {
+    return ExitCode::Failure;
+  }
+  if (this->settings.json) {
+    std::cout << At(state, "/state").dump(2) << '\n';
+  } else {
+    PrintServer(At(state, "/state"), std::cout);
+  }
+  return ExitCode::Success;
+}
+
+ExitCode Commands::Explain(const Arguments& aArguments)
+{
+  RequestStory story(aArguments[0]);
+  const auto read = [&story](std::istream& aInput) {
+    for (std::string line; std::getline(aInput, line);) {
+      story.Add(line);
+    }
+  };
+  const Arguments files(aArguments.begin() + 1, aArguments.end());
+  if (files.empty()) {
+    read(std::cin);
+  }
+  for (const auto& name : files) {
+    std::ifstream file(name, std::ios::binary);
+    if (!file) {
+      return WrongUsage(name + ": cannot be read");
+    }
+    read(file);
+  }
+  if (this->settings.json) {
+    std::cout << story.Describe().dump(2, ' ', true, json::error_handler_t::replace)
+              << '\n';
+  } else {
+    PrintStory(story, std::cout);
+  }
+  if (story.IsEmpty()) {
+    std::cerr << "toucanstandctl: no line names the request\n";
+    return ExitCode::Failure;
+  }
+  return ExitCode::Success;
+}
+
 json Commands::Fetch(const Endpoint& aEndpoint,
                      const std::string& aTarget,
                      const std::string& aMethod)
--- a/programs/toucanstandctl/Commands.h
+++ b/programs/toucanstandctl/Commands.h
@@ -40,6 +40,8 @@
   ExitCode ShowRevisions(const Arguments& aArguments);
   ExitCode Dump(const Arguments& aArguments);
   ExitCode Drain(const Arguments& aArguments);
+  ExitCode Explain(const Arguments& aArguments);
+  ExitCode ShowServer(const Arguments& aArguments);
 
   /// JSON answer of an endpoint; null after a failure, which is printed.
   nlohmann::json Fetch(const Endpoint& aEndpoint,
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -1,6 +1,7 @@
 #include "support/PlatformStandin.h"
 
 #include <chrono>
+#include <csignal>
 #include <future>
 #include <stdexcept>
 
@@ -167,6 +168,13 @@
 }
 
 ServerUnderTest::ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId)
+  : ServerUnderTest(aPlatform, aId, aPlatform.Store().Address())
+{
+}
+
+ServerUnderTest::ServerUnderTest(PlatformStandin& aPlatform,
+                                 const std::string& aId,
+                                 const Endpoint& aStore)
   : platform(aPlatform)
   , caller(std::chrono::seconds(6))
   , listen(this->ports.Reserve())
@@ -179,11 +187,24 @@
                           { "readiness", this->readiness.Text() },
                           { "peers", this->ports.Reserve().Text() },
                           { "operator", this->operators.Text() },
-                          { "store", aPlatform.Store().Address().Text() },
+                          { "store", aStore.Text() },
                           { "stop_period_s", 8 },
                           { "head_stall_ms", 500 },
                           { "seed", 7 } };
   this->settings = std::make_unique<SettingsFile>(document);
+  this->Start();
+}
+
+void ServerUnderTest::Restart(int aSignal)
+{
+  this->process->Signal(SIGCONT);
+  this->process->Signal(aSignal);
+  this->process->Wait();
+  this->Start();
+}
+
+void ServerUnderTest::Start()
+{
   this->process = std::make_unique<ProcessLauncher>(
     "toucanstand-server",
     std::vector<std::string>{ this->settings->Option(), "--log-level=warn" });
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -70,6 +70,13 @@
 
 public:
   ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
+  /// @param aStore where it finds the platform's store, such as a proxy before it
+  ServerUnderTest(PlatformStandin& aPlatform,
+                  const std::string& aId,
+                  const Endpoint& aStore);
+
+  /// Ends the process with a signal, waits for its end and starts it again.
+  void Restart(int aSignal);
 
   /// Waits until it is ready and the platform has that many open groups.
   void WaitForGroups(std::size_t aCount);
@@ -92,6 +99,8 @@
   std::unique_ptr<ProcessLauncher> process;
 
 private:
+  void Start();
+
   std::unique_ptr<SettingsFile> settings;
 };
 
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -2,13 +2,16 @@
 file(GLOB program_settings CONFIGURE_DEPENDS programs/*/*Settings.cpp)
 file(GLOB program_tests CONFIGURE_DEPENDS tests/unit/programs/*.cpp)
 add_executable(test_toucanstand_programs tests/CatchMain.cpp ${program_tests} ${program_settings}
-                                         programs/toucanstand-entry/EventStreamReader.cpp)
+                                         programs/toucanstand-entry/EventStreamReader.cpp
+                                         programs/toucanstandctl/LogLine.cpp
+                                         programs/toucanstandctl/RequestStory.cpp)
 target_include_directories(
   test_toucanstand_programs
   PRIVATE programs/toucanstand-entry programs/toucanstand-groups programs/toucanstand-ledger
           programs/toucanstand-node programs/toucanstand-server programs/toucanstandctl)
 target_compile_definitions(test_toucanstand_programs
-                           PRIVATE TOUCANSTAND_DOCS_DIRECTORY="${CMAKE_SOURCE_DIR}/docs")
+                           PRIVATE TOUCANSTAND_DOCS_DIRECTORY="${CMAKE_SOURCE_DIR}/docs"
+                                   TOUCANSTAND_SOURCE_DIRECTORY="${CMAKE_SOURCE_DIR}")
 target_link_libraries(
   test_toucanstand_programs
   PRIVATE toucanstand_configuration toucanstand_delivery toucanstand_groups toucanstand_ledger
--- a/tests/unit/toucanstand_core/TestDecisionLog.cpp
+++ b/tests/unit/toucanstand_core/TestDecisionLog.cpp
@@ -55,6 +55,18 @@
   CHECK(line.at("late") == true);
 }
 
+TEST_CASE("A value of a megabyte does not fill the log", "[log]")
+{
+  // Guards against a caller whose id takes the place of all lines that wait.
+  const Pipe pipe;
+  DecisionLog log("vm-1", pipe.ends[1], {});
+  log.Write(
+    LogWeight::Notable, "request_end", { { "request", std::string(1U << 20U, '\x01') } });
+  const auto text = pipe.Read();
+  CHECK(text.size() < 4096);
+  CHECK(json::parse(text).at("request").get<std::string>().size() < 1000);
+}
+
 TEST_CASE("Lines beyond the budget are counted, and failures have a budget of their own",
           "[log]")
 {
