--- a/tests/unit/toucanstand_transport/TestChangeRelay.cpp
+++ b/tests/unit/toucanstand_transport/TestChangeRelay.cpp
@@ -17,8 +17,8 @@
   answer.after = 110;
   answer.changes.at = 120;
   answer.changes.age = 250ms;
-  answer.changes.changes = { { "servers/a", std::string("\0\xff{}", 4), 118 },
-                             { "servers/b", std::nullopt, 119 } };
+  answer.changes.changes = { { "key-a", std::string("\0\xff{}", 4), 118 },
+                             { "key-b", std::nullopt, 119 } };
   return answer;
 }
 
