--- a/tests/platform/support/Soak.cpp
+++ b/tests/platform/support/Soak.cpp
@@ -63,9 +63,14 @@
 }
 
 Soak::~Soak()
+{
+  this->StopCallers();
+}
+
+void Soak::StopCallers()
 {
   this->finished = true;
-  for (auto& caller : this->callers) {
+  for (auto& caller : std::exchange(this->callers, {})) {
     caller.join();
   }
 }
@@ -331,6 +336,8 @@
 
 std::vector<std::string> Soak::BrokenPromises()
 {
+  // A request that ends between the two lists would look like one that never ran.
+  this->StopCallers();
   std::map<std::string, std::size_t> runs;
   for (const auto& run : this->platform.Runs()) {
     ++runs[run.attempt];
--- a/tests/platform/support/Soak.h
+++ b/tests/platform/support/Soak.h
@@ -37,7 +37,8 @@
   /// @returns false when one does not
   bool Recover();
 
-  /// Broken promises, one line each, from what callers and servers have seen.
+  /// Ends the callers. @returns broken promises, one line each, from what callers and
+  /// servers have seen
   [[nodiscard]] std::vector<std::string> BrokenPromises();
 
   /// Requests that were answered with success, and all.
@@ -75,6 +76,7 @@
   using Fault = void (Soak::*)();
 
   void Call(int aCaller);
+  void StopCallers();
   [[nodiscard]] Request Ask(HttpCaller& aCaller, Vm& aVm, Kind aKind, std::string aName);
   void AwaitRequests(std::size_t aCount);
 
