--- a/tests/integration/TestEntry.cpp
+++ b/tests/integration/TestEntry.cpp
@@ -326,6 +326,28 @@
   CHECK(log.dump().find("/holds") == std::string::npos);
 }
 
+TEST_CASE("A call whose key or path is ambiguous reaches no server", "[entry]")
+{
+  // Guards against a hold that runs under the contract of the catalogue, and against two
+  // processes that claim one call under different keys.
+  Fixture fixture(2000);
+  const auto twoKeys =
+    fixture.caller.Call(fixture.callers,
+                        "POST",
+                        "/holds",
+                        "{}",
+                        { { "Idempotency-Key", "k-1" }, { "idempotency-key", "k-2" } });
+  REQUIRE(twoKeys);
+  CHECK(twoKeys->status == 400);
+  CHECK(twoKeys->headers.Find("Toucanstand-Outcome") == "not-run");
+  const auto evading =
+    fixture.caller.Call(fixture.callers, "GET", "/catalogue/%2e%2e/holds");
+  REQUIRE(evading);
+  CHECK(evading->status == 400);
+  const auto log = fixture.caller.Json(fixture.serviceControl, "GET", "/log");
+  CHECK(log.dump().find("holds") == std::string::npos);
+}
+
 TEST_CASE("Bad requests get a typed error and reach no server", "[entry]")
 {
   Fixture fixture(2000);
