Remove the node's server-report message, which no process sends

Ruled out: removing the notices of membership as well; their tests cover the piggybacking that suspects use.

--- a/programs/toucanstand-node/NodeProcess.cpp
+++ b/programs/toucanstand-node/NodeProcess.cpp
@@ -32,7 +32,6 @@
 /// Time in which the messages about leaving go out before the process ends.
 constexpr Duration kFarewellPeriod = std::chrono::milliseconds(100);
 /// How long other nodes remember that a server leaves.
-constexpr Duration kLeavingLifetime = std::chrono::minutes(10);
 constexpr std::size_t kMaximumObservations = 10'000;
 
 std::uint64_t SeedOf(const NodeSettings& aSettings)
@@ -243,7 +242,6 @@
     { "store-copy", &NodeProcess::OnStoreCopy },
     { "observations", &NodeProcess::OnObservations },
     { "subscribe", &NodeProcess::OnSubscribe },
-    { "server-report", &NodeProcess::OnServerReport },
     { "suspects", &NodeProcess::OnSuspects },
     { "run-ask", &NodeProcess::OnRunAsk },
     { "run-ended", &NodeProcess::OnRunEnded },
@@ -336,23 +334,6 @@
   }
 }
 
-void NodeProcess::OnServerReport(const Message& aMessage, TimePoint aNow)
-{
-  const auto* server = TextOf(aMessage.body, "server");
-  const auto* kind = TextOf(aMessage.body, "kind");
-  if (server == nullptr || kind == nullptr || server->empty() ||
-      server->size() > kMaximumIdentifierBytes) {
-    this->Reject("server-report");
-    return;
-  }
-  if (*kind == "leaving") {
-    this->membership->Announce({ NoticeKind::LeavingServer, *server, kLeavingLifetime },
-                               aNow);
-  }
-  this->observer.Hurry(ServerId(*server));
-  this->PublishIfChanged();
-}
-
 void NodeProcess::OnSuspects(const Message& aMessage, TimePoint aNow)
 {
   std::vector<SuspectDelta> learned;
--- a/programs/toucanstand-node/NodeProcess.h
+++ b/programs/toucanstand-node/NodeProcess.h
@@ -47,7 +47,6 @@
   void OnStoreCopy(const Message& aMessage, TimePoint aNow);
   void OnObservations(const Message& aMessage, TimePoint aNow);
   void OnSubscribe(const Message& aMessage, TimePoint aNow);
-  void OnServerReport(const Message& aMessage, TimePoint aNow);
   void OnSuspects(const Message& aMessage, TimePoint aNow);
   void OnRunAsk(const Message& aMessage, TimePoint aNow);
   void OnRunEnded(const Message& aMessage, TimePoint aNow);
--- a/tests/unit/programs/TestMalformedInput.cpp
+++ b/tests/unit/programs/TestMalformedInput.cpp
@@ -198,8 +198,7 @@
 
 TEST_CASE("A notice whose key is not UTF-8 is still passed on", "[malformed]")
 {
-  // Guards against a server's name in a `server-report` message that ends the node when
-  // it writes its next probe.
+  // Guards against a name from outside that ends the node when it writes its next probe.
   Probe probe;
   probe.header.notices.push_back({ NoticeKind::LeavingServer, "a\xff", 60s });
   CHECK_NOTHROW(FormatMembershipMessage(probe));
