--- a/programs/toucanstand-node/NodeProcess.cpp
+++ b/programs/toucanstand-node/NodeProcess.cpp
@@ -31,7 +31,6 @@
 constexpr Duration kSuspectsInterval = std::chrono::seconds(2);
 /// Time in which the messages about leaving go out before the process ends.
 constexpr Duration kFarewellPeriod = std::chrono::milliseconds(100);
-/// How long other nodes remember that a server leaves.
 constexpr std::size_t kMaximumObservations = 10'000;
 
 std::uint64_t SeedOf(const NodeSettings& aSettings)
