Let suspicions not pile up; one meaning of a failed attempt for both programs

- PeerLink kept each suspicion that peers reported until sums were sent, which only a relay of a large fleet does: on every other VM the list grew without end.
It is emptied with each round now, and old peers and followers are forgotten in the same place.
The test sends 50 reports by datagram and failed before.
- BackendCall and the server's calls each had a table of what a failed exchange says: FailureOf and EndOf (new module toucanstand_calls) and RunEndOf (CrashQuarantine) serve both.
The one difference, a silent connection, is an argument.
- Whether a status is a success was computed in two places; ReplyFacts says it.
- Casts of durations for timers: Duration is the timers' own type, so that they did nothing.
- toucanstandctl's dump, drain and server shared their steps; the stand-in's whole stream was written twice in tests.

Looked at and left: StoreClient and EtcdStore declare the same interface; status tables of the platform's three protocols differ in meaning; fuzz loops of two datagrams are five lines. Not mended: PeerLink turns an address into text and back for each datagram.

No behaviour of requests changes.

--- /dev/null
+++ b/modules/toucanstand_calls/attempts/AttemptMeaning.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+
+#include "attempts/AttemptFailure.h"
+#include "http/HttpClient.h"
+#include "routing/RouteQuery.h"
+
+namespace toucanstand {
+
+/// How an exchange that failed ended the attempt. A silence counts as a break: whether
+/// the server or only the connection was silent is for the caller to find out.
+[[nodiscard]] AttemptFailure FailureOf(HttpFailure aFailure);
+
+/// What a failed attempt says about its candidate. @param aSilence what a silent
+/// connection says, which depends on whether connections are shared
+[[nodiscard]] AttemptEnd EndOf(AttemptFailure aFailure, AttemptEnd aSilence);
+
+} // namespace toucanstand
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -33,6 +33,14 @@
 
 } // namespace
 
+RunEnd RunEndOf(const std::optional<AttemptFailure>& aFailure)
+{
+  if (!aFailure || *aFailure == AttemptFailure::ServerError) {
+    return RunEnd::Survived;
+  }
+  return ProvesNotRun(*aFailure) ? RunEnd::NotRun : RunEnd::Abandoned;
+}
+
 void CrashQuarantine::OnSent(const RequestId& aRequest,
                              std::uint64_t aFingerprint,
                              const ServerId& aServer)
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.h
@@ -10,6 +10,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "attempts/AttemptFailure.h"
 #include "crashes/SuspectDelta.h"
 #include "identifiers/Identifiers.h"
 #include "observation/WorldView.h"
@@ -41,6 +42,10 @@
   Abandoned,
 };
 
+/// What the end of an attempt says about the request's effect on its server; nothing
+/// stands for an answer.
+[[nodiscard]] RunEnd RunEndOf(const std::optional<AttemptFailure>& aFailure);
+
 /// Where a request may run now.
 enum class PlacementKind
 {
--- a/modules/toucanstand_transport/store/StoreMirror.cpp
+++ b/modules/toucanstand_transport/store/StoreMirror.cpp
@@ -108,8 +108,7 @@
   if (aDuration <= Duration::zero()) {
     co_return;
   }
-  this->timer.expires_after(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDuration));
+  this->timer.expires_after(aDuration);
   co_await this->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -43,6 +43,8 @@
 /// What the head of a backend server's response says about the run.
 struct ReplyFacts
 {
+  /// A status of the 200s.
+  bool isSuccess = false;
   /// The server did not run the request and never will.
   bool statesNotRun = false;
   /// Another server has the address, or the server does not take this request.
--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -1,7 +1,6 @@
 #include "BackendCall.h"
 
 #include <algorithm>
-#include <array>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "attempts/AttemptMeaning.h"
 #include "crashes/HomeServers.h"
 #include "serialization/BoundedJson.h"
 
@@ -23,37 +23,6 @@
 constexpr Duration kAskPause = std::chrono::milliseconds(50);
 constexpr std::size_t kMostStateBytes = 1U << 20U;
 
-/// What an attempt's failure says about the candidate, in the order of AttemptFailure.
-constexpr std::array kEnds = {
-  AttemptEnd::ConnectFailed,  // ConnectRefused
-  AttemptEnd::ConnectFailed,  // ConnectTimedOut
-  AttemptEnd::Broken,         // SendBroken
-  AttemptEnd::Slow,           // NoAnswerBeforeDeadline
-  AttemptEnd::Broken,         // BrokenBeforeHead
-  AttemptEnd::Broken,         // BrokenInBody
-  AttemptEnd::DeadConnection, // SilentConnection: the server is not to blame
-  AttemptEnd::Refused,        // RefusedAsNotRun
-  AttemptEnd::Broken,         // ServerError
-  AttemptEnd::Abandoned,      // CallerLeft
-};
-
-AttemptFailure WithoutBlame(HttpFailure aFailure)
-{
-  switch (aFailure) {
-    case HttpFailure::ConnectRefused:
-      return AttemptFailure::ConnectRefused;
-    case HttpFailure::ConnectTimedOut:
-      return AttemptFailure::ConnectTimedOut;
-    case HttpFailure::SendBroken:
-      return AttemptFailure::SendBroken;
-    case HttpFailure::BrokenBeforeHead:
-    case HttpFailure::HeadTimedOut:
-      return AttemptFailure::BrokenBeforeHead;
-    default:
-      return AttemptFailure::BrokenInBody;
-  }
-}
-
 /// True unless a server's state shows that it left the candidate's group: an engine that
 /// crashed and restarted before the probe reports none.
 bool ReportsGroup(const std::string& aBody, const Candidate& aCandidate)
@@ -68,15 +37,6 @@
          state->at("generation") == aCandidate.generation;
 }
 
-/// What the end of an attempt says about the request's effect on its server.
-RunEnd RunEndOf(const std::optional<AttemptFailure>& aFailure)
-{
-  if (!aFailure || *aFailure == AttemptFailure::ServerError) {
-    return RunEnd::Survived;
-  }
-  return ProvesNotRun(*aFailure) ? RunEnd::NotRun : RunEnd::Abandoned;
-}
-
 } // namespace
 
 BackendCall::BackendCall(EntryContext& aContext, CallState& aState)
@@ -138,21 +98,21 @@
   }
   if (NothingWasSent(aFailure)) {
     quarantine.OnServerLost(aCandidate.server, BootClock::now());
-    co_return WithoutBlame(aFailure);
+    co_return FailureOf(aFailure);
   }
   const bool wasSilent =
     aFailure == HttpFailure::HeadTimedOut || aFailure == HttpFailure::BodyTimedOut;
   const auto probed = co_await this->ProbeServer(aCandidate);
   this->context.client.DropIdle(aCandidate.endpoint);
   if (probed == ProbeResult::Unchanged) {
-    co_return wasSilent ? AttemptFailure::SilentConnection : WithoutBlame(aFailure);
+    co_return wasSilent ? AttemptFailure::SilentConnection : FailureOf(aFailure);
   }
   if (!wasSilent) {
     this->serverCrashed = true;
     quarantine.OnServerCrashed(aCandidate.server, BootClock::now());
     this->context.suspects.Publish(quarantine, BootClock::now());
   }
-  co_return WithoutBlame(aFailure);
+  co_return FailureOf(aFailure);
 }
 
 bool BackendCall::StatesNotRun(int aStatus, const HttpHeaders& aHeaders) const
@@ -309,8 +269,9 @@
 {
   const auto now = BootClock::now();
   const auto& request = this->state.request;
+  // A silence on a connection that is shared is not the server's.
   const auto end =
-    aFailure ? kEnds.at(static_cast<std::size_t>(*aFailure)) : AttemptEnd::Answered;
+    aFailure ? EndOf(*aFailure, AttemptEnd::DeadConnection) : AttemptEnd::Answered;
   this->context.RouterFor(aCandidate.pool)
     .OnFinished(aCandidate.id, end, now - aSentAt, now, request.workClass);
   if (!this->serverCrashed) {
--- a/programs/toucanstand-server/CallSender.cpp
+++ b/programs/toucanstand-server/CallSender.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "attempts/AttemptMeaning.h"
 #include "platform/CallTranslation.h"
 
 namespace toucanstand {
@@ -66,18 +67,7 @@
              ? AttemptFailure::NoAnswerBeforeDeadline
              : AttemptFailure::SilentConnection;
   }
-  switch (aFailure) {
-    case HttpFailure::ConnectRefused:
-      return AttemptFailure::ConnectRefused;
-    case HttpFailure::ConnectTimedOut:
-      return AttemptFailure::ConnectTimedOut;
-    case HttpFailure::SendBroken:
-      return AttemptFailure::SendBroken;
-    case HttpFailure::BrokenBeforeHead:
-      return AttemptFailure::BrokenBeforeHead;
-    default:
-      return AttemptFailure::BrokenInBody;
-  }
+  return FailureOf(aFailure);
 }
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -14,11 +14,6 @@
 /// When a caller should come back whose request met a group that was full.
 constexpr Duration kAfterFullGroup = std::chrono::milliseconds(250);
 
-bool IsSuccess(int aStatus)
-{
-  return aStatus >= 200 && aStatus < 300;
-}
-
 } // namespace
 
 GenerationCall::GenerationCall(ServingState& aState, Call& aCall)
@@ -119,8 +114,7 @@
     if (facts.load) {
       this->placement.OnStatedLoad(aChoice.group.id, *facts.load, BootClock::now());
     }
-    const bool begins =
-      IsSuccess(stream.Status()) && facts.isSigned && facts.answersThisCall;
+    const bool begins = facts.isSuccess && facts.isSigned && facts.answersThisCall;
     if (begins) {
       loss = co_await this->Relay(stream);
     } else {
@@ -193,7 +187,7 @@
     this->memberLost = aFacts.wrongServer || aFacts.serverAtFault.has_value();
     co_return AttemptLoss{ AttemptFailure::RefusedAsNotRun, std::nullopt };
   }
-  if (!aFacts.answersThisCall || IsSuccess(aStream.Status())) {
+  if (!aFacts.answersThisCall || aFacts.isSuccess) {
     co_return AttemptLoss{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
   auto response = co_await this->sender.ReadWhole(aStream);
--- a/programs/toucanstand-server/GroupKeeper.cpp
+++ b/programs/toucanstand-server/GroupKeeper.cpp
@@ -18,8 +18,7 @@
 Task<> Pause(asio::io_context& aLoop, Duration aDuration)
 {
   asio::steady_timer timer(aLoop);
-  timer.expires_after(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDuration));
+  timer.expires_after(aDuration);
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -25,11 +25,6 @@
 /// A report that is older says nothing about the load now.
 constexpr Duration kLoadLife = GroupPlacement::kPeerReportLife;
 
-std::chrono::steady_clock::duration TimerDuration(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDuration);
-}
-
 /// The name under which placement keeps the sum of a relay.
 const VmId& AllOthers()
 {
@@ -87,7 +82,7 @@
     this->lastReport = this->MakeReport(BootClock::now());
     this->SendReport(this->lastReport);
     const Duration pause = this->lastReport.loads.empty() ? kIdleInterval : kInterval;
-    this->reportTimer.expires_after(TimerDuration(pause));
+    this->reportTimer.expires_after(pause);
     co_await this->reportTimer.async_wait(kAwait);
   }
 }
@@ -95,11 +90,15 @@
 Task<> PeerLink::SendSums()
 {
   while (true) {
+    const auto now = BootClock::now();
+    this->ForgetOld(now);
     const bool relays = !this->ReportsDirectly() && this->directory.IsRelay();
     if (relays) {
-      this->SendSumsNow(BootClock::now());
+      this->SendSumsNow(now);
     }
-    this->sumTimer.expires_after(TimerDuration(relays ? kSumInterval : kIdleInterval));
+    // They were sent, or nobody waits for them here.
+    this->suspicionsToPassOn.clear();
+    this->sumTimer.expires_after(relays ? kSumInterval : kIdleInterval);
     co_await this->sumTimer.async_wait(kAwait);
   }
 }
@@ -182,7 +181,7 @@
 
 void PeerLink::TellNews(const ChangeAnswer& aNews)
 {
-  this->ForgetSubscribers(BootClock::now());
+  this->ForgetOld(BootClock::now());
   if (!this->directory.IsRelay() || this->subscribers.empty()) {
     return;
   }
@@ -279,19 +278,18 @@
   }
 }
 
-void PeerLink::ForgetSubscribers(TimePoint aNow)
+void PeerLink::ForgetOld(TimePoint aNow)
 {
   std::erase_if(this->subscribers, [aNow](const auto& aSubscriber) {
     return aNow - aSubscriber.second > kSubscription;
   });
+  std::erase_if(this->news, [aNow](const auto& aNews) {
+    return aNow - aNews.second.receivedAt > kWorkLife;
+  });
 }
 
 void PeerLink::SendSumsNow(TimePoint aNow)
 {
-  this->ForgetSubscribers(aNow);
-  std::erase_if(this->news, [aNow](const auto& aNews) {
-    return aNow - aNews.second.receivedAt > kWorkLife;
-  });
   ReportSum total;
   total.Add(this->lastReport);
   ++this->sumSequence;
@@ -311,7 +309,6 @@
     sums.suspected = this->suspicionsToPassOn;
     this->Send(EncodePeerReport(sums), endpoint);
   }
-  this->suspicionsToPassOn.clear();
 }
 
 void PeerLink::OnOwnKey(const StoreChange& aChange)
--- a/programs/toucanstand-server/PeerLink.h
+++ b/programs/toucanstand-server/PeerLink.h
@@ -76,6 +76,12 @@
   [[nodiscard]] PeerDirectory& Directory() { return this->directory; }
   [[nodiscard]] std::size_t PeerCount() const { return this->directory.Others().size(); }
 
+  /// Suspicions that wait for the next sums; for the state dump.
+  [[nodiscard]] std::size_t SuspicionsToPassOn() const
+  {
+    return this->suspicionsToPassOn.size();
+  }
+
 private:
   struct PeerNews
   {
@@ -87,7 +93,7 @@
   void TakeDatagram(std::span<const std::uint8_t> aBytes, const Endpoint& aFrom);
   void TakeReport(PeerReport aReport, const Endpoint& aFrom, TimePoint aNow);
   void TakeQuery(const ChangeQuery& aQuery, const Endpoint& aFrom, TimePoint aNow);
-  void ForgetSubscribers(TimePoint aNow);
+  void ForgetOld(TimePoint aNow);
   void Refuse(DatagramFailure aFailure);
   void Suspect(const std::vector<std::string>& aGroups);
 
--- a/programs/toucanstand-server/PlainCall.cpp
+++ b/programs/toucanstand-server/PlainCall.cpp
@@ -1,8 +1,8 @@
 #include "PlainCall.h"
 
 #include <algorithm>
-#include <array>
 
+#include "attempts/AttemptMeaning.h"
 #include "platform/CallTranslation.h"
 
 namespace toucanstand {
@@ -15,20 +15,6 @@
 /// An idempotent call that is this many times later than its target goes elsewhere.
 constexpr int kSilentTargets = 3;
 
-/// What a failure says about the server, in the order of AttemptFailure.
-constexpr std::array kEnds = {
-  AttemptEnd::ConnectFailed, // ConnectRefused
-  AttemptEnd::ConnectFailed, // ConnectTimedOut
-  AttemptEnd::Broken,        // SendBroken
-  AttemptEnd::Slow,          // NoAnswerBeforeDeadline
-  AttemptEnd::Broken,        // BrokenBeforeHead
-  AttemptEnd::Broken,        // BrokenInBody
-  AttemptEnd::Slow,          // SilentConnection: each exchange has a fresh connection
-  AttemptEnd::Refused,       // RefusedAsNotRun
-  AttemptEnd::Broken,        // ServerError
-  AttemptEnd::Abandoned,     // CallerLeft
-};
-
 } // namespace
 
 PlainCall::PlainCall(ServingState& aState, Call& aCall)
@@ -111,8 +97,7 @@
   if (facts.statesNotRun) {
     co_return AttemptLoss{ AttemptFailure::RefusedAsNotRun, std::nullopt };
   }
-  const bool success = status >= 200 && status < 300;
-  if (!facts.answersThisCall || (success && !facts.isSigned)) {
+  if (!facts.answersThisCall || (facts.isSuccess && !facts.isSigned)) {
     co_return AttemptLoss{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
   auto response = co_await this->sender.ReadWhole(aStream);
@@ -131,8 +116,8 @@
                         TimePoint aSentAt)
 {
   const auto now = BootClock::now();
-  const auto end =
-    aLoss ? kEnds.at(static_cast<std::size_t>(aLoss->failure)) : AttemptEnd::Answered;
+  // Each exchange has a connection of its own, whose silence is the server's.
+  const auto end = aLoss ? EndOf(aLoss->failure, AttemptEnd::Slow) : AttemptEnd::Answered;
   if (!aLoss) {
     this->state.router.OnFirstByte(aCandidate.id, now - aSentAt, now);
   }
--- a/programs/toucanstand-server/RelayedFeed.cpp
+++ b/programs/toucanstand-server/RelayedFeed.cpp
@@ -85,8 +85,7 @@
 {
   this->answer.reset();
   this->sender(EncodeChangeQuery({ ++this->number, aAfter }), aRelay);
-  this->timer.expires_after(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(kAnswerTimeout));
+  this->timer.expires_after(kAnswerTimeout);
   co_await this->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
   if (!this->answer) {
     this->avoidedUntil[aRelay] = BootClock::now() + kAvoidance;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -26,11 +26,6 @@
 /// the process itself.
 constexpr double kDrainShare = 0.9;
 
-std::chrono::steady_clock::duration TimerDuration(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDuration);
-}
-
 Duration DrainPeriod(const ServerSettings& aSettings)
 {
   return FromSeconds(ToSeconds(aSettings.stopPeriod) * kDrainShare);
@@ -184,7 +179,7 @@
     limits.idleTimeout = allowed.idleTimeout;
     this->callers.SetLimits(limits);
   }
-  this->ticker.expires_after(TimerDuration(kTick));
+  this->ticker.expires_after(kTick);
   this->ticker.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       this->Tick();
@@ -211,7 +206,7 @@
     { { "in_flight", static_cast<std::int64_t>(this->callers.ActiveExchanges()) } });
   this->callers.AnnounceClose();
   asio::co_spawn(this->loop, this->session.End(), asio::detached);
-  this->listenerTimer.expires_after(TimerDuration(kBalancerNotice));
+  this->listenerTimer.expires_after(kBalancerNotice);
   this->listenerTimer.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       this->callers.Drain();
@@ -273,6 +268,7 @@
            { "leader_term", this->session.LeaderTerm(now) },
            { "peers", this->peers.PeerCount() },
            { "relay", this->peers.Directory().IsRelay() },
+           { "suspicions_to_pass_on", this->peers.SuspicionsToPassOn() },
            { "open_connections", this->callers.OpenConnections() },
            { "in_flight", this->callers.ActiveExchanges() },
            { "servers", this->state.directory.Describe() },
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -176,15 +176,9 @@
                                 const Destination& aDestination,
                                 std::optional<AttemptFailure> aFailure)
 {
-  const auto now = BootClock::now();
-  if (!aFailure || *aFailure == AttemptFailure::ServerError) {
-    this->quarantine.OnEnded(aRun, RunEnd::Survived, now);
-    return;
-  }
-  this->quarantine.OnEnded(
-    aRun, ProvesNotRun(*aFailure) ? RunEnd::NotRun : RunEnd::Abandoned, now);
-  const bool broke = *aFailure == AttemptFailure::BrokenBeforeHead ||
-                     *aFailure == AttemptFailure::BrokenInBody;
+  this->quarantine.OnEnded(aRun, RunEndOf(aFailure), BootClock::now());
+  const bool broke = aFailure == AttemptFailure::BrokenBeforeHead ||
+                     aFailure == AttemptFailure::BrokenInBody;
   if (broke) {
     boost::asio::co_spawn(
       this->loop, this->ExamineCrash(aDestination), boost::asio::detached);
--- a/programs/toucanstand-server/Session.cpp
+++ b/programs/toucanstand-server/Session.cpp
@@ -136,8 +136,7 @@
 
 Task<> Session::Wait(Duration aDuration)
 {
-  this->timer.expires_after(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(aDuration));
+  this->timer.expires_after(aDuration);
   co_await this->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
--- a/programs/toucanstandctl/Commands.cpp
+++ b/programs/toucanstandctl/Commands.cpp
@@ -282,46 +282,43 @@
 
 ExitCode Commands::Dump(const Arguments& aArguments)
 {
-  const auto endpoint = Endpoint::Parse(aArguments[0]);
-  if (!endpoint) {
-    return WrongUsage(aArguments[0] + ": must be ADDRESS:PORT");
-  }
-  const auto state = this->Fetch(*endpoint, "/state");
-  if (state.is_null()) {
-    return ExitCode::Failure;
-  }
-  std::cout << state.dump(2) << '\n';
-  return ExitCode::Success;
+  return this->Show(aArguments[0], "/state", "GET", [](const json& aState) {
+    std::cout << aState.dump(2) << '\n';
+  });
 }
 
 ExitCode Commands::Drain(const Arguments& aArguments)
 {
-  const auto endpoint = Endpoint::Parse(aArguments[0]);
-  if (!endpoint) {
-    return WrongUsage(aArguments[0] + ": must be ADDRESS:PORT");
-  }
-  if (this->Fetch(*endpoint, "/drain", "POST").is_null()) {
-    return ExitCode::Failure;
-  }
-  std::cout << endpoint->Text() << " drains\n";
-  return ExitCode::Success;
+  return this->Show(aArguments[0], "/drain", "POST", [&aArguments](const json&) {
+    std::cout << Endpoint::Parse(aArguments[0])->Text() << " drains\n";
+  });
 }
 
 ExitCode Commands::ShowServer(const Arguments& aArguments)
 {
-  const auto endpoint = Endpoint::Parse(aArguments[0]);
+  return this->Show(aArguments[0], "/state", "GET", [this](const json& aState) {
+    if (this->settings.json) {
+      std::cout << At(aState, "/state").dump(2) << '\n';
+    } else {
+      PrintServer(At(aState, "/state"), std::cout);
+    }
+  });
+}
+
+ExitCode Commands::Show(const std::string& aAddress,
+                        const std::string& aTarget,
+                        const std::string& aMethod,
+                        const std::function<void(const json&)>& aPrint)
+{
+  const auto endpoint = Endpoint::Parse(aAddress);
   if (!endpoint) {
-    return WrongUsage(aArguments[0] + ": must be ADDRESS:PORT");
+    return WrongUsage(aAddress + ": must be ADDRESS:PORT");
   }
-  const auto state = this->Fetch(*endpoint, "/state");
-  if (state.is_null()) {
+  const auto answer = this->Fetch(*endpoint, aTarget, aMethod);
+  if (answer.is_null()) {
     return ExitCode::Failure;
   }
-  if (this->settings.json) {
-    std::cout << At(state, "/state").dump(2) << '\n';
-  } else {
-    PrintServer(At(state, "/state"), std::cout);
-  }
+  aPrint(answer);
   return ExitCode::Success;
 }
 
--- a/programs/toucanstandctl/Commands.h
+++ b/programs/toucanstandctl/Commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,11 @@
   ExitCode Explain(const Arguments& aArguments);
   ExitCode ShowServer(const Arguments& aArguments);
 
+  /// Prints the answer of the process at an address.
+  ExitCode Show(const std::string& aAddress,
+                const std::string& aTarget,
+                const std::string& aMethod,
+                const std::function<void(const nlohmann::json&)>& aPrint);
   /// JSON answer of an endpoint; null after a failure, which is printed.
   nlohmann::json Fetch(const Endpoint& aEndpoint,
                        const std::string& aTarget,
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -1,8 +1,13 @@
+#include <array>
 #include <csignal>
 #include <set>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <catch2/catch.hpp>
 
+#include "peers/PeerReport.h"
+#include "store/ChangeRelay.h"
 #include "support/PlatformStandin.h"
 
 using namespace toucanstand;
@@ -12,17 +17,6 @@
 
 namespace {
 
-/// All events of a stand-in's stream, each once and in order.
-std::string WholeAnswer()
-{
-  std::string text;
-  for (int number = 1; number <= EngineStandin::kEvents; ++number) {
-    text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) +
-            "\n\n";
-  }
-  return text;
-}
-
 std::size_t RunsOf(PlatformStandin& aPlatform, const std::string& aAttempt)
 {
   const auto runs = aPlatform.Runs();
@@ -62,7 +56,7 @@
   const auto answer = server.Generate("a-1");
   REQUIRE(answer.HasValue());
   CHECK(answer->status == 200);
-  CHECK(answer->body == WholeAnswer());
+  CHECK(answer->body == EngineStandin::WholeStream());
   CHECK(answer->headers.Find("X-Attempt-Id") == "a-1");
 
   const auto runs = platform.Runs();
@@ -114,7 +108,7 @@
     const auto attempt = "c-" + std::to_string(number);
     const auto answer = server.Generate(attempt);
     REQUIRE(answer.HasValue());
-    CHECK(answer->body == WholeAnswer());
+    CHECK(answer->body == EngineStandin::WholeStream());
     broken += RunsOf(platform, attempt) == 2 ? 1 : 0;
   }
   CHECK(broken > 0);
@@ -256,7 +250,7 @@
   CHECK(BecomesStatus(server, "/nothing/1", "key-1", 503));
   const auto answer = server.Generate("i-1");
   REQUIRE(answer.HasValue());
-  CHECK(answer->body == WholeAnswer());
+  CHECK(answer->body == EngineStandin::WholeStream());
   platform.Do([&] { platform.Store().faults.refuses = false; });
   CHECK(BecomesStatus(server, "/nothing/1", "key-1", 404));
   CHECK(platform.Heads().size() == 2);
@@ -306,7 +300,7 @@
   server.WaitForGroups(2);
   const auto answer = server.Generate("k-last");
   REQUIRE(answer.HasValue());
-  CHECK(answer->body == WholeAnswer());
+  CHECK(answer->body == EngineStandin::WholeStream());
 }
 
 TEST_CASE("A planned stop finishes its streams, also when it is asked for twice",
@@ -334,7 +328,7 @@
     }
     answer += *piece;
   }
-  CHECK(answer == WholeAnswer());
+  CHECK(answer == EngineStandin::WholeStream());
   CHECK(server.process->Wait() == 0);
 }
 
@@ -481,3 +475,70 @@
     relay->process->Signal(SIGCONT);
   }
 }
+
+namespace {
+
+/// A peer that sends datagrams and waits for the answer to a query.
+class DatagramPeer
+{
+public:
+  explicit DatagramPeer(const Endpoint& aServer)
+    : socket(this->loop, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , server(boost::asio::ip::make_address(aServer.address), aServer.port)
+  {
+  }
+
+  void Send(const std::vector<std::uint8_t>& aBytes)
+  {
+    this->socket.send_to(boost::asio::buffer(aBytes), this->server);
+  }
+
+  /// @returns false when no answer comes; what was sent before has then not arrived
+  bool AwaitAnswer()
+  {
+    constexpr int kTries = 5;
+    bool answered = false;
+    for (int number = 1; !answered && number <= kTries; ++number) {
+      this->Send(EncodeChangeQuery({ static_cast<std::uint64_t>(number), 0 }));
+      std::array<char, 65536> bytes{};
+      this->socket.async_receive(boost::asio::buffer(bytes),
+                                 [&answered](const boost::system::error_code& aError,
+                                             std::size_t) { answered = !aError; });
+      this->loop.restart();
+      this->loop.run_for(std::chrono::seconds(1));
+      this->socket.cancel();
+      this->loop.restart();
+      this->loop.poll();
+    }
+    return answered;
+  }
+
+private:
+  boost::asio::io_context loop;
+  boost::asio::ip::udp::socket socket;
+  boost::asio::ip::udp::endpoint server;
+};
+
+} // namespace
+
+TEST_CASE("Suspicions that a VM need not pass on do not pile up", "[server]")
+{
+  // Guards against the fault that a VM that is no relay of others kept each suspicion
+  // that its peers reported, without end (found by reading).
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  DatagramPeer peer(server.peers);
+  PeerReport report;
+  report.sender = VmId("vm-2");
+  report.run = 1;
+  for (int number = 1; number <= 50; ++number) {
+    report.sequence = static_cast<std::uint64_t>(number);
+    report.suspected = { "m-" + std::to_string(number) };
+    peer.Send(EncodePeerReport(report));
+  }
+  REQUIRE(peer.AwaitAnswer());
+  server.caller.WaitFor(server.operators, "/state", [](const json& aState) {
+    return aState.at("state").at("suspicions_to_pass_on") == 0;
+  });
+}
--- a/tests/platform/support/EngineStandin.cpp
+++ b/tests/platform/support/EngineStandin.cpp
@@ -54,6 +54,16 @@
   this->endpoint = *this->server->Listen({ "127.0.0.1", 0 });
 }
 
+std::string EngineStandin::WholeStream()
+{
+  std::string text;
+  for (int number = 1; number <= kEvents; ++number) {
+    text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) +
+            "\n\n";
+  }
+  return text;
+}
+
 void EngineStandin::Die()
 {
   this->alive = false;
--- a/tests/platform/support/EngineStandin.h
+++ b/tests/platform/support/EngineStandin.h
@@ -56,6 +56,9 @@
   static constexpr auto kEventPause = std::chrono::milliseconds(20);
   static constexpr int kEvents = 12;
 
+  /// All events of a stream, each once and in order.
+  [[nodiscard]] static std::string WholeStream();
+
   EngineStandin(boost::asio::io_context& aLoop,
                 MetricsRegistry& aMetrics,
                 std::string aId,
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -180,12 +180,13 @@
   , listen(this->ports.Reserve())
   , readiness(this->ports.Reserve())
   , operators(this->ports.Reserve())
+  , peers(this->ports.Reserve())
 {
   const json document = { { "id", aId },
                           { "zone", "zone-a" },
                           { "listen", this->listen.Text() },
                           { "readiness", this->readiness.Text() },
-                          { "peers", this->ports.Reserve().Text() },
+                          { "peers", this->peers.Text() },
                           { "operator", this->operators.Text() },
                           { "store", aStore.Text() },
                           { "stop_period_s", 8 },
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -96,6 +96,8 @@
   Endpoint listen;
   Endpoint readiness;
   Endpoint operators;
+  /// For datagrams of its peers.
+  Endpoint peers;
   std::unique_ptr<ProcessLauncher> process;
 
 private:
--- a/tests/platform/support/Soak.cpp
+++ b/tests/platform/support/Soak.cpp
@@ -17,16 +17,6 @@
 constexpr std::size_t kLeastBetween = 8;
 constexpr std::size_t kMoreBetween = 40;
 
-std::string WholeStream()
-{
-  std::string text;
-  for (int number = 1; number <= EngineStandin::kEvents; ++number) {
-    text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) +
-            "\n\n";
-  }
-  return text;
-}
-
 bool PromisesNotRun(int aStatus)
 {
   constexpr std::array kStatuses = { 408, 421, 429, 503 };
@@ -329,7 +319,7 @@
     return "an answer without signature or of another request";
   }
   const bool whole = aRequest.kind == Kind::Generation
-                       ? aRequest.body == WholeStream()
+                       ? aRequest.body == EngineStandin::WholeStream()
                        : aRequest.body.starts_with("answer of stock-");
   return whole ? "" : "an answer that is not whole: " + aRequest.body;
 }
