Bound the memory and time of messages without end

Cause: the parser asks for more input until the size line of a chunk or the trailers end, and neither its header limit nor its body limit covers those bytes; the buffer of a connection grew without bound, to a backend server and to a caller. HttpClient::Fetch began the time for the next bytes anew with each byte, so a body that trickles held a call to the store or a question to an engine for ever.

Change: buffers hold at most what the head may have and one read; Fetch has a time for the whole body.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpClient.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <vector>
@@ -27,6 +28,9 @@
 constexpr std::size_t kMostIdlePerEndpoint = 64;
 constexpr Duration kLongestIdle = std::chrono::seconds(30);
 constexpr std::uint32_t kMostHeaderBytes = 64U << 10U;
+/// Bytes that were read and not yet parsed. The parser asks for more until the size line
+/// of a chunk or the trailers end, which its own limits do not cover.
+constexpr std::size_t kMostUnparsed = 2UL * kMostHeaderBytes;
 /// Room for one read of a body; part of the coroutine frame of each open stream.
 constexpr std::size_t kReadBytes = 4096;
 /// Time for a response that the server sent before it refused the rest of a request.
@@ -39,7 +43,7 @@
   {
   }
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{ kMostUnparsed };
   TimePoint idleSince{};
 };
 
@@ -350,7 +354,10 @@
   HttpResponse response;
   response.status = stream.Status();
   response.headers = stream.Headers();
+  const auto bodyDue = BootClock::now() + aDeadlines.body;
   while (true) {
+    const auto remaining = std::max(bodyDue - BootClock::now(), Duration::zero());
+    stream.SetProgressTimeout(std::min(aDeadlines.progress, remaining));
     auto piece = co_await stream.Read(never);
     if (!piece) {
       co_return piece.LastReason();
--- a/modules/toucanstand_transport/http/HttpClient.h
+++ b/modules/toucanstand_transport/http/HttpClient.h
@@ -50,6 +50,8 @@
   Duration head = std::chrono::seconds(10);
   /// Between two reads of the body that bring bytes.
   Duration progress = std::chrono::seconds(5);
+  /// From the end of the head to the end of the body, for Fetch().
+  Duration body = std::chrono::seconds(10);
 };
 
 /// Whether an idle connection of an earlier exchange may carry the request.
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -23,6 +23,7 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr Duration kUserTimeout = std::chrono::seconds(15);
+constexpr std::size_t kFirstRead = 4096;
 constexpr Duration kDiscardTimeout = std::chrono::milliseconds(500);
 
 template<typename Body>
@@ -96,6 +97,8 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(this->context->limits.headerBytes));
   parser.body_limit(this->context->limits.bodyBytes);
+  // The size line of a chunk and the trailers, which the parser does not limit.
+  this->buffer.max_size(kFirstRead + 2 * this->context->limits.headerBytes);
 
   if (!co_await this->AwaitFirstByte()) {
     co_return false;
@@ -152,7 +155,6 @@
   if (this->buffer.size() > 0) {
     co_return true;
   }
-  constexpr std::size_t kFirstRead = 4096;
   this->waitingForRequest = true;
   this->stream.expires_after(this->context->limits.idleTimeout);
   auto [error, bytes] =
@@ -174,7 +176,8 @@
   if (aError == http::error::body_limit) {
     status = 413;
     type = "body_too_large";
-  } else if (aError == http::error::header_limit) {
+  } else if (aError == http::error::header_limit ||
+             aError == http::error::buffer_overflow) {
     status = 431;
     type = "headers_too_large";
   }
