End streams that stall and send a byte now and then; say what made an answer late

Cause: each read of a stream began the allowed silence anew, whatever it brought, so a run that sends bytes which never make an event was kept until the deadline of its caller.

Change: only whole events with an id count as progress, and a caller that reads slowly takes nothing of the time for the next one. request_end states the longest pause and the prompt, and requests_late_total counts answers that missed their objective by the first byte or by a pause.

Before: TestServer 'A stream that stalls and sends a byte now and then goes on elsewhere' failed (no whole answer). After: it passes; two runs for each stalled request.

--- a/modules/toucanstand_delivery/answers/EventFramer.cpp
+++ b/modules/toucanstand_delivery/answers/EventFramer.cpp
@@ -67,11 +67,13 @@
   const std::string_view bytes = this->pending;
   for (auto end = EndOfEvent(bytes); end != std::string_view::npos;
        end = EndOfEvent(bytes.substr(whole))) {
-    if (!this->TakeId(bytes.substr(whole, end))) {
+    const auto event = bytes.substr(whole, end);
+    if (!this->TakeId(event)) {
       return EventFailure::OutOfOrder;
     }
     whole += end;
-    ++this->count;
+    // Comments and empty lines keep a connection open and are no part of the answer.
+    this->count += IdOf(event).empty() ? 0 : 1;
   }
   if (this->pending.size() - whole > kMostEventBytes) {
     return EventFailure::TooLarge;
--- a/modules/toucanstand_delivery/answers/EventFramer.h
+++ b/modules/toucanstand_delivery/answers/EventFramer.h
@@ -42,7 +42,7 @@
   /// Id of the last whole event, or the caller's own before the first.
   [[nodiscard]] const std::optional<std::string>& LastId() const { return this->lastId; }
 
-  /// Whole events so far, over all runs.
+  /// Whole events with an id so far, over all runs.
   [[nodiscard]] std::size_t Count() const { return this->count; }
 
 private:
--- a/programs/toucanstand-server/Call.h
+++ b/programs/toucanstand-server/Call.h
@@ -41,6 +41,8 @@
   std::size_t attempts = 0;
   std::string destination;
   std::optional<Duration> firstByte;
+  /// Between two arrivals of events of a stream.
+  Duration longestPause{ 0 };
 };
 
 /// What an attempt without a complete answer came to.
--- a/programs/toucanstand-server/CallProgress.cpp
+++ b/programs/toucanstand-server/CallProgress.cpp
@@ -1,5 +1,6 @@
 #include "CallProgress.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "CallAnswer.h"
@@ -40,6 +41,17 @@
   co_return this->End(outcome, late ? 504 : 502, std::move(aReason));
 }
 
+void CallProgress::NoteEvents(TimePoint aNow)
+{
+  if (!this->firstByte) {
+    this->firstByte = aNow - this->call.arrivedAt;
+  }
+  if (this->lastEventsAt) {
+    this->longestPause = std::max(this->longestPause, aNow - *this->lastEventsAt);
+  }
+  this->lastEventsAt = aNow;
+}
+
 CallEnd CallProgress::End(CallOutcome aOutcome, int aStatus, std::string aReason) const
 {
   CallEnd end;
@@ -49,6 +61,7 @@
   end.attempts = this->tracker.Attempts();
   end.destination = this->destination;
   end.firstByte = this->firstByte;
+  end.longestPause = this->longestPause;
   return end;
 }
 
--- a/programs/toucanstand-server/CallProgress.h
+++ b/programs/toucanstand-server/CallProgress.h
@@ -19,6 +19,9 @@
   /// @param aRetryAfter when to come back if the call has not run
   Task<CallEnd> GiveUp(std::string aReason, Duration aRetryAfter);
 
+  /// Whole events of a stream arrived. The first call also says that the answer begins.
+  void NoteEvents(TimePoint aNow);
+
   [[nodiscard]] CallEnd End(CallOutcome aOutcome,
                             int aStatus,
                             std::string aReason = "") const;
@@ -32,6 +35,8 @@
   std::optional<HttpResponse> serverFailure;
   /// From the arrival of the call.
   std::optional<Duration> firstByte;
+  std::optional<TimePoint> lastEventsAt;
+  Duration longestPause{ 0 };
   /// Part of the answer has reached the caller.
   bool answerBegun = false;
 };
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -127,10 +127,11 @@
 
 Task<std::optional<AttemptLoss>> GenerationCall::Relay(HttpClientStream& aStream)
 {
-  bool firstOfRun = true;
+  // Only events count as progress: bytes that never make one must not keep a run open.
+  auto nextEventDue = BootClock::now() + this->SilenceLimit(kFirstEventLimit);
   while (true) {
     aStream.SetProgressTimeout(
-      this->SilenceLimit(firstOfRun ? kFirstEventLimit : kPauseLimit));
+      std::max(nextEventDue - BootClock::now(), Duration::zero()));
     auto piece = co_await aStream.Read(this->sender.Switch());
     if (!piece) {
       co_return AttemptLoss{ this->sender.Meaning(piece.LastReason()), std::nullopt };
@@ -138,6 +139,7 @@
     if (piece->empty()) {
       break;
     }
+    const auto countBefore = this->framer.Count();
     const auto events = this->framer.Feed(*piece);
     if (!events) {
       co_return AttemptLoss{ AttemptFailure::BrokenInBody, std::nullopt };
@@ -145,11 +147,19 @@
     if (events->empty()) {
       continue;
     }
-    firstOfRun = false;
-    this->placement.OnEvents(this->ticket, BootClock::now());
+    const bool progressed = this->framer.Count() > countBefore;
+    if (progressed) {
+      const auto now = BootClock::now();
+      this->placement.OnEvents(this->ticket, now);
+      this->progress.NoteEvents(now);
+    }
     if (!co_await this->PassOn(aStream, *events)) {
       co_return AttemptLoss{ AttemptFailure::CallerLeft, std::nullopt };
     }
+    if (progressed) {
+      // A caller that reads slowly takes none of the engine's time.
+      nextEventDue = BootClock::now() + this->SilenceLimit(kPauseLimit);
+    }
   }
   if (this->framer.HasPart()) {
     co_return AttemptLoss{ AttemptFailure::BrokenInBody, std::nullopt };
@@ -167,7 +177,6 @@
 {
   if (!this->progress.answerBegun) {
     this->progress.answerBegun = true;
-    this->progress.firstByte = BootClock::now() - this->call.arrivedAt;
     HttpHeaders headers = platform::ReturnedHeaders(aStream.Headers());
     if (!co_await this->call.exchange.BeginStream(aStream.Status(), std::move(headers))) {
       co_return false;
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -17,6 +17,20 @@
 /// for the store, whose outages take seconds.
 constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(1200);
 
+/// What made an answer miss its objective; null if it was in time or there is none.
+const char* Lateness(const ServingRoute& aRoute, const CallEnd& aEnd)
+{
+  if (aEnd.outcome != CallOutcome::Answered) {
+    return nullptr;
+  }
+  if (aEnd.firstByte && *aEnd.firstByte > aRoute.targetLatency) {
+    return "first_byte";
+  }
+  const bool pausedTooLong =
+    aRoute.targetPause > Duration::zero() && aEnd.longestPause > aRoute.targetPause;
+  return pausedTooLong ? "pause" : nullptr;
+}
+
 } // namespace
 
 RequestHandler::RequestHandler(ServingState& aState)
@@ -149,6 +163,11 @@
   if (aEnd.firstByte) {
     this->state.metrics.Record("request_first_byte_seconds", *aEnd.firstByte);
   }
+  const char* lateness = Lateness(*aCall.route, aEnd);
+  if (lateness != nullptr) {
+    this->state.metrics.Count("requests_late_total{route=\"" + aCall.route->name +
+                              "\",by=\"" + lateness + "\"}");
+  }
   this->state.log.Write(
     aEnd.outcome == CallOutcome::Answered ? LogWeight::Routine : LogWeight::Notable,
     "request_end",
@@ -161,7 +180,9 @@
       { "reason", aEnd.reason },
       { "attempts", static_cast<std::int64_t>(aEnd.attempts) },
       { "destination", aEnd.destination },
+      { "prompt_tokens", aCall.facts.promptTokens },
       { "first_ms", aEnd.firstByte ? ToMilliseconds(*aEnd.firstByte).count() : -1 },
+      { "pause_ms", ToMilliseconds(aEnd.longestPause).count() },
       { "took_ms", ToMilliseconds(took).count() } });
 }
 
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -114,6 +114,28 @@
   CHECK(broken > 0);
 }
 
+TEST_CASE("A stream that stalls and sends a byte now and then goes on elsewhere",
+          "[server]")
+{
+  // Guards against a stalled run that is kept until the deadline because each of its
+  // bytes was taken as progress.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  const auto heads = platform.Heads();
+  platform.Do([&] { platform.Engine(heads.begin()->second).faults.trickleRuns = 100; });
+
+  std::size_t stalled = 0;
+  for (int number = 0; number < 6; ++number) {
+    const auto attempt = "t-" + std::to_string(number);
+    const auto answer = server.Generate(attempt);
+    REQUIRE(answer.HasValue());
+    CHECK(answer->body == EngineStandin::WholeStream());
+    stalled += RunsOf(platform, attempt) == 2 ? 1 : 0;
+  }
+  CHECK(stalled > 0);
+}
+
 TEST_CASE("A stream whose second run is rejected does not end as complete", "[server]")
 {
   // Guards against the fault that a response that refuses a run was also taken as one
--- a/tests/platform/support/EngineStandin.cpp
+++ b/tests/platform/support/EngineStandin.cpp
@@ -253,6 +253,7 @@
 Task<> EngineStandin::RunStream(HttpExchange& aExchange)
 {
   const bool breaks = TakeOne(this->faults.breakRuns);
+  const bool trickles = TakeOne(this->faults.trickleRuns);
   const int breakAfter = this->faults.breakAfterEvents;
   const auto last = std::string(aExchange.Request().headers.Find("Last-Event-Id"));
   int number = last.empty() ? 0 : std::stoi(last);
@@ -270,8 +271,13 @@
       // A head that lost a member keeps its work without a word.
       continue;
     }
+    if (trickles && sent > 0) {
+      co_await aExchange.WriteChunk(":");
+      continue;
+    }
     std::string event = EventText(++number);
-    if (breaks && ++sent > breakAfter) {
+    ++sent;
+    if (breaks && sent > breakAfter) {
       co_await aExchange.WriteChunk(event.substr(0, event.size() / 2));
       aExchange.BreakOff();
       co_return;
--- a/tests/platform/support/EngineStandin.h
+++ b/tests/platform/support/EngineStandin.h
@@ -28,6 +28,8 @@
   /// Runs that break off after that many events, in the middle of the next one.
   int breakRuns = 0;
   int breakAfterEvents = 3;
+  /// Runs that send an event and then a byte now and then that never make another.
+  int trickleRuns = 0;
   /// Requests answered 421 without being run.
   int rejectAsOther = 0;
   /// Requests answered 503 as not run.
