Renew registrations of entry VMs every 4 s; leadership has a lease of its own

Change: presence lasts 10 s and is renewed every 4 s; who competes for the leadership takes a lease of 2 s for it, renewed every 500 ms as before. A process that was killed leaves its registration behind for up to 10 s: of two registrations with one endpoint the later one counts (TestPeerDirectory), or half of the relays would be gone after all processes were killed.

--- a/modules/toucanstand_membership/peers/PeerDirectory.cpp
+++ b/modules/toucanstand_membership/peers/PeerDirectory.cpp
@@ -10,23 +10,38 @@
 
 namespace toucanstand {
 
-PeerDirectory::PeerDirectory(std::string aOwnRun, double aOwnShare)
+PeerDirectory::PeerDirectory(std::string aOwnRun, Presence aOwnPresence)
   : ownRun(std::move(aOwnRun))
-  , ownShare(aOwnShare)
+  , ownPresence(std::move(aOwnPresence))
 {
 }
 
-void PeerDirectory::Put(const std::string& aRun, const Presence& aPresence)
+void PeerDirectory::Put(const std::string& aRun,
+                        const Presence& aPresence,
+                        std::int64_t aRevision)
 {
-  if (aRun != this->ownRun) {
-    this->others[aRun] = aPresence;
-    this->relaysAreOld = true;
+  // Another run on the own endpoint is an earlier one of this VM.
+  if (aRun == this->ownRun || aPresence.endpoint == this->ownPresence.endpoint) {
+    return;
+  }
+  auto& registration = this->latest[aPresence.endpoint];
+  if (registration.run != aRun && registration.revision > aRevision) {
+    return;
   }
+  this->others.erase(registration.run);
+  registration = { aRun, aRevision };
+  this->others[aRun] = aPresence;
+  this->relaysAreOld = true;
 }
 
 void PeerDirectory::Remove(const std::string& aRun)
 {
-  this->others.erase(aRun);
+  const auto found = this->others.find(aRun);
+  if (found == this->others.end()) {
+    return;
+  }
+  this->latest.erase(found->second.endpoint);
+  this->others.erase(found);
   this->relaysAreOld = true;
 }
 
@@ -52,7 +67,7 @@
   const auto add = [&order](const std::string& aRun, double aShare) {
     order.emplace_back(-aShare, Hash64(aRun), aRun);
   };
-  add(this->ownRun, this->ownShare);
+  add(this->ownRun, this->ownPresence.cpuShare);
   for (const auto& [run, presence] : this->others) {
     add(run, presence.cpuShare);
   }
--- a/modules/toucanstand_membership/peers/PeerDirectory.h
+++ b/modules/toucanstand_membership/peers/PeerDirectory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,9 +25,11 @@
   static constexpr std::size_t kVmsPerRelay = 40;
 
   /// @param aOwnRun names this run of this process among all
-  PeerDirectory(std::string aOwnRun, double aOwnShare);
+  PeerDirectory(std::string aOwnRun, Presence aOwnPresence);
 
-  void Put(const std::string& aRun, const Presence& aPresence);
+  /// A registration of a VM. Of two with the same endpoint the one with the higher
+  /// revision is of the run that lives: a process that was killed leaves its own behind.
+  void Put(const std::string& aRun, const Presence& aPresence, std::int64_t aRevision);
   void Remove(const std::string& aRun);
 
   /// The others by run.
@@ -44,9 +47,17 @@
   /// Only after a change, since many VMs may come at once.
   void ChooseRelays();
 
+  struct Registration
+  {
+    std::string run;
+    std::int64_t revision = 0;
+  };
+
   std::string ownRun;
-  double ownShare;
+  Presence ownPresence;
   std::map<std::string, Presence> others;
+  /// The latest registration of each endpoint.
+  std::map<Endpoint, Registration> latest;
   std::vector<Endpoint> relays;
   bool isRelay = true;
   bool relaysAreOld = true;
--- a/programs/toucanstand-server/PeerLink.cpp
+++ b/programs/toucanstand-server/PeerLink.cpp
@@ -54,7 +54,7 @@
   , reportTimer(aState.loop)
   , sumTimer(aState.loop)
   , runNumber(aRunNumber)
-  , directory(aRun, aState.settings.cpuShare)
+  , directory(aRun, { aState.settings.peers, aState.settings.cpuShare })
 {
 }
 
@@ -326,7 +326,7 @@
     this->state.metrics.Count("peer_registrations_unreadable_total");
     return;
   }
-  this->directory.Put(run, *presence);
+  this->directory.Put(run, *presence, aChange.revision);
 }
 
 Duration PeerLink::MeanReportAge() const
--- a/programs/toucanstand-server/Session.cpp
+++ b/programs/toucanstand-server/Session.cpp
@@ -1,5 +1,6 @@
 #include "Session.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -21,15 +22,13 @@
 
 Task<> Session::Run()
 {
-  co_await this->Register();
+  co_await this->KeepPresence();
   co_await this->Wait(kFirstReading);
   while (!this->ended) {
-    if (this->lease == 0) {
-      co_await this->Register();
-    } else {
-      co_await this->Renew();
-    }
-    if (this->lease != 0 && this->leader.empty() && !this->ended) {
+    co_await this->KeepPresence();
+    if (this->HoldsLeadership()) {
+      co_await this->RenewLeadership();
+    } else if (this->presenceLease != 0 && this->leader.empty()) {
       if (!this->peers.IsRelay()) {
         co_await this->Wait(kHesitation);
       }
@@ -37,15 +36,29 @@
         co_await this->Compete();
       }
     }
-    const bool leads = this->LeaderTerm(BootClock::now()) != 0;
-    co_await this->Wait(leads ? kRenewal : kIdleRenewal);
+    const Duration untilDue = this->presenceDue - BootClock::now();
+    co_await this->Wait(this->leadershipLease != 0
+                          ? std::min(untilDue, kLeadershipRenewal)
+                          : untilDue);
+  }
+}
+
+Task<> Session::KeepPresence()
+{
+  if (this->ended || BootClock::now() < this->presenceDue) {
+    co_return;
+  }
+  this->presenceDue = BootClock::now() + kPresenceRetry;
+  if (this->presenceLease == 0) {
+    co_await this->Register();
+  } else {
+    co_await this->RenewPresence();
   }
 }
 
 Task<> Session::Register()
 {
-  const auto startedAt = BootClock::now();
-  const auto granted = co_await this->store.GrantLease(kLease);
+  const auto granted = co_await this->store.GrantLease(kPresenceLease);
   if (!granted) {
     co_return;
   }
@@ -56,34 +69,54 @@
     co_await this->store.CreateIfAbsent(std::move(key), std::move(text), *granted);
   // Whatever became of an earlier registration, it ends with its own lease.
   if (created || created.LastReason() == StoreFailure::Conflict) {
-    this->lease = *granted;
-    this->renewedAt = startedAt;
+    this->presenceLease = *granted;
+    this->presenceDue = BootClock::now() + kPresenceRenewal;
   }
 }
 
-Task<> Session::Renew()
+Task<> Session::RenewPresence()
 {
-  const auto startedAt = BootClock::now();
-  const auto renewed = co_await this->store.KeepLeaseAlive(this->lease);
+  const auto renewed = co_await this->store.KeepLeaseAlive(this->presenceLease);
   if (renewed) {
-    this->renewedAt = startedAt;
+    this->presenceDue = BootClock::now() + kPresenceRenewal;
     co_return;
   }
   if (renewed.LastReason() == StoreFailure::NotFound) {
-    this->state.log.Write(LogWeight::Notable,
-                          "session_lapsed",
-                          { { "lease", static_cast<std::int64_t>(this->lease) } });
-    this->lease = 0;
+    this->state.log.Write(
+      LogWeight::Notable,
+      "session_lapsed",
+      { { "lease", static_cast<std::int64_t>(this->presenceLease) } });
+    this->presenceLease = 0;
     co_await this->Register();
   }
 }
 
+Task<> Session::RenewLeadership()
+{
+  const auto startedAt = BootClock::now();
+  const auto renewed = co_await this->store.KeepLeaseAlive(this->leadershipLease);
+  if (renewed) {
+    this->leadershipRenewedAt = startedAt;
+  } else if (renewed.LastReason() == StoreFailure::NotFound) {
+    this->state.log.Write(
+      LogWeight::Notable, "leadership_lapsed", { { "term", this->leaderRevision } });
+    this->leadershipLease = 0;
+  }
+}
+
 Task<> Session::Compete()
 {
+  const auto startedAt = BootClock::now();
+  const auto granted = co_await this->store.GrantLease(kLeadershipLease);
+  if (!granted || this->ended || !this->leader.empty()) {
+    co_return;
+  }
+  this->leadershipLease = *granted;
+  this->leadershipRenewedAt = startedAt;
   // The change feed tells who won, also when the answer is lost.
-  const std::string value = this->run + "/" + std::to_string(this->lease);
-  const auto created =
-    co_await this->store.CreateIfAbsent(std::string(kLeaderKey), value, this->lease);
+  const std::string value = this->OwnClaim();
+  const auto created = co_await this->store.CreateIfAbsent(
+    std::string(kLeaderKey), value, this->leadershipLease);
   if (created) {
     this->leader = value;
     this->leaderRevision = *created;
@@ -93,6 +126,16 @@
   }
 }
 
+std::string Session::OwnClaim() const
+{
+  return this->run + "/" + std::to_string(this->leadershipLease);
+}
+
+bool Session::HoldsLeadership() const
+{
+  return this->leadershipLease != 0 && this->leader == this->OwnClaim();
+}
+
 void Session::OnOwnKey(const StoreChange& aChange)
 {
   if (aChange.key != kLeaderKey || aChange.revision < this->leaderRevision) {
@@ -108,9 +151,8 @@
 
 std::int64_t Session::LeaderTerm(TimePoint aNow) const
 {
-  const bool leads = this->lease != 0 && !this->ended &&
-                     this->leader == this->run + "/" + std::to_string(this->lease) &&
-                     aNow < this->renewedAt + kLease - kMargin;
+  const bool leads = this->HoldsLeadership() && !this->ended &&
+                     aNow < this->leadershipRenewedAt + kLeadershipLease - kMargin;
   return leads ? this->leaderRevision : 0;
 }
 
@@ -127,10 +169,14 @@
 {
   this->ended = true;
   this->timer.cancel();
-  const auto last = std::exchange(this->lease, 0);
-  if (last != 0) {
-    // A lease that can't be ended now ends by itself.
-    (void)co_await this->store.RevokeLease(last);
+  const auto leadership = std::exchange(this->leadershipLease, 0);
+  const auto presence = std::exchange(this->presenceLease, 0);
+  // A lease that can't be ended now ends by itself.
+  if (leadership != 0) {
+    (void)co_await this->store.RevokeLease(leadership);
+  }
+  if (presence != 0) {
+    (void)co_await this->store.RevokeLease(presence);
   }
 }
 
--- a/programs/toucanstand-server/Session.h
+++ b/programs/toucanstand-server/Session.h
@@ -9,8 +9,8 @@
 
 namespace toucanstand {
 
-/// Presence of this process in the platform's store: a registration for its peers, and
-/// the leadership of group formation, both under one lease.
+/// Presence of this process in the platform's store: a registration for its peers and, if
+/// it wins it, the leadership of group formation, each under a lease of its own.
 ///
 /// Leadership only chooses who acts, so that few contend; engines reject the orders of an
 /// earlier leader by their fence.
@@ -22,11 +22,16 @@
   /// Held by the process that gives engines their orders.
   static constexpr std::string_view kLeaderKey = "toucanstand/leader";
   /// A leader that died is replaced after this.
-  static constexpr std::chrono::seconds kLease{ 2 };
+  static constexpr std::chrono::seconds kLeadershipLease{ 2 };
   /// The leader renews early enough for two lost answers.
-  static constexpr Duration kRenewal = std::chrono::milliseconds(500);
-  /// A VM that does not lead loses little when its registration lapses for a moment.
-  static constexpr Duration kIdleRenewal = std::chrono::milliseconds(900);
+  static constexpr Duration kLeadershipRenewal = std::chrono::milliseconds(500);
+  /// Peers find out about a VM that died by its silence; its registration may outlive it.
+  /// Each renewal is a write to the store, and there are hundreds of VMs.
+  static constexpr std::chrono::seconds kPresenceLease{ 10 };
+  /// Leaves time for one renewal that fails.
+  static constexpr Duration kPresenceRenewal = std::chrono::milliseconds(4000);
+  /// Between two tries to register or to renew a registration.
+  static constexpr Duration kPresenceRetry = std::chrono::milliseconds(1500);
   /// VMs that are no relays leave the leadership to those for this long, so that not all
   /// write to the store at once. They hear of a new leader within two readings.
   static constexpr Duration kHesitation = std::chrono::milliseconds(1000);
@@ -59,18 +64,27 @@
   Task<> End();
 
 private:
-  Task<> Renew();
+  Task<> KeepPresence();
   Task<> Register();
+  Task<> RenewPresence();
+  Task<> RenewLeadership();
   Task<> Compete();
   Task<> Wait(Duration aDuration);
 
+  /// What the leader's key holds while this process leads.
+  [[nodiscard]] std::string OwnClaim() const;
+  /// True once the store has shown that this process holds the leader's key.
+  [[nodiscard]] bool HoldsLeadership() const;
+
   ServingState& state;
   PlatformStore& store;
   PeerDirectory& peers;
   boost::asio::steady_timer timer;
   std::string run;
-  StoreLease lease = 0;
-  TimePoint renewedAt{};
+  StoreLease presenceLease = 0;
+  TimePoint presenceDue{};
+  StoreLease leadershipLease = 0;
+  TimePoint leadershipRenewedAt{};
   /// The leader as the store has it; empty when there is none.
   std::string leader;
   StoreRevision leaderRevision = 0;
--- a/tests/unit/toucanstand_membership/TestPeerDirectory.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerDirectory.cpp
@@ -21,9 +21,9 @@
 
 PeerDirectory DirectoryOf(int aOwn, int aVms)
 {
-  PeerDirectory directory(RunName(aOwn), 0.25);
+  PeerDirectory directory(RunName(aOwn), { EndpointOf(aOwn), 0.25 });
   for (int number = 0; number < aVms; ++number) {
-    directory.Put(RunName(number), { EndpointOf(number), 0.25 });
+    directory.Put(RunName(number), { EndpointOf(number), 0.25 }, number + 1);
   }
   return directory;
 }
@@ -33,10 +33,10 @@
 TEST_CASE("A VM that knows no other is its own relay", "[peers]")
 {
   // Guards against a single VM that waits for a relay instead of reading the store.
-  PeerDirectory alone("vm-1.1", 1.0);
+  PeerDirectory alone("vm-1.1", { EndpointOf(1), 1.0 });
   CHECK(alone.IsRelay());
   CHECK(alone.Relays().empty());
-  alone.Put("vm-1.1", { EndpointOf(1), 1.0 });
+  alone.Put("vm-1.1", { EndpointOf(1), 1.0 }, 1);
   CHECK(alone.Others().empty());
 }
 
@@ -83,14 +83,31 @@
 {
   // Guards against a VM with an eighth of a core that answers most of the fleet.
   auto directory = DirectoryOf(0, 30);
-  directory.Put("large-1.1", { EndpointOf(101), 0.5 });
-  directory.Put("large-2.1", { EndpointOf(102), 0.5 });
+  directory.Put("large-1.1", { EndpointOf(101), 0.5 }, 101);
+  directory.Put("large-2.1", { EndpointOf(102), 0.5 }, 102);
   CHECK_FALSE(directory.IsRelay());
   const auto& relays = directory.Relays();
   CHECK(std::set<Endpoint>(relays.begin(), relays.end()) ==
         std::set<Endpoint>{ EndpointOf(101), EndpointOf(102) });
 }
 
+TEST_CASE("A VM whose process was killed and came back counts once", "[peers]")
+{
+  // Guards against a fleet that takes half of its relays from processes that are gone:
+  // the registration of a killed process lasts until its lease ends.
+  auto directory = DirectoryOf(0, 3);
+  directory.Put("vm-1.2", { EndpointOf(1), 0.25 }, 10);
+  CHECK(directory.Others().size() == 2);
+  CHECK(directory.Others().contains("vm-1.2"));
+  // Pages of a whole reading come in the order of the keys.
+  directory.Put(RunName(1), { EndpointOf(1), 0.25 }, 2);
+  CHECK(directory.Others().contains("vm-1.2"));
+  directory.Put("vm-0.0", { EndpointOf(0), 0.25 }, 1);
+  CHECK(directory.Others().size() == 2);
+  directory.Remove(RunName(1));
+  CHECK(directory.Others().size() == 2);
+}
+
 TEST_CASE("A presence is read as it was written, and nothing else is", "[peers]")
 {
   // Guards against a key of another version that ends the process or names no address.
