--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -173,107 +173,70 @@
     return;
   }
   const auto& lacking = this->MostLacking(aSituation);
-  const auto donation = this->DonationFor(aSituation, lacking, aFree);
-  if (!donation) {
+  const auto donor = this->DonorFor(aSituation, lacking, aFree);
+  if (!donor) {
     return;
   }
   // A cold engine would keep the others waiting for the whole time of a load.
-  if (donation->cold.empty()) {
-    for (const auto& group : donation->groups) {
-      this->lifecycle.Move(group, lacking.name, donation->domain, aSituation.now);
-    }
+  if (donor->cold.empty()) {
+    this->lifecycle.Move(donor->group, lacking.name, donor->domain, aSituation.now);
     return;
   }
-  for (const auto* entry : donation->cold) {
+  for (const auto* entry : donor->cold) {
     this->staging.StageIfAffordable(
       *entry, lacking.name, aSituation.inputs, aSituation.now);
   }
 }
 
-std::optional<FormationController::Donation> FormationController::DonationFor(
+std::optional<FormationController::Donor> FormationController::DonorFor(
   const Situation& aSituation,
   const ModelTerms& aLacking,
   const Engines& aFree) const
 {
   const double lackingAfter = this->Supply(aSituation, aLacking, 1);
-  std::optional<Donation> best;
-  for (const auto& giving : aSituation.inputs.cost.models) {
-    if (giving.name == aLacking.name) {
-      continue;
-    }
-    for (const auto& [domain, groups] : this->MayGive(aSituation, giving)) {
-      auto donation = this->Collect(domain, groups, aLacking, aFree);
-      const bool mayGive =
-        donation &&
-        this->Supply(aSituation, giving, -static_cast<double>(donation->groups.size())) >=
-          lackingAfter;
-      const auto cost = [](const Donation& aDonation) {
-        return std::pair(aDonation.cold.size(), aDonation.groups.size());
-      };
-      if (mayGive && (!best || cost(*donation) < cost(*best))) {
-        best = std::move(donation);
-      }
-    }
-  }
-  return best;
-}
-
-std::map<DomainId, std::vector<const ObservedGroup*>> FormationController::MayGive(
-  const Situation& aSituation,
-  const ModelTerms& aGiving) const
-{
-  std::map<DomainId, std::vector<const ObservedGroup*>> byDomain;
+  std::optional<Donor> best;
   for (const auto& [id, record] : this->lifecycle.Groups()) {
+    const auto* terms = aSituation.inputs.cost.FindModel(record.model);
     const auto seen = aSituation.observed.find(id);
-    const bool mayGive = record.phase == GroupPhase::Standing &&
-                         record.model == aGiving.name &&
+    const bool mayGive = record.phase == GroupPhase::Standing && terms != nullptr &&
                          seen != aSituation.observed.end() &&
-                         seen->second.Head() != nullptr;
-    if (mayGive) {
-      byDomain[seen->second.Head()->domain].push_back(&seen->second);
+                         seen->second.Head() != nullptr &&
+                         record.model != aLacking.name &&
+                         this->Supply(aSituation, *terms, -1) >= lackingAfter;
+    if (!mayGive) {
+      continue;
+    }
+    auto candidate = this->AsDonor(seen->second, aLacking, aFree);
+    if (candidate && (!best || candidate->cold.size() < best->cold.size())) {
+      best = std::move(candidate);
     }
   }
-  return byDomain;
+  return best;
 }
 
-std::optional<FormationController::Donation> FormationController::Collect(
-  const DomainId& aDomain,
-  const std::vector<const ObservedGroup*>& aGroups,
+std::optional<FormationController::Donor> FormationController::AsDonor(
+  const ObservedGroup& aGroup,
   const ModelTerms& aLacking,
   const Engines& aFree) const
 {
-  Engines engines;
+  const auto& domain = aGroup.Head()->domain;
+  auto engines = aGroup.members;
   std::ranges::copy_if(
-    aFree, std::back_inserter(engines), [&aDomain](const ServerEntry* aEntry) {
-      return aEntry->domain == aDomain;
+    aFree, std::back_inserter(engines), [&domain](const ServerEntry* aEntry) {
+      return aEntry->domain == domain;
     });
-  const bool freeHelp = !engines.empty();
-  auto groups = aGroups;
-  std::ranges::stable_sort(groups, {}, [&](const ObservedGroup* aGroup) {
-    return std::ranges::count_if(aGroup->members, [&](const ServerEntry* aMember) {
-      return this->staging.CostOf(*aMember, aLacking.name) == JoinCost::Cold;
-    });
-  });
-  Donation donation{ aDomain, {}, {} };
-  for (const auto* group : groups) {
-    std::ranges::copy(group->members, std::back_inserter(engines));
-    donation.groups.push_back(group->id);
-    if (engines.size() >= aLacking.groupSize) {
-      break;
-    }
-  }
-  // One group alone is worth closing only where its engines bring free ones into service.
-  const bool useful = freeHelp || donation.groups.size() > 1;
+  const bool useful = engines.size() > aGroup.members.size();
   if (!useful || engines.size() < aLacking.groupSize) {
     return std::nullopt;
   }
+  Donor donor{ aGroup.id, domain, {} };
   std::ranges::copy_if(this->Quickest(std::move(engines), aLacking),
-                       std::back_inserter(donation.cold),
+                       std::back_inserter(donor.cold),
                        [&](const ServerEntry* aEntry) {
                          return this->staging.CostOf(*aEntry, aLacking.name) ==
                                 JoinCost::Cold;
                        });
-  return donation;
+  return donor;
 }
 
 std::optional<FormationController::Prospect> FormationController::ProspectOf(
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -88,32 +88,24 @@
   void FormGroups(const Situation& aSituation, Engines& aFree);
   bool FormOne(const Situation& aSituation, const ModelTerms& aModel, Engines& aFree);
 
-  /// Closes groups of a model with more than enough of them where their engines and the
+  /// Closes a group of a model with more than enough groups where its engines and the
   /// free ones of the same domain make a group of a model that lacks one.
   void MoveEngines(const Situation& aSituation, const Engines& aFree);
 
-  /// Groups of one model and domain whose engines, with free ones, make a group of
-  /// another model.
-  struct Donation
+  /// A group whose engines, with free ones, make a group of another model.
+  struct Donor
   {
+    GroupId group;
     DomainId domain;
-    std::vector<GroupId> groups;
     /// Engines of the new group that would have to load its weights.
     Engines cold;
   };
-  [[nodiscard]] std::optional<Donation> DonationFor(const Situation& aSituation,
-                                                    const ModelTerms& aLacking,
-                                                    const Engines& aFree) const;
-  /// The groups of a model in each domain that may be closed.
-  [[nodiscard]] std::map<DomainId, std::vector<const ObservedGroup*>> MayGive(
-    const Situation& aSituation,
-    const ModelTerms& aGiving) const;
-  /// As few of the groups as suffice; nothing if all of them do not.
-  [[nodiscard]] std::optional<Donation> Collect(
-    const DomainId& aDomain,
-    const std::vector<const ObservedGroup*>& aGroups,
-    const ModelTerms& aLacking,
-    const Engines& aFree) const;
+  [[nodiscard]] std::optional<Donor> DonorFor(const Situation& aSituation,
+                                              const ModelTerms& aLacking,
+                                              const Engines& aFree) const;
+  [[nodiscard]] std::optional<Donor> AsDonor(const ObservedGroup& aGroup,
+                                             const ModelTerms& aLacking,
+                                             const Engines& aFree) const;
 
   /// The engines for which joining takes the least time.
   [[nodiscard]] Engines Quickest(Engines aEngines, const ModelTerms& aModel) const;
