Save retries for the loss of a group; one VM's part of the fleet's limits in one class

Cause: each VM held at most 1.2 retries of credit and 1.2 of overdraft, per account as well, because only the slack of the limits was given out as credit.

Change: a pool may hold credit for 0.4 of the share of its first attempts of a window, and earns 0.5 of the share; both together stay below the limit in any window. An account may use half of what its pool has saved at once. The window is a setting (retry_window_s).

--- a/modules/toucanstand_delivery/attempts/RetryBudget.cpp
+++ b/modules/toucanstand_delivery/attempts/RetryBudget.cpp
@@ -1,13 +1,15 @@
 #include "attempts/RetryBudget.h"
 
 #include <algorithm>
+#include <cmath>
+#include <ranges>
 
 #include <nlohmann/json.hpp>
 
 namespace toucanstand {
 
 template<typename Id>
-double& RetryBudget::BucketOf(Buckets<Id>& aBuckets, const Id& aId) const
+RetryBudget::Bucket& RetryBudget::BucketOf(Buckets<Id>& aBuckets, const Id& aId) const
 {
   const auto found = aBuckets.find(aId);
   if (found != aBuckets.end()) {
@@ -16,35 +18,60 @@
   // Evicting a bucket instead would grant its owner the initial credit again. The shared
   // bucket is named by the empty id.
   const bool full = aBuckets.size() >= kMaximumBuckets;
-  return aBuckets.try_emplace(full ? Id{} : aId, this->settings.initialCredit)
+  return aBuckets
+    .try_emplace(full ? Id{} : aId, Bucket{ this->settings.initialCredit, 0.0 })
     .first->second;
 }
 
+double RetryBudget::LargestCreditOf(const Bucket& aBucket) const
+{
+  return this->settings.largestCredit + this->settings.recentShare * aBucket.recent;
+}
+
 void RetryBudget::OnFirstAttempt(const AccountId& aAccount, const PoolId& aPool)
 {
   ++this->firstAttempts;
-  for (double* bucket : { &this->BucketOf(this->accounts, aAccount),
+  for (Bucket* bucket : { &this->BucketOf(this->accounts, aAccount),
                           &this->BucketOf(this->pools, aPool) }) {
-    *bucket = std::min(*bucket + this->settings.share, this->settings.largestCredit);
+    bucket->recent += 1.0;
+    bucket->credit =
+      std::min(bucket->credit + this->settings.share, this->LargestCreditOf(*bucket));
   }
 }
 
+void RetryBudget::OnTime(TimePoint aNow)
+{
+  const auto passed = std::max(aNow - this->fadedAt, Duration::zero());
+  const double kept = std::exp(-ToSeconds(passed) / ToSeconds(this->settings.window));
+  this->fadedAt = aNow;
+  const auto fade = [this, kept](auto& aBuckets) {
+    for (auto& bucket : aBuckets | std::views::values) {
+      bucket.recent *= kept;
+      bucket.credit = std::min(bucket.credit, this->LargestCreditOf(bucket));
+    }
+  };
+  fade(this->accounts);
+  fade(this->pools);
+}
+
 bool RetryBudget::TrySpend(const AccountId& aAccount,
                            const PoolId& aPool,
                            RetryCause aCause)
 {
-  double& account = this->BucketOf(this->accounts, aAccount);
-  double& pool = this->BucketOf(this->pools, aPool);
+  auto& account = this->BucketOf(this->accounts, aAccount);
+  auto& pool = this->BucketOf(this->pools, aPool);
   const double lowest =
     aCause == RetryCause::LostServer ? -this->settings.largestOverdraft : 0.0;
+  const double accountLowest = lowest - this->settings.recentShare * pool.recent / 2;
   // Ten shares of 0.1 add up to slightly less than 1 in floating point.
   constexpr double kRounding = 1e-9;
-  if (std::min(account, pool) - 1.0 < lowest - kRounding) {
+  if (account.credit - 1.0 < accountLowest - kRounding ||
+      pool.credit - 1.0 < lowest - kRounding) {
     ++this->denied;
     return false;
   }
-  account -= 1.0;
-  pool -= 1.0;
+  account.credit -= 1.0;
+  pool.credit -= 1.0;
   ++this->spent;
   return true;
 }
--- a/modules/toucanstand_delivery/attempts/RetryBudget.h
+++ b/modules/toucanstand_delivery/attempts/RetryBudget.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "identifiers/Identifiers.h"
+#include "time/BootClock.h"
 
 namespace toucanstand {
 
@@ -29,14 +30,19 @@
   double initialCredit = 1.0;
   /// Bounds the burst of retries after a long quiet period.
   double largestCredit = 20.0;
+  /// Credit that may be held beyond that, relative to the first attempts of the last
+  /// window: a lost server costs many retries at once, and the rest of the time few.
+  double recentShare = 0.0;
+  Duration window = std::chrono::seconds(10);
   /// About what one entry VM has in flight on a third of a pool of 50 engines.
   double largestOverdraft = 64.0;
 };
 
 /// Limits retries to a share of the first attempts, per account and per pool.
 ///
-/// Both buckets must allow a retry. In any period, retries of one account are at most the
-/// share of its first attempts plus the largest credit plus the largest overdraft.
+/// Both buckets must allow a retry. In any period, retries to one pool are at most the
+/// share of its first attempts plus the largest credit plus the largest overdraft. An
+/// account may be overdrawn by half of what its pool may hold for recent attempts.
 class RetryBudget
 {
 public:
@@ -49,6 +55,9 @@
   /// Replaces the limits; credit that was earned stays.
   void Configure(const RetryBudgetSettings& aSettings) { this->settings = aSettings; }
 
+  /// Call it some times in each window where recent attempts count.
+  void OnTime(TimePoint aNow);
+
   /// Accounts or pools beyond this number share one bucket.
   static constexpr std::size_t kMaximumBuckets = 4096;
 
@@ -65,15 +74,24 @@
   [[nodiscard]] nlohmann::json Describe() const;
 
 private:
+  struct Bucket
+  {
+    double credit = 0;
+    /// First attempts, each of which fades over a window.
+    double recent = 0;
+  };
+
   template<typename Id>
-  using Buckets = std::unordered_map<Id, double>;
+  using Buckets = std::unordered_map<Id, Bucket>;
 
   template<typename Id>
-  double& BucketOf(Buckets<Id>& aBuckets, const Id& aId) const;
+  Bucket& BucketOf(Buckets<Id>& aBuckets, const Id& aId) const;
+  [[nodiscard]] double LargestCreditOf(const Bucket& aBucket) const;
 
   RetryBudgetSettings settings;
   Buckets<AccountId> accounts;
   Buckets<PoolId> pools;
+  TimePoint fadedAt{};
   std::uint64_t firstAttempts = 0;
   std::uint64_t spent = 0;
   std::uint64_t denied = 0;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -14,12 +14,6 @@
 
 /// How often due removals and new limits are applied.
 constexpr Duration kTick = std::chrono::milliseconds(100);
-/// Part of the fleet's retry slack that is given out as credit, and as overdraft for lost
-/// servers; the rest covers entry VMs that do not know of one another yet.
-constexpr double kCreditPart = 0.4;
-constexpr double kOverdraftPart = 0.4;
-/// The same part of the retry share.
-constexpr double kSharePart = 0.8;
 /// The balancer asks once a second and takes a VM out after two misses.
 constexpr Duration kBalancerNotice = std::chrono::milliseconds(2500);
 /// Part of the stop period that requests in flight may use; the rest is for the end of
@@ -31,18 +25,6 @@
   return FromSeconds(ToSeconds(aSettings.stopPeriod) * kDrainShare);
 }
 
-/// This entry VM's part of the retries that the fleet may make.
-RetryBudgetSettings RetryPart(const ServerSettings& aSettings, std::size_t aPeers)
-{
-  const auto vms = static_cast<double>(aPeers + 1);
-  RetryBudgetSettings part;
-  part.share = aSettings.retryShare * kSharePart;
-  part.largestCredit = aSettings.retrySlack * kCreditPart / vms;
-  part.initialCredit = part.largestCredit;
-  part.largestOverdraft = aSettings.retrySlack * kOverdraftPart / vms;
-  return part;
-}
-
 HttpServerLimits LimitsOf(const ServerSettings& aSettings)
 {
   HttpServerLimits limits;
@@ -165,7 +147,8 @@
   this->state.directory.OnTime(now);
   this->state.quarantine.OnTime(now);
   this->state.retryBudget.Configure(
-    RetryPart(this->state.settings, this->peers.PeerCount()));
+    this->state.settings.retries.PartOf(this->peers.PeerCount() + 1));
+  this->state.retryBudget.OnTime(now);
   this->state.RefreshDestinations(now);
   this->state.NoteUnseenWork(this->peers.WorkOfOthers(now), this->peers.MeanReportAge());
   if (this->state.configuration &&
--- a/programs/toucanstand-server/ServerSettings.cpp
+++ b/programs/toucanstand-server/ServerSettings.cpp
@@ -8,6 +8,8 @@
 {
   constexpr double kShortestStop = 1;
   constexpr double kLongestStop = 3600;
+constexpr double kShortestWindow = 1;
+constexpr double kLongestWindow = 3600;
   constexpr double kMostLines = 100'000;
   constexpr double kLeastShare = 0.001;
   constexpr double kMostShare = 1024;
@@ -24,8 +26,11 @@
   settings.stopPeriod = FromSeconds(aReader.Number(
     "stop_period_s", kShortestStop, kLongestStop, ToSeconds(settings.stopPeriod)));
   constexpr double kMostSlack = 1'000'000;
-  settings.retryShare = aReader.Number("retry_share", 0, 1, settings.retryShare);
-  settings.retrySlack = aReader.Number("retry_slack", 0, kMostSlack, settings.retrySlack);
+  auto& retries = settings.retries;
+  retries.share = aReader.Number("retry_share", 0, 1, retries.share);
+  retries.slack = aReader.Number("retry_slack", 0, kMostSlack, retries.slack);
+  retries.window = FromSeconds(aReader.Number(
+    "retry_window_s", kShortestWindow, kLongestWindow, ToSeconds(retries.window)));
   settings.headStall = aReader.Milliseconds("head_stall_ms",
                                             std::chrono::milliseconds(10),
                                             std::chrono::minutes(10),
--- a/programs/toucanstand-server/ServerSettings.h
+++ b/programs/toucanstand-server/ServerSettings.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 
+#include "attempts/FleetRetryLimits.h"
 #include "identifiers/Identifiers.h"
 #include "network/Endpoint.h"
 #include "settings/SettingsReader.h"
@@ -27,10 +28,8 @@
   double cpuShare = 1.0;
   /// Time from the signal to stop until the process is killed.
   Duration stopPeriod = std::chrono::seconds(8);
-  /// Retries that all entry VMs together may make: this share of the requests, and this
-  /// many besides, in a window of ten seconds.
-  double retryShare = 0.1;
-  double retrySlack = 50;
+  /// Retries that all entry VMs together may make.
+  FleetRetryLimits retries;
   /// Time for which the head of a group with a missing member keeps its work.
   Duration headStall = std::chrono::seconds(5);
   /// Open connections of callers.
