Relays answer in parts, and one that is behind is passed over

Ruled out: renewals of registrations, which the store charges at a tenth; logs that do not reach back (the revisions asked for were 1 to 130 behind the relay's).

Change: an answer holds the first revisions that fit and says that there is more; a copy counts as up to date only with the last part. Relays wait 250 ms for a change. A relay that is behind is asked only when all are. relay_not_used states both revisions.

--- a/modules/toucanstand_transport/store/ChangeFeed.h
+++ b/modules/toucanstand_transport/store/ChangeFeed.h
@@ -24,6 +24,8 @@
   StoreRevision at = 0;
   /// Time since the store was asked, when the answer does not come from the store itself.
   Duration age{ 0 };
+  /// There are further changes, which the next call brings.
+  bool hasMore = false;
 };
 
 /// A part of the keys with a prefix. Successive pages are not one snapshot.
--- a/modules/toucanstand_transport/store/ChangeRelay.cpp
+++ b/modules/toucanstand_transport/store/ChangeRelay.cpp
@@ -1,6 +1,8 @@
 #include "store/ChangeRelay.h"
 
-#include <numeric>
+#include <algorithm>
+#include <iterator>
+#include <optional>
 
 namespace toucanstand {
 
@@ -11,15 +13,38 @@
 /// Key, revision and the other parts of a change.
 constexpr std::size_t kChangeOverhead = 32;
 
-std::size_t SizeOf(const StoreChanges& aChanges)
+std::size_t SizeOf(const StoreChange& aChange)
 {
-  return std::accumulate(aChanges.changes.begin(),
-                         aChanges.changes.end(),
-                         std::size_t{ 0 },
-                         [](std::size_t aSum, const StoreChange& aChange) {
-                           return aSum + kChangeOverhead + aChange.key.size() +
-                                  (aChange.value ? aChange.value->size() : 0);
-                         });
+  return kChangeOverhead + aChange.key.size() +
+         (aChange.value ? aChange.value->size() : 0);
+}
+
+/// The first changes that fit into a datagram, whole revisions only; nothing when not
+/// even the first revision fits.
+std::optional<StoreChanges> FirstThatFit(const StoreChanges& aChanges)
+{
+  std::size_t bytes = 0;
+  const auto tooMany =
+    std::ranges::find_if(aChanges.changes, [&bytes](const StoreChange& aChange) {
+      bytes += SizeOf(aChange);
+      return bytes > kMostAnswerBytes;
+    });
+  if (tooMany == aChanges.changes.end()) {
+    return aChanges;
+  }
+  StoreChanges first;
+  std::ranges::copy_if(
+    aChanges.changes.begin(),
+    tooMany,
+    std::back_inserter(first.changes),
+    [tooMany](const StoreChange& aChange) { return aChange.revision < tooMany->revision; });
+  if (first.changes.empty()) {
+    return std::nullopt;
+  }
+  first.at = first.changes.back().revision;
+  first.age = aChanges.age;
+  first.hasMore = true;
+  return first;
 }
 
 } // namespace
@@ -33,10 +58,10 @@
 
 std::vector<std::uint8_t> EncodeChangeAnswer(const ChangeAnswer& aAnswer)
 {
-  const bool known = aAnswer.known && SizeOf(aAnswer.changes) <= kMostAnswerBytes;
+  const auto sent = aAnswer.known ? FirstThatFit(aAnswer.changes) : std::nullopt;
   json rows = json::array();
-  if (known) {
-    for (const auto& change : aAnswer.changes.changes) {
+  if (sent) {
+    for (const auto& change : sent->changes) {
       // A list, because a deleted key has no value.
       json value = json::array();
       if (change.value) {
@@ -49,10 +74,12 @@
   const auto age = ToMilliseconds(aAnswer.changes.age).count();
   return EncodeDatagram(DatagramKind::ChangeAnswer,
                         json::array({ aAnswer.number,
-                                      known,
+                                      sent.has_value(),
                                       static_cast<std::uint64_t>(aAnswer.after),
-                                      static_cast<std::uint64_t>(aAnswer.changes.at),
+                                      static_cast<std::uint64_t>(
+                                        sent ? sent->at : aAnswer.changes.at),
                                       static_cast<std::uint64_t>(age),
+                                      sent && sent->hasMore,
                                       std::move(rows) }));
 }
 
@@ -74,10 +101,11 @@
 
 Result<ChangeAnswer, DatagramFailure> DecodeChangeAnswer(const json& aFields)
 {
-  constexpr std::size_t kFields = 6;
+  constexpr std::size_t kFields = 7;
   constexpr std::size_t kChangeFields = 3;
   constexpr std::uint64_t kLongestAgeMs = 3'600'000;
-  if (!aFields.is_array() || aFields.size() != kFields || !aFields[1].is_boolean()) {
+  if (!aFields.is_array() || aFields.size() != kFields || !aFields[1].is_boolean() ||
+      !aFields[5].is_boolean()) {
     return DatagramFailure::BadField;
   }
   FieldReader reader;
@@ -88,7 +116,8 @@
   answer.changes.at = static_cast<StoreRevision>(reader.Whole(aFields[3]));
   answer.changes.age =
     std::chrono::milliseconds(std::min(reader.Whole(aFields[4]), kLongestAgeMs));
-  for (const auto& row : reader.List(aFields[5])) {
+  answer.changes.hasMore = aFields[5].get<bool>();
+  for (const auto& row : reader.List(aFields[6])) {
     const auto& items = reader.List(row, kChangeFields);
     if (items.empty()) {
       continue;
--- a/modules/toucanstand_transport/store/StoreMirror.cpp
+++ b/modules/toucanstand_transport/store/StoreMirror.cpp
@@ -30,7 +30,9 @@
     const Duration pause = result
                              ? this->settings.interval - (BootClock::now() - startedAt)
                              : this->settings.retryPause;
-    co_await this->Wait(pause);
+    if (!result || !this->hasMore) {
+      co_await this->Wait(pause);
+    }
   }
 }
 
@@ -97,8 +99,11 @@
     this->needsAll = changes.LastReason() == StoreFailure::HistoryLost;
     co_return changes.LastReason();
   }
-  // The owner hears of the end of an outage before it hears what the outage removed.
-  this->NoteAnswer(aStartedAt - changes->age);
+  this->hasMore = changes->hasMore;
+  if (!this->hasMore) {
+    // The owner hears of the end of an outage before it hears what the outage removed.
+    this->NoteAnswer(aStartedAt - changes->age);
+  }
   this->Deliver(*changes);
   co_return Done{};
 }
--- a/modules/toucanstand_transport/store/StoreMirror.h
+++ b/modules/toucanstand_transport/store/StoreMirror.h
@@ -57,7 +57,11 @@
   void TakeUnasked(StoreRevision aAfter, const StoreChanges& aChanges);
 
   /// Applies from the next call on.
-  void SetInterval(Duration aInterval) { this->settings.interval = aInterval; }
+  void SetPace(Duration aInterval, std::chrono::milliseconds aWait)
+  {
+    this->settings.interval = aInterval;
+    this->settings.wait = aWait;
+  }
 
   /// True once all keys have been read.
   [[nodiscard]] bool IsComplete() const { return this->complete; }
@@ -85,6 +89,8 @@
   StoreMirrorListener listener;
   StoreRevision at = 0;
   bool needsAll = true;
+  /// The last answer was the first part of what changed.
+  bool hasMore = false;
   bool complete = false;
   bool lost = false;
   TimePoint upToDateAt{};
--- a/programs/toucanstand-server/RelayedFeed.cpp
+++ b/programs/toucanstand-server/RelayedFeed.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -38,6 +40,11 @@
   const auto now = BootClock::now();
   const auto relay = this->PickRelay(now);
   if (!relay) {
+    const bool mayAsk = this->peers.IsRelay() || this->peers.Relays().empty() ||
+                        now >= this->storeAgainAt;
+    if (!mayAsk) {
+      co_return StoreFailure::NotSent;
+    }
     co_return co_await this->AskStore(std::move(aPrefix), aAfter, aWait);
   }
   auto changes = co_await this->Ask(*relay, aAfter);
@@ -45,9 +52,7 @@
     this->metrics.Count("store_changes_relayed_total");
     co_return std::move(*changes);
   }
-  const bool storeIsAway =
-    changes.LastReason() == RelayFailure::TooOld && now < this->storeAgainAt;
-  if (storeIsAway) {
+  if (changes.LastReason() == RelayFailure::TooOld && now < this->storeAgainAt) {
     co_return StoreFailure::NotSent;
   }
   co_return co_await this->AskStore(std::move(aPrefix), aAfter, aWait);
@@ -70,13 +75,23 @@
   if (this->peers.IsRelay()) {
     return std::nullopt;
   }
-  std::erase_if(this->avoidedUntil,
-                [aNow](const auto& aAvoided) { return aNow >= aAvoided.second; });
-  const auto& relays = this->peers.Relays();
-  const auto found = std::ranges::find_if(relays, [this](const Endpoint& aRelay) {
-    return !this->avoidedUntil.contains(aRelay);
+  const auto hasPassed = [aNow](const auto& aUntil) { return aNow >= aUntil.second; };
+  std::erase_if(this->silentUntil, hasPassed);
+  std::erase_if(this->behindUntil, hasPassed);
+  std::vector<Endpoint> answering;
+  std::ranges::copy_if(this->peers.Relays(),
+                       std::back_inserter(answering),
+                       [this](const Endpoint& aRelay) {
+                         return !this->silentUntil.contains(aRelay);
+                       });
+  if (answering.empty()) {
+    return std::nullopt;
+  }
+  // A relay that is behind still tells the load of the others.
+  const auto upToDate = std::ranges::find_if(answering, [this](const Endpoint& aRelay) {
+    return !this->behindUntil.contains(aRelay);
   });
-  return found == relays.end() ? std::nullopt : std::optional(*found);
+  return upToDate == answering.end() ? answering.front() : *upToDate;
 }
 
 Task<Result<StoreChanges, RelayedFeed::RelayFailure>> RelayedFeed::Ask(
@@ -84,17 +99,20 @@
   StoreRevision aAfter)
 {
   this->answer.reset();
+  this->askedAfter = aAfter;
   this->sender(EncodeChangeQuery({ ++this->number, aAfter }), aRelay);
   this->timer.expires_after(kAnswerTimeout);
   co_await this->timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
   if (!this->answer) {
-    this->avoidedUntil[aRelay] = BootClock::now() + kAvoidance;
+    this->silentUntil[aRelay] = BootClock::now() + kAvoidance;
     co_return this->NoteUnused(aRelay, RelayFailure::Silent);
   }
   if (!this->answer->known) {
     co_return this->NoteUnused(aRelay, RelayFailure::DoesNotKnow);
   }
   if (this->answer->changes.age > kMostAge) {
+    // It alone may be cut off from the store: another relay is asked next.
+    this->behindUntil[aRelay] = BootClock::now() + kAvoidance;
     co_return this->NoteUnused(aRelay, RelayFailure::TooOld);
   }
   co_return std::move(this->answer->changes);
@@ -111,7 +129,11 @@
   this->log.Write(
     LogWeight::Notable,
     "relay_not_used",
-    { { "relay", aRelay.Text() }, { "reason", reason }, { "age_ms", age } });
+    { { "relay", aRelay.Text() },
+      { "reason", reason },
+      { "age_ms", age },
+      { "asked_after", this->askedAfter },
+      { "relay_at", this->answer ? this->answer->changes.at : 0 } });
   return aFailure;
 }
 
--- a/programs/toucanstand-server/RelayedFeed.h
+++ b/programs/toucanstand-server/RelayedFeed.h
@@ -23,8 +23,8 @@
   static constexpr Duration kAnswerTimeout = std::chrono::milliseconds(200);
   /// Older answers are not used: a change has to be in force 2 s after it was made.
   static constexpr Duration kMostAge = std::chrono::milliseconds(900);
-  /// A relay that did not answer is not asked for this long; a dead one leaves the list
-  /// within it.
+  /// A relay that did not answer is not asked for this long, and one that was behind only
+  /// if all are.
   static constexpr Duration kAvoidance = std::chrono::milliseconds(2500);
   /// Pause between calls to a store that does not answer, while relays live that will
   /// tell of its return.
@@ -74,8 +74,10 @@
   Sender sender;
   boost::asio::steady_timer timer;
   std::uint64_t number = 0;
+  StoreRevision askedAfter = 0;
   std::optional<ChangeAnswer> answer;
-  std::map<Endpoint, TimePoint> avoidedUntil;
+  std::map<Endpoint, TimePoint> silentUntil;
+  std::map<Endpoint, TimePoint> behindUntil;
   TimePoint storeAgainAt{};
 };
 
--- a/programs/toucanstand-server/StoreLink.cpp
+++ b/programs/toucanstand-server/StoreLink.cpp
@@ -15,10 +15,13 @@
 /// Group formation and the VMs behind the relay hear of a change after half of it on
 /// average.
 constexpr Duration kRelayInterval = std::chrono::milliseconds(300);
+/// While nothing changes, the copy of a relay is as old as its last call is long.
+constexpr std::chrono::milliseconds kRelayWait{ 250 };
 /// How often the others make sure that they are up to date; news reach them unasked. A
 /// configuration must be in force 2 s after it was accepted, and a leaving server must
 /// get nothing 2 s after it said so.
 constexpr Duration kFollowerInterval = std::chrono::milliseconds(600);
+constexpr std::chrono::milliseconds kFollowerWait{ 1000 };
 /// Registrations lapse after three heartbeats of 1.2 s; a shorter outage removes none.
 constexpr Duration kShortestLapse = std::chrono::milliseconds(2000);
 
@@ -26,6 +29,7 @@
 {
   StoreMirrorSettings settings;
   settings.interval = kRelayInterval;
+  settings.wait = kRelayWait;
   return settings;
 }
 
@@ -69,7 +73,11 @@
 
 void StoreLink::SetRelay(bool aIsRelay)
 {
-  this->mirror.SetInterval(aIsRelay ? kRelayInterval : kFollowerInterval);
+  if (aIsRelay) {
+    this->mirror.SetPace(kRelayInterval, kRelayWait);
+  } else {
+    this->mirror.SetPace(kFollowerInterval, kFollowerWait);
+  }
 }
 
 void StoreLink::TakeUnasked(const ChangeAnswer& aNews)
--- a/tests/unit/toucanstand_transport/TestChangeRelay.cpp
+++ b/tests/unit/toucanstand_transport/TestChangeRelay.cpp
@@ -73,6 +73,38 @@
   CHECK(decoded->changes.changes.empty());
 }
 
+TEST_CASE("What fits is told first, and the rest is asked for", "[relay]")
+{
+  // Guards against VMs that all go to the store because a hundred servers changed at once
+  // (Shilapatra grown: 1,600 calls of a day), and against a copy that is taken for up to
+  // date with a part of the changes.
+  ChangeAnswer answer;
+  answer.known = true;
+  answer.changes.at = 500;
+  constexpr int kChanges = 40;
+  for (int number = 0; number < kChanges; ++number) {
+    answer.changes.changes.push_back(
+      { "key-" + std::to_string(number), std::string(2000, 'x'), 100 + number / 2 });
+  }
+  StoreRevision at = 0;
+  std::size_t told = 0;
+  int parts = 0;
+  while (at < 500) {
+    ChangeAnswer rest = answer;
+    std::erase_if(rest.changes.changes,
+                  [at](const StoreChange& aChange) { return aChange.revision <= at; });
+    const auto decoded = Decode(EncodeChangeAnswer(rest));
+    REQUIRE(decoded.HasValue());
+    REQUIRE(decoded->known);
+    told += decoded->changes.changes.size();
+    at = decoded->changes.at;
+    CHECK(decoded->changes.hasMore == (at < 500));
+    ++parts;
+  }
+  CHECK(told == kChanges);
+  CHECK(parts == 3);
+}
+
 TEST_CASE("A damaged answer is refused and never throws", "[relay]")
 {
   // Guards against a peer's bytes that end the process.
