--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -134,6 +134,10 @@
     stalled += RunsOf(platform, attempt) == 2 ? 1 : 0;
   }
   CHECK(stalled > 0);
+  // The pause is longer than the 300 ms that the route allows.
+  const auto metrics = server.caller.Call(server.operators, "GET", "/metrics");
+  REQUIRE(metrics.HasValue());
+  CHECK(metrics->body.find("by=\"pause\"") != std::string::npos);
 }
 
 TEST_CASE("A stream whose second run is rejected does not end as complete", "[server]")
