--- a/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
+++ b/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
@@ -525,11 +525,13 @@
   constexpr int kFullGroups = 50;
   constexpr int kArrivals = 130;
   std::vector<GroupLoad> known;
+  known.reserve(kFullGroups);
   for (int number = 0; number < kFullGroups; ++number) {
     known.push_back({ GroupId("m-" + std::to_string(number)), 2, 2000, 22 });
   }
   const GroupId opened("m-" + std::to_string(kFullGroups));
   std::vector<GroupPlacement> vms;
+  vms.reserve(kVms);
   for (int vm = 0; vm < kVms; ++vm) {
     vms.push_back(Placement(kFullGroups + 1, static_cast<std::uint64_t>(vm)));
     vms.back().OnPeerLoads(VmId("sum of the others"), known, kStart);
