Test the version of datagrams that relays' answers in parts brought

The test named version 2 as the present one; raised it to 3, because an answer has a field more. The check is replaced by one for version 3 and one more, which refuses version 2.

--- a/tests/unit/toucanstand_membership/TestPeerReport.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerReport.cpp
@@ -81,9 +81,12 @@
   const auto fields = nlohmann::json::array();
   CHECK(failure(nlohmann::json::array({ 99U, 0U, fields })) ==
         DatagramFailure::OtherVersion);
-  CHECK(failure(nlohmann::json::array({ 2U, 99U, fields })) ==
+  // The version before this one, whose answers to queries have a field less.
+  CHECK(failure(nlohmann::json::array({ 2U, 0U, fields })) ==
+        DatagramFailure::OtherVersion);
+  CHECK(failure(nlohmann::json::array({ 3U, 99U, fields })) ==
         DatagramFailure::UnknownKind);
-  CHECK(failure(nlohmann::json::array({ 2U, 0U })) == DatagramFailure::Malformed);
+  CHECK(failure(nlohmann::json::array({ 3U, 0U })) == DatagramFailure::Malformed);
   CHECK(failure(nlohmann::json::array({ "2", 0U, fields })) ==
         DatagramFailure::Malformed);
   CHECK(DecodePeerReport(fields).LastReason() == DatagramFailure::BadField);
