Log the shared prompt parts and the events of each attempt

Cause of the change: the log could not tell whether engines crash because of a request as a whole or of a part of its prompt. attempt_end now names the parts and how many events the attempt delivered.

--- a/modules/toucanstand_core/identifiers/Identifiers.h
+++ b/modules/toucanstand_core/identifiers/Identifiers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "identifiers/StrongString.h"
 
 namespace toucanstand {
@@ -20,5 +22,7 @@
 using AccountId = StrongString<struct AccountTag>;
 /// One request of a caller, unique over all entry VMs.
 using RequestId = StrongString<struct RequestTag>;
+/// One part of a prompt, for example a system prompt, that several requests may share.
+using PromptPartId = std::uint64_t;
 
 } // namespace toucanstand
--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "identifiers/Identifiers.h"
 #include "time/BootClock.h"
@@ -30,6 +31,8 @@
   double mostAnswerTokens = 0;
   /// The client's estimate of the answer.
   std::optional<double> expectedAnswerTokens;
+  /// Leading parts of the prompt that other requests may share, in order and each once.
+  std::vector<PromptPartId> sharedPromptParts;
 };
 
 /// Load as a server states it with an answer.
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -1,6 +1,9 @@
 #include "GenerationCall.h"
 
 #include <algorithm>
+#include <ranges>
+
+#include <fmt/ranges.h>
 
 #include "platform/HeaderTranslation.h"
 
@@ -13,6 +16,14 @@
 constexpr int kLeastUrgent = 9;
 /// Minimum Retry-After for a caller whose request was rejected by a full group.
 constexpr Duration kFullGroupRetryAfter = std::chrono::milliseconds(250);
+/// Prompt parts of a request that a log line names.
+constexpr std::size_t kMaxLoggedPromptParts = 8;
+
+std::string FormatPromptParts(const std::vector<PromptPartId>& aParts)
+{
+  return fmt::format("{:x}",
+                     fmt::join(aParts | std::views::take(kMaxLoggedPromptParts), ","));
+}
 
 } // namespace
 
@@ -103,6 +114,7 @@
 Task<std::optional<FailedAttempt>> GenerationCall::Attempt(const PlacementChoice& aChoice)
 {
   this->framer.DropPartialEvent();
+  this->eventsBeforeAttempt = this->framer.EventCount();
   this->groupUnusable = false;
   this->ticket =
     this->placement.OnSent(aChoice, this->call.facts.promptTokens, BootClock::now());
@@ -265,6 +277,10 @@
       { "reading", aChoice.backlog.prefillRequests },
       { "writing", aChoice.backlog.decodeRequests },
       { "events", static_cast<std::int64_t>(this->framer.EventCount()) },
+      { "attempt_events",
+        static_cast<std::int64_t>(this->framer.EventCount() -
+                                  this->eventsBeforeAttempt) },
+      { "prompt_parts", FormatPromptParts(this->call.facts.sharedPromptParts) },
       { "end", aFailedAttempt ? Name(aFailedAttempt->failure) : "answered" } });
 }
 
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -54,6 +54,8 @@
   std::vector<GroupId> triedGroups;
   GroupPlacement::Ticket ticket = 0;
   bool groupUnusable = false;
+  /// Events that earlier attempts have delivered.
+  std::size_t eventsBeforeAttempt = 0;
 };
 
 } // namespace toucanstand
--- a/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
+++ b/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
@@ -47,6 +47,38 @@
   CHECK(facts->lastEventId == "3");
 }
 
+TEST_CASE("The last prompt part, which no other request shares, is not read as shared",
+          "[platform]")
+{
+  // Guards against a quarantine of a single request's own text, and against a malformed
+  // list that rejects the request.
+  const auto parts = [](const std::vector<std::string>& aValues) {
+    HttpRequest request;
+    for (const auto& value : aValues) {
+      request.headers.Add("X-Prompt-Prefix", value);
+    }
+    const auto facts = platform::ReadRequestHeaders(request);
+    REQUIRE(facts.HasValue());
+    return facts->sharedPromptParts;
+  };
+  using Ids = std::vector<PromptPartId>;
+  CHECK(parts({ "5c1e07a2:800,91BD3F06:410,e4402b7d:250" }) ==
+        Ids{ 0x5c1e07a2, 0x91bd3f06 });
+  CHECK(parts({ "a:1, b:2", "c:3" }) == Ids{ 0xa, 0xb });
+  CHECK(parts({ "a:1,a:1,b:2,a:9" }) == Ids{ 0xa, 0xb });
+  CHECK(parts({ "a:1" }).empty());
+  CHECK(parts({ "" }).empty());
+  CHECK(parts({}).empty());
+  CHECK(parts({ ",:,:5,b,c" }) == Ids{ 0xb });
+  CHECK(parts({ "not hexadecimal:1,x:2" }).size() == 1);
+  CHECK(parts({ "11112222333344445:1,x:2" }).size() == 1);
+  std::string many;
+  for (int part = 0; part < 4000; ++part) {
+    many += std::to_string(part) + ":1,";
+  }
+  CHECK(parts({ many + "ff" }).size() == 4000);
+}
+
 TEST_CASE("Malformed deadline and token headers are rejected", "[platform]")
 {
   // Guards against a malformed deadline or token count that is silently read as zero.
