Quarantine prompt parts that crash engines on all VMs

Callers saw broken streams, 502 and 503: requests that share one part of their prompt crashed an engine each, 23 engines in 22 s, and the streams of sound requests on them.

Cause: the quarantine knows a request by account, target and body. Requests that have only a prompt part in common have no common fingerprint, so each had crashes of its own, counted on its VM. Class of fault: the cause of a failure is identified by a key finer than the cause, and evidence stays local.

Ruled out: that the engines fail as a whole or that a caller does it.

Change: PromptPartQuarantine collects, for each crash, the parts of the runs that had just started, and clears parts whose runs go on. VMs exchange this evidence in their reports and through relays. A part is held after three crashes that nothing else explains, five if runs with it went on before. Crashes within 100 ms count once, so that a lost rack holds nothing. The verdict goes to the store, without a lease, for VMs that start later or do not reach their peers; reports carry it to those that do not reach the store. Requests with the part get 503, not run, with the rest of the 10 minutes as Retry-After, also between two attempts.

--- a/modules/toucanstand_core/serialization/Datagram.cpp
+++ b/modules/toucanstand_core/serialization/Datagram.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Rises when the fields of any kind change.
-constexpr std::uint64_t kVersion = 3;
+constexpr std::uint64_t kVersion = 4;
 constexpr std::uint64_t kKinds = 3;
 /// Version, kind and fields.
 constexpr std::size_t kParts = 3;
--- a/modules/toucanstand_membership/peers/PeerReport.cpp
+++ b/modules/toucanstand_membership/peers/PeerReport.cpp
@@ -1,6 +1,8 @@
 #include "peers/PeerReport.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace toucanstand {
 
@@ -15,6 +17,15 @@
   return static_cast<std::uint64_t>(std::llround(aValue));
 }
 
+std::vector<std::uint64_t> ReadNumbers(FieldReader& aReader, const json& aList)
+{
+  std::vector<std::uint64_t> numbers;
+  std::ranges::transform(aReader.List(aList),
+                         std::back_inserter(numbers),
+                         [&aReader](const json& aItem) { return aReader.Whole(aItem); });
+  return numbers;
+}
+
 } // namespace
 
 std::vector<std::uint8_t> EncodePeerReport(const PeerReport& aReport)
@@ -30,6 +41,14 @@
   for (const auto& [model, seconds] : aReport.demand) {
     demand.push_back(json::array({ model, seconds }));
   }
+  json crashes = json::array();
+  for (const auto& crash : aReport.crashes) {
+    crashes.push_back(json::array({ crash.server, crash.ageSeconds, crash.parts }));
+  }
+  json survivals = json::array();
+  for (const auto& survival : aReport.survivals) {
+    survivals.push_back(json::array({ survival.part, survival.ageSeconds }));
+  }
   json learnedOverheads = json::array();
   for (const auto& [model, time] : aReport.learnedOverheads) {
     learnedOverheads.push_back(json::array({ model, time.seconds, time.samples }));
@@ -43,12 +62,15 @@
                                       aReport.suspectedGroups,
                                       aReport.quarantinedFingerprints,
                                       std::move(demand),
-                                      std::move(learnedOverheads) }));
+                                      std::move(learnedOverheads),
+                                      std::move(crashes),
+                                      std::move(survivals),
+                                      aReport.quarantinedParts }));
 }
 
 Result<PeerReport, DatagramFailure> DecodePeerReport(const json& aFields)
 {
-  constexpr std::size_t kFields = 9;
+  constexpr std::size_t kFields = 12;
   if (!aFields.is_array() || aFields.size() != kFields) {
     return DatagramFailure::BadField;
   }
@@ -70,9 +92,7 @@
   for (const auto& group : reader.List(aFields[5])) {
     report.suspectedGroups.push_back(reader.Text(group));
   }
-  for (const auto& fingerprint : reader.List(aFields[6])) {
-    report.quarantinedFingerprints.push_back(reader.Whole(fingerprint));
-  }
+  report.quarantinedFingerprints = ReadNumbers(reader, aFields[6]);
   for (const auto& row : reader.List(aFields[7])) {
     const auto& items = reader.List(row, 2);
     if (!items.empty()) {
@@ -86,6 +106,21 @@
                                                          reader.Number(items[2]) };
     }
   }
+  for (const auto& row : reader.List(aFields[9])) {
+    const auto& items = reader.List(row, 3);
+    if (!items.empty()) {
+      report.crashes.push_back({ reader.Text(items[0]),
+                                 reader.Number(items[1]),
+                                 ReadNumbers(reader, items[2]) });
+    }
+  }
+  for (const auto& row : reader.List(aFields[10])) {
+    const auto& items = reader.List(row, 2);
+    if (!items.empty()) {
+      report.survivals.push_back({ reader.Whole(items[0]), reader.Number(items[1]) });
+    }
+  }
+  report.quarantinedParts = ReadNumbers(reader, aFields[11]);
   if (reader.Failed()) {
     return DatagramFailure::BadField;
   }
--- a/modules/toucanstand_membership/peers/PeerReport.h
+++ b/modules/toucanstand_membership/peers/PeerReport.h
@@ -42,6 +42,24 @@
   /// Fingerprints of requests that no server may run, because they crashed several
   /// servers.
   std::vector<std::uint64_t> quarantinedFingerprints;
+  /// A crashed backend server and the prompt parts of the requests that had just started
+  /// on it.
+  struct Crash
+  {
+    std::string server;
+    double ageSeconds = 0;
+    std::vector<PromptPartId> parts;
+  };
+  std::vector<Crash> crashes;
+  /// A request with this prompt part did not crash its server.
+  struct Survival
+  {
+    PromptPartId part = 0;
+    double ageSeconds = 0;
+  };
+  std::vector<Survival> survivals;
+  /// Prompt parts that the sender has quarantined because of its own evidence.
+  std::vector<PromptPartId> quarantinedParts;
   /// Demand of the sender's callers, by model, in engine seconds per second.
   std::map<std::string, double> demand;
   /// Time to the first event in excess of the prediction by the cost model, estimated
--- a/modules/toucanstand_membership/peers/PeerReportAggregator.cpp
+++ b/modules/toucanstand_membership/peers/PeerReportAggregator.cpp
@@ -46,6 +46,8 @@
   }
   this->quarantinedFingerprints.insert(aReport.quarantinedFingerprints.begin(),
                                        aReport.quarantinedFingerprints.end());
+  this->quarantinedParts.insert(aReport.quarantinedParts.begin(),
+                                aReport.quarantinedParts.end());
 }
 
 PeerReport PeerReportAggregator::Total() const
@@ -57,6 +59,8 @@
   total.learnedOverheads = this->learnedOverheads;
   total.quarantinedFingerprints.assign(this->quarantinedFingerprints.begin(),
                                        this->quarantinedFingerprints.end());
+  total.quarantinedParts.assign(this->quarantinedParts.begin(),
+                                this->quarantinedParts.end());
   return total;
 }
 
--- a/modules/toucanstand_membership/peers/PeerReportAggregator.h
+++ b/modules/toucanstand_membership/peers/PeerReportAggregator.h
@@ -29,6 +29,7 @@
   std::map<std::string, PeerReport::Load> loads;
   std::map<std::string, double> demand;
   std::set<std::uint64_t> quarantinedFingerprints;
+  std::set<PromptPartId> quarantinedParts;
   std::map<std::string, PeerReport::LearnedOverhead> learnedOverheads;
 };
 
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -41,8 +41,7 @@
     this->progress.destination = candidate->id;
     this->progress.tracker.OnAttemptStarted(candidate->id);
     this->state.router.OnSent(candidate->id, sentAt);
-    const auto run = this->state.OnRunStarted(
-      this->call.facts.id, this->call.fingerprint, candidate->server);
+    const auto run = this->state.OnRunStarted(this->call, candidate->server);
     auto failedAttempt = co_await this->Attempt(*candidate);
     this->state.OnRunEnded(run,
                            { candidate->server, candidate->endpoint },
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -3,9 +3,8 @@
 #include <algorithm>
 #include <ranges>
 
-#include <fmt/ranges.h>
-
 #include "platform/HeaderTranslation.h"
+#include "text/Hexadecimal.h"
 
 namespace toucanstand {
 
@@ -21,8 +20,14 @@
 
 std::string FormatPromptParts(const std::vector<PromptPartId>& aParts)
 {
-  return fmt::format("{:x}",
-                     fmt::join(aParts | std::views::take(kMaxLoggedPromptParts), ","));
+  std::string text;
+  for (const auto part : aParts | std::views::take(kMaxLoggedPromptParts)) {
+    if (!text.empty()) {
+      text += ',';
+    }
+    text += FormatHexadecimal(part);
+  }
+  return text;
 }
 
 } // namespace
@@ -41,6 +46,14 @@
 {
   this->call.exchange.OnCallerGone([this] { this->sender.Cancel(); });
   while (true) {
+    // A part may have been quarantined while an earlier attempt ran.
+    const auto crashingPart = this->state.promptPartQuarantine.FindQuarantined(
+      this->call.facts.sharedPromptParts, BootClock::now());
+    if (crashingPart) {
+      co_return co_await this->progress.GiveUp(
+        "crashing_prompt_part",
+        this->state.promptPartQuarantine.RemainingTime(*crashingPart, BootClock::now()));
+    }
     const auto choice =
       this->placement.Choose(this->MakePlacementQuery(), BootClock::now());
     if (!choice) {
@@ -50,10 +63,9 @@
     }
     this->progress.destination = choice->group.id.Value();
     this->progress.tracker.OnAttemptStarted(this->progress.destination);
-    const auto run = this->state.OnRunStarted(
-      this->call.facts.id, this->call.fingerprint, choice->group.head);
+    this->run = this->state.OnRunStarted(this->call, choice->group.head);
     auto failedAttempt = co_await this->Attempt(*choice);
-    this->state.OnRunEnded(run,
+    this->state.OnRunEnded(this->run,
                            { choice->group.head, choice->group.endpoint },
                            failedAttempt ? std::optional(failedAttempt->failure)
                                          : std::nullopt);
@@ -170,6 +182,8 @@
     if (hasNewEvents) {
       const auto now = BootClock::now();
       this->placement.OnEvents(this->ticket, now);
+      this->state.OnRunEvents(
+        this->run, this->framer.EventCount() - this->eventsBeforeAttempt, now);
       this->progress.RecordEvents(now);
     }
     if (!co_await this->ForwardEvents(aStream, *events)) {
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -53,6 +53,8 @@
   EventFramer framer;
   std::vector<GroupId> triedGroups;
   GroupPlacement::Ticket ticket = 0;
+  /// Id of the current attempt, see ServingState::OnRunStarted().
+  RequestId run;
   bool groupUnusable = false;
   /// Events that earlier attempts have delivered.
   std::size_t eventsBeforeAttempt = 0;
--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -32,6 +32,42 @@
   return kSender;
 }
 
+/// Upper bound of the age of evidence in a report; older evidence has expired.
+constexpr double kMaxEvidenceAgeSeconds = 3600;
+
+Duration ToEvidenceAge(double aSeconds)
+{
+  return FromSeconds(std::min(aSeconds, kMaxEvidenceAgeSeconds));
+}
+
+PromptPartEvidence ToPromptPartEvidence(const PeerReport& aReport)
+{
+  PromptPartEvidence evidence;
+  for (const auto& crash : aReport.crashes) {
+    evidence.crashes.push_back(
+      { ServerId(crash.server), ToEvidenceAge(crash.ageSeconds), crash.parts });
+  }
+  for (const auto& survival : aReport.survivals) {
+    evidence.survivals.push_back({ survival.part, ToEvidenceAge(survival.ageSeconds) });
+  }
+  evidence.quarantined = aReport.quarantinedParts;
+  return evidence;
+}
+
+/// Replaces the report's crashes and survivals.
+void SetCrashEvidence(PeerReport& aReport, const PromptPartEvidence& aEvidence)
+{
+  aReport.crashes.clear();
+  for (const auto& crash : aEvidence.crashes) {
+    aReport.crashes.push_back(
+      { crash.server.Value(), ToSeconds(crash.age), crash.parts });
+  }
+  aReport.survivals.clear();
+  for (const auto& survival : aEvidence.survivals) {
+    aReport.survivals.push_back({ survival.part, ToSeconds(survival.age) });
+  }
+}
+
 std::vector<GroupLoad> ToGroupLoads(const PeerReport& aReport)
 {
   std::vector<GroupLoad> loads;
@@ -217,6 +253,7 @@
     this->state.quarantine.Merge(
       QuarantineEntry{ fingerprint, aNow + CrashQuarantine::kSuspicionLifetime }, aNow);
   }
+  this->state.promptPartQuarantine.Merge(ToPromptPartEvidence(aReport), aNow);
   const auto loads = ToGroupLoads(aReport);
   for (auto& placement : this->state.placements | std::views::values) {
     placement.OnPeerLoads(isAggregate ? AggregateSender() : aReport.sender, loads, aNow);
@@ -252,6 +289,10 @@
   report.sequence = ++this->sequence;
   report.demand = this->state.workMeter.Rates(aNow);
   report.quarantinedFingerprints = this->state.quarantine.LocallyQuarantined(aNow);
+  const auto evidence =
+    this->state.promptPartQuarantine.News(aNow, PromptPartQuarantine::NewsScope::Own);
+  SetCrashEvidence(report, evidence);
+  report.quarantinedParts = evidence.quarantined;
   for (auto& placement : this->state.placements | std::views::values) {
     for (const auto& load : placement.OwnLoads(aNow)) {
       report.loads.push_back({ load.group.Value(),
@@ -306,6 +347,8 @@
   PeerReportAggregator total;
   total.Add(this->lastReport);
   ++this->aggregateSequence;
+  const auto evidence =
+    this->state.promptPartQuarantine.News(aNow, PromptPartQuarantine::NewsScope::All);
   std::map<Endpoint, const PeerReport*> reports;
   for (const auto& peer : this->latestReports | std::views::values) {
     if (aNow - peer.receivedAt <= kLoadLifetime) {
@@ -322,6 +365,7 @@
     aggregate.runNumber = this->runNumber;
     aggregate.sequence = this->aggregateSequence;
     aggregate.suspectedGroups = this->pendingSuspicions;
+    SetCrashEvidence(aggregate, evidence);
     this->Send(EncodePeerReport(aggregate), endpoint);
   }
 }
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/// Minimum Retry-After while the process lacks current data from the store; outages of
-/// the store last seconds.
-constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(1200);
-
 /// Returns which latency objective the response missed; null if it met all of them or
 /// there was no response.
 const char* MissedObjective(const ServingRoute& aRoute, const CallResult& aResult)
@@ -94,6 +90,14 @@
       SuspicionLevel::Quarantined) {
     return Rejection{ 503, "crashes_servers" };
   }
+  const auto crashingPart =
+    this->state.promptPartQuarantine.FindQuarantined(call.facts.sharedPromptParts, aNow);
+  if (crashingPart) {
+    return Rejection{ 503,
+                      "crashing_prompt_part",
+                      this->state.promptPartQuarantine.RemainingTime(*crashingPart,
+                                                                     aNow) };
+  }
   call.pool = this->PickPool(*route);
   call.arrivedAt = aNow;
   call.deadline =
@@ -150,7 +154,7 @@
                           { "reason", aRejection.reason } });
   ErrorResponder responder(this->state, aExchange, aCall);
   if (aRejection.status == 503) {
-    co_await responder.RespondNotRun(aRejection.reason, kNotReadyRetryAfter);
+    co_await responder.RespondNotRun(aRejection.reason, aRejection.retryAfter);
   } else {
     co_await responder.RespondRejected(aRejection.status, aRejection.reason);
   }
--- a/programs/toucanstand-server/RequestHandler.h
+++ b/programs/toucanstand-server/RequestHandler.h
@@ -16,11 +16,17 @@
   Task<> Handle(HttpExchange& aExchange);
 
 private:
+  /// Minimum Retry-After while the process lacks current data from the store; outages of
+  /// the store last seconds.
+  static constexpr Duration kNotReadyRetryAfter = std::chrono::milliseconds(1200);
+
   /// Status and reason of a request that is not forwarded.
   struct Rejection
   {
     int status = 503;
     const char* reason = "";
+    /// Minimum Retry-After of a 503.
+    Duration retryAfter = kNotReadyRetryAfter;
   };
   [[nodiscard]] Result<Call, Rejection> Admit(HttpExchange& aExchange,
                                               CallFacts aFacts,
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include "text/Hexadecimal.h"
+
 namespace toucanstand {
 
 namespace asio = boost::asio;
@@ -56,6 +58,7 @@
                })
   , storeSynchronizer(this->state, this->changeFeed)
   , storeSession(this->state, this->store, this->peers.Directory(), this->runId)
+  , promptPartRecords(this->state, this->store, this->peers.Directory())
   , groupCoordinator(this->state, this->storeSession, this->peers)
   , handler(this->state)
   , callerServer(
@@ -100,6 +103,7 @@
   this->storeSynchronizer.SetSystemKeyListener([this](const StoreChange& aChange) {
     this->storeSession.OnSystemKeyChanged(aChange);
     this->peers.OnSystemKeyChanged(aChange);
+    this->promptPartRecords.OnSystemKeyChanged(aChange);
   });
   this->peers.onQuery = [this](const ChangeQuery& aQuery) {
     return this->storeSynchronizer.AnswerQuery(aQuery, BootClock::now());
@@ -119,6 +123,7 @@
   };
   asio::co_spawn(this->loop, this->storeSynchronizer.Run(), asio::detached);
   asio::co_spawn(this->loop, this->storeSession.Run(), asio::detached);
+  asio::co_spawn(this->loop, this->promptPartRecords.Run(), asio::detached);
   asio::co_spawn(this->loop, this->peers.SendReports(), asio::detached);
   asio::co_spawn(this->loop, this->peers.SendAggregates(), asio::detached);
   asio::co_spawn(this->loop, this->peers.ReceiveDatagrams(), asio::detached);
@@ -156,6 +161,7 @@
   this->storeSynchronizer.SetIsRelay(this->peers.Directory().IsRelay());
   this->state.directory.OnTime(now);
   this->state.quarantine.OnTime(now);
+  this->JudgePromptParts(now);
   this->state.retryBudget.Configure(
     this->state.settings.retries.SettingsPerVm(this->peers.PeerCount() + 1));
   this->state.retryBudget.OnTime(now);
@@ -181,6 +187,17 @@
   });
 }
 
+void ServerProcess::JudgePromptParts(TimePoint aNow)
+{
+  for (const auto& verdict : this->state.promptPartQuarantine.OnTime(aNow)) {
+    this->state.metrics.Count("prompt_parts_quarantined_total");
+    this->state.log.Write(LogWeight::Notable,
+                          "prompt_part_quarantined",
+                          { { "part", FormatHexadecimal(verdict.part) },
+                            { "crashes", static_cast<std::int64_t>(verdict.crashes) } });
+  }
+}
+
 bool ServerProcess::IsReady() const
 {
   return this->state.configuration && this->state.hasReadServers &&
@@ -271,6 +288,7 @@
            { "groups", this->groupCoordinator.Describe() },
            { "router", this->state.router.Describe(now) },
            { "quarantine", this->state.quarantine.Describe(now) },
+           { "prompt_part_quarantine", this->state.promptPartQuarantine.Describe(now) },
            { "retry_budget", this->state.retryBudget.Describe() },
            { "log_lines_left_out", this->state.log.LeftOut() } };
 }
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -8,6 +8,7 @@
 
 #include "GroupCoordinator.h"
 #include "PeerChannel.h"
+#include "PromptPartRecords.h"
 #include "RelayedChangeFeed.h"
 #include "RequestHandler.h"
 #include "ServerSettings.h"
@@ -37,6 +38,7 @@
   void WaitForReload();
   void Reload();
   void Tick();
+  void JudgePromptParts(TimePoint aNow);
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsBusy() const;
   [[nodiscard]] nlohmann::json DescribeState();
@@ -54,6 +56,7 @@
   RelayedChangeFeed changeFeed;
   StoreSynchronizer storeSynchronizer;
   StoreSession storeSession;
+  PromptPartRecords promptPartRecords;
   GroupCoordinator groupCoordinator;
   RequestHandler handler;
   HttpServer callerServer;
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <unistd.h>
 
+#include "Call.h"
 #include "formation/GroupRecord.h"
 
 namespace toucanstand {
@@ -162,22 +163,31 @@
   }
 }
 
-RequestId ServingState::OnRunStarted(const RequestId& aCall,
-                                     std::uint64_t aFingerprint,
-                                     const ServerId& aServer)
+RequestId ServingState::OnRunStarted(const Call& aCall, const ServerId& aServer)
 {
   // Each run has its own id, so that a later run of the same request does not clear the
   // suspicion of an earlier one.
-  const RequestId run(aCall.Value() + "/" + std::to_string(++this->runCount));
-  this->quarantine.OnSent(run, aFingerprint, aServer);
+  const RequestId run(aCall.facts.id.Value() + "/" + std::to_string(++this->runCount));
+  this->quarantine.OnSent(run, aCall.fingerprint, aServer);
+  this->promptPartQuarantine.OnSent(run, aServer, aCall.facts.sharedPromptParts);
   return run;
 }
 
+void ServingState::OnRunEvents(const RequestId& aRun, std::size_t aEvents, TimePoint aNow)
+{
+  this->promptPartQuarantine.OnEvents(aRun, aEvents, aNow);
+}
+
 void ServingState::OnRunEnded(const RequestId& aRun,
                               const Destination& aDestination,
                               std::optional<AttemptFailure> aFailure)
 {
-  this->quarantine.OnEnded(aRun, RunEndOf(aFailure), BootClock::now());
+  const auto now = BootClock::now();
+  const auto end = RunEndOf(aFailure);
+  this->quarantine.OnEnded(aRun, end, now);
+  // An error response may come from a server that did not begin to answer.
+  const bool isFailedRun = aFailure && end == RunEnd::Survived;
+  this->promptPartQuarantine.OnEnded(aRun, isFailedRun ? RunEnd::Abandoned : end, now);
   const bool connectionBroke = aFailure == AttemptFailure::BrokenBeforeHead ||
                                aFailure == AttemptFailure::BrokenInBody;
   if (connectionBroke) {
@@ -192,8 +202,9 @@
                                                   aDestination.endpoint)) {
     co_return;
   }
-  const auto suspects =
-    this->quarantine.OnServerCrashed(aDestination.server, BootClock::now());
+  const auto now = BootClock::now();
+  const auto suspects = this->quarantine.OnServerCrashed(aDestination.server, now);
+  this->promptPartQuarantine.OnServerCrashed(aDestination.server, now);
   this->log.Write(LogWeight::Notable,
                   "server_crashed",
                   { { "server", aDestination.server.Value() },
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -10,6 +10,7 @@
 #include "attempts/AttemptFailure.h"
 #include "attempts/RetryBudget.h"
 #include "crashes/CrashQuarantine.h"
+#include "crashes/PromptPartQuarantine.h"
 #include "demand/WorkMeter.h"
 #include "http/HttpClient.h"
 #include "logging/DecisionLog.h"
@@ -22,6 +23,8 @@
 
 namespace toucanstand {
 
+struct Call;
+
 /// State shared by the components of the process: the configuration, the known backend
 /// servers, and the placement, routing, retry and quarantine state used by all requests.
 class ServingState
@@ -55,9 +58,10 @@
   [[nodiscard]] bool IsStoreCopyRecent(TimePoint aNow) const;
 
   /// Records that a request is about to be sent to a server. @returns the id of this run
-  RequestId OnRunStarted(const RequestId& aCall,
-                         std::uint64_t aFingerprint,
-                         const ServerId& aServer);
+  RequestId OnRunStarted(const Call& aCall, const ServerId& aServer);
+
+  /// Records the number of events that a run has delivered so far.
+  void OnRunEvents(const RequestId& aRun, std::size_t aEvents, TimePoint aNow);
 
   /// A backend server and its address.
   struct Destination
@@ -85,6 +89,7 @@
   Router router;
   RetryBudget retryBudget;
   CrashQuarantine quarantine;
+  PromptPartQuarantine promptPartQuarantine;
   WorkMeter workMeter;
   HttpClient backendClient;
   platform::EngineClient engineClient;
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -267,6 +267,14 @@
   HttpHeaders headers = this->ResponseHeaders(aExchange.Request());
   headers.Add("Content-Type", "text/event-stream");
   co_await aExchange.BeginStream(200, std::move(headers));
+  const auto promptParts = aExchange.Request().headers.Find("X-Prompt-Prefix");
+  const auto& crashingPart = this->faults.crashingPromptPart;
+  if (!crashingPart.empty() && promptParts.find(crashingPart) != std::string::npos) {
+    co_await this->Sleep(kEventInterval);
+    this->Crash();
+    aExchange.BreakOff();
+    co_return;
+  }
   int eventsSent = 0;
   while (number < kEventCount) {
     co_await this->Sleep(kEventInterval);
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -41,6 +41,9 @@
   int dropResponses = 0;
   /// The server crashes when it runs a request.
   bool crashOnRequest = false;
+  /// An engine crashes when it begins to answer a request whose list of prompt parts
+  /// contains this text; none if empty.
+  std::string crashingPromptPart;
   /// Responses without the server's signature header.
   int unsignedResponses = 0;
   /// Responses with the attempt id of another request.
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -230,13 +230,14 @@
   throw std::runtime_error("the requested number of groups was not formed in time");
 }
 
-HttpHeaders ServerUnderTest::GenerationHeaders(const std::string& aAttemptId)
+HttpHeaders ServerUnderTest::GenerationHeaders(const std::string& aAttemptId,
+                                               const std::string& aPromptParts)
 {
   return { { "Host", "api.example" },
            { "X-Attempt-Id", aAttemptId },
            { "X-Model", "large" },
            { "X-Token-Usage", "100,60" },
-           { "X-Prompt-Prefix", "1f:100" },
+           { "X-Prompt-Prefix", aPromptParts },
            { "X-Deadline-Ms", "5000" },
            { "Authorization", "Bearer key-1" } };
 }
@@ -247,6 +248,17 @@
     this->listenEndpoint, "POST", "/chat/1", "prompt", GenerationHeaders(aAttemptId));
 }
 
+Result<HttpResponse, HttpFailure> ServerUnderTest::GenerateFrom(
+  const std::string& aAttemptId,
+  const std::string& aPromptParts)
+{
+  return this->caller.Call(this->listenEndpoint,
+                           "POST",
+                           "/chat/1",
+                           "prompt " + aAttemptId,
+                           GenerationHeaders(aAttemptId, aPromptParts));
+}
+
 Result<HttpResponse, HttpFailure> ServerUnderTest::Call(const std::string& aMethod,
                                                         const std::string& aPath,
                                                         const std::string& aAttemptId,
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -86,13 +86,18 @@
 
   /// Sends a streaming generation request. The response body is the text of all events.
   Result<HttpResponse, HttpFailure> Generate(const std::string& aAttemptId);
+  /// Sends a streaming generation request with these prompt parts and a body of its own.
+  Result<HttpResponse, HttpFailure> GenerateFrom(const std::string& aAttemptId,
+                                                 const std::string& aPromptParts);
   /// Sends a request to the plain service.
   Result<HttpResponse, HttpFailure> Call(const std::string& aMethod,
                                          const std::string& aPath,
                                          const std::string& aAttemptId,
                                          const std::string& aKey = "key-1");
 
-  [[nodiscard]] static HttpHeaders GenerationHeaders(const std::string& aAttemptId);
+  [[nodiscard]] static HttpHeaders GenerationHeaders(
+    const std::string& aAttemptId,
+    const std::string& aPromptParts = "1f:100");
 
   PlatformStandin& platform;
   HttpCaller caller;
--- a/tests/unit/toucanstand_membership/TestPeerReport.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerReport.cpp
@@ -20,6 +20,9 @@
   report.quarantinedFingerprints = { 42 };
   report.demand = { { "m0", 3.25 } };
   report.learnedOverheads = { { "m0", { 0.12, 5 } } };
+  report.crashes = { { "server-1", 0.25, { 0xab, 0xFFFFFFFFFFFFFFFFULL } } };
+  report.survivals = { { 0xab, 1.5 } };
+  report.quarantinedParts = { 0xcd };
   return report;
 }
 
@@ -47,6 +50,15 @@
   CHECK(decoded->quarantinedFingerprints == std::vector<std::uint64_t>{ 42 });
   CHECK(decoded->demand.at("m0") == 3.25);
   CHECK(decoded->learnedOverheads.at("m0").seconds == 0.12);
+  REQUIRE(decoded->crashes.size() == 1);
+  CHECK(decoded->crashes[0].server == "server-1");
+  CHECK(decoded->crashes[0].ageSeconds == 0.25);
+  CHECK(decoded->crashes[0].parts ==
+        std::vector<PromptPartId>{ 0xab, 0xFFFFFFFFFFFFFFFFULL });
+  REQUIRE(decoded->survivals.size() == 1);
+  CHECK(decoded->survivals[0].part == 0xab);
+  CHECK(decoded->survivals[0].ageSeconds == 1.5);
+  CHECK(decoded->quarantinedParts == std::vector<PromptPartId>{ 0xcd });
 }
 
 TEST_CASE("A damaged report is rejected without an exception", "[peers]")
@@ -66,6 +78,9 @@
       for (const auto& load : decoded->loads) {
         CHECK(load.decodeRequests >= 0);
       }
+      for (const auto& crash : decoded->crashes) {
+        CHECK(crash.ageSeconds >= 0);
+      }
     }
   }
   CHECK(!Decode(nlohmann::json::to_msgpack(nlohmann::json{ { "a", 1 } })).HasValue());
@@ -82,12 +97,14 @@
   const auto fields = nlohmann::json::array();
   CHECK(failure(nlohmann::json::array({ 99U, 0U, fields })) ==
         DatagramFailure::OtherVersion);
-  // The previous version, whose answers to queries have one field less.
+  // Earlier versions: answers to queries with one field less, reports without crashes.
   CHECK(failure(nlohmann::json::array({ 2U, 0U, fields })) ==
         DatagramFailure::OtherVersion);
-  CHECK(failure(nlohmann::json::array({ 3U, 99U, fields })) ==
+  CHECK(failure(nlohmann::json::array({ 3U, 0U, fields })) ==
+        DatagramFailure::OtherVersion);
+  CHECK(failure(nlohmann::json::array({ 4U, 99U, fields })) ==
         DatagramFailure::UnknownKind);
-  CHECK(failure(nlohmann::json::array({ 3U, 0U })) == DatagramFailure::Malformed);
+  CHECK(failure(nlohmann::json::array({ 4U, 0U })) == DatagramFailure::Malformed);
   CHECK(failure(nlohmann::json::array({ "2", 0U, fields })) ==
         DatagramFailure::Malformed);
   CHECK(DecodePeerReport(fields).LastReason() == DatagramFailure::BadField);
