Do not suspect requests whose streams had begun when their server crashed

Cause: a crash marks every request in flight on the server. A request that crashes its server does so when it begins to run, so a stream that has delivered events is no suspect.

Other rules of the quarantine are unchanged.

The new test of the real program failed before (8 of 10 repetitions got 503) and passes now.

--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -177,6 +177,11 @@
 void ServingState::OnRunEvents(const RequestId& aRun, std::size_t aEvents, TimePoint aNow)
 {
   this->promptPartQuarantine.OnEvents(aRun, aEvents, aNow);
+  // A request that crashes its server does so when it begins to run. The streams that are
+  // under way on the server then are not suspects.
+  if (aEvents >= PromptPartQuarantine::kEventsToSurvive) {
+    this->quarantine.OnEnded(aRun, RunEnd::Survived, aNow);
+  }
 }
 
 void ServingState::OnResponseHead(const ServerId& aServer, const ReplyFacts& aFacts)
--- a/tests/platform/TestCrashingPromptParts.cpp
+++ b/tests/platform/TestCrashingPromptParts.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "crashes/PromptPartQuarantine.h"
 #include "support/PlatformStandin.h"
 
 using namespace toucanstand;
@@ -136,3 +137,32 @@
     CHECK(answer->body == BackendServerStandin::CompleteStream());
   }
 }
+
+TEST_CASE(
+  "A request whose stream had begun before its engines crashed is not quarantined",
+  "[server]")
+{
+  // Guards against sound requests that are rejected because others crashed their engines.
+  PlatformStandin platform(8);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(4);
+  const auto setCrash = [&platform](int aEvents) {
+    platform.RunOnLoop([&] {
+      for (int number = 0; number < 8; ++number) {
+        platform.BackendServer("engine-" + std::to_string(number))
+          .faults.crashAfterEvents = aEvents;
+      }
+    });
+  };
+  setCrash(PromptPartQuarantine::kEventsToSurvive + 1);
+  const auto broken = server.Generate("begun-1");
+  CHECK(!broken.HasValue());
+  const auto runs = platform.Runs();
+  CHECK(std::ranges::count(runs, "begun-1", &RecordedRun::attemptId) == 2);
+  setCrash(0);
+  for (int number = 2; number < 12; ++number) {
+    const auto answer = server.Generate("begun-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    CHECK(answer->status == 200);
+  }
+}
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -302,6 +302,11 @@
       co_return;
     }
     co_await aExchange.WriteChunk(event);
+    if (eventsSent == this->faults.crashAfterEvents) {
+      this->Crash();
+      aExchange.BreakOff();
+      co_return;
+    }
   }
   co_await aExchange.FinishStream();
 }
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -44,6 +44,8 @@
   /// An engine crashes when it begins to answer a request whose list of prompt parts
   /// contains this text; none if empty.
   std::string crashingPromptPart;
+  /// An engine crashes when a stream has sent this many events; 0 for never.
+  int crashAfterEvents = 0;
   /// Requests per second that the server says it takes; nothing if empty.
   std::string statedLimit;
   /// Responses without the server's signature header.
