--- a/modules/toucanstand_delivery/crashes/PromptPartQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/PromptPartQuarantine.h
@@ -72,13 +72,13 @@
   /// A part that went on this recently is not quarantined because a peer says so.
   static constexpr Duration kRecentSurvival = std::chrono::seconds(1);
 
-  static constexpr std::size_t kMaxPartsPerRun = 128;
-  static constexpr std::size_t kMaxPartsPerCrash = 256;
+  static constexpr std::size_t kMaxPartsPerRun = 64;
+  static constexpr std::size_t kMaxPartsPerCrash = 128;
   static constexpr std::size_t kMaxCrashes = 128;
   static constexpr std::size_t kMaxSurvivals = 4096;
   static constexpr std::size_t kMaxQuarantined = 1024;
   /// Maximum sizes of the lists of one report.
-  static constexpr std::size_t kMaxReportedCrashes = 16;
+  static constexpr std::size_t kMaxReportedCrashes = 8;
   static constexpr std::size_t kMaxReportedSurvivals = 256;
   static constexpr std::size_t kMaxReportedQuarantined = 256;
 
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -282,6 +282,9 @@
       { "groups", static_cast<std::int64_t>(aDelay.consideredGroups) },
       { "soonest_ms", ToMilliseconds(aDelay.earliestPrediction).count() },
       { "limit_ms", ToMilliseconds(aDelay.predictionLimit).count() },
+      { "rate_limited_servers",
+        static_cast<std::int64_t>(
+          this->state.rateLimits.Exhausted(BootClock::now()).size()) },
       { "prompt_tokens", this->call.facts.promptTokens },
       { "retry_after_ms", ToMilliseconds(aDelay.retryAfter).count() } });
 }
