Tell callers the time of the next request that a server they need will take

The least Retry-After of a refusal came from the limits of all servers, also of other pools and models. It now comes from those that could serve the call.

--- a/modules/toucanstand_admission/limits/ServerRateLimits.cpp
+++ b/modules/toucanstand_admission/limits/ServerRateLimits.cpp
@@ -180,17 +180,18 @@
   return servers;
 }
 
-std::optional<Duration> ServerRateLimits::TimeUntilNextRequest(TimePoint aNow) const
+std::optional<Duration> ServerRateLimits::TimeUntilNextRequest(const ServerId& aServer,
+                                                               TimePoint aNow) const
 {
-  std::optional<Duration> soonest;
-  for (const auto& [server, limit] : this->limits) {
-    if (!limit.isLifted && limit.share > 0) {
-      const double missing = std::max(0.0, 1.0 - Available(limit, aNow));
-      const auto wait = FromSeconds(missing / limit.share);
-      soonest = std::min(soonest.value_or(wait), wait);
-    }
+  const auto found = this->limits.find(aServer);
+  if (found == this->limits.end() || !IsExhausted(found->second, aNow)) {
+    return Duration::zero();
+  }
+  const Limit& limit = found->second;
+  if (limit.share <= 0) {
+    return std::nullopt;
   }
-  return soonest;
+  return FromSeconds((1.0 - Available(limit, aNow)) / limit.share);
 }
 
 void ServerRateLimits::OnTime(TimePoint aNow)
--- a/modules/toucanstand_admission/limits/ServerRateLimits.h
+++ b/modules/toucanstand_admission/limits/ServerRateLimits.h
@@ -92,9 +92,10 @@
   /// Servers to which this VM must not send a request now.
   [[nodiscard]] std::vector<ServerId> Exhausted(TimePoint aNow) const;
 
-  /// Time until this VM may send a request to one of the limited servers; nothing if it
-  /// has no share of any limit.
-  [[nodiscard]] std::optional<Duration> TimeUntilNextRequest(TimePoint aNow) const;
+  /// Time until this VM may send a request to the server; zero if it is not limited,
+  /// nothing if this VM has no share of its limit.
+  [[nodiscard]] std::optional<Duration> TimeUntilNextRequest(const ServerId& aServer,
+                                                             TimePoint aNow) const;
 
   /// Drops limits that have not been stated again. Call about once a second.
   void OnTime(TimePoint aNow);
--- a/modules/toucanstand_delivery/crashes/PromptPartQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/PromptPartQuarantine.cpp
@@ -166,7 +166,7 @@
                                        const LastRun& aRun,
                                        TimePoint aNow)
 {
-  bool matters = std::ranges::any_of(this->crashes, [aPart](const Crash& aCrash) {
+  bool isNews = std::ranges::any_of(this->crashes, [aPart](const Crash& aCrash) {
     return Contains(aCrash.parts, aPart);
   });
   if (this->lastSurvivals.size() >= kMaxSurvivals) {
@@ -186,9 +186,9 @@
   const auto entry = this->quarantined.find(aPart);
   if (entry != this->quarantined.end() && entry->second.since < aRun.at) {
     this->quarantined.erase(entry);
-    matters = true;
+    isNews = true;
   }
-  if (matters) {
+  if (isNews) {
     this->AddSurvivalNews(aPart, aRun, aNow);
   }
 }
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -39,10 +39,9 @@
                            &ServerId::Value);
     const auto candidate = this->state.router.Choose(query, BootClock::now());
     if (!candidate) {
-      const auto wait = this->state.rateLimits.TimeUntilNextRequest(BootClock::now());
-      co_return co_await this->progress.GiveUp(
-        Name(candidate.LastReason()),
-        std::max(kRetryAfter, wait.value_or(Duration::zero())));
+      const auto delay = this->state.RateLimitDelay(this->call, BootClock::now());
+      co_return co_await this->progress.GiveUp(Name(candidate.LastReason()),
+                                               std::max(kRetryAfter, delay));
     }
     const auto sentAt = BootClock::now();
     this->progress.destination = candidate->id;
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -59,8 +59,8 @@
     if (!choice) {
       auto delay = choice.LastReason();
       if (delay.reason == PlacementRefusalReason::NoGroup) {
-        const auto wait = this->state.rateLimits.TimeUntilNextRequest(BootClock::now());
-        delay.retryAfter = std::max(delay.retryAfter, wait.value_or(Duration::zero()));
+        delay.retryAfter = std::max(
+          delay.retryAfter, this->state.RateLimitDelay(this->call, BootClock::now()));
       }
       this->LogRefusal(delay);
       co_return co_await this->progress.GiveUp(Name(delay.reason), delay.retryAfter);
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -205,6 +205,22 @@
     { { "server", aServer.Value() }, { "per_second", aFacts.rateLimit.perSecond } });
 }
 
+Duration ServingState::RateLimitDelay(const Call& aCall, TimePoint aNow) const
+{
+  std::optional<Duration> earliest;
+  for (const auto& server : this->rateLimits.Exhausted(aNow)) {
+    const auto* entry = this->directory.Find(server);
+    const bool couldServe =
+      entry != nullptr && entry->pool == aCall.pool &&
+      (!entry->membership || ModelOfGroup(entry->membership->group) == aCall.facts.model);
+    const auto delay = this->rateLimits.TimeUntilNextRequest(server, aNow);
+    if (couldServe && delay) {
+      earliest = std::min(earliest.value_or(*delay), *delay);
+    }
+  }
+  return earliest.value_or(Duration::zero());
+}
+
 void ServingState::OnRunEnded(const RequestId& aRun,
                               const Destination& aDestination,
                               std::optional<AttemptFailure> aFailure)
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -67,6 +67,10 @@
   /// Applies what the head of a response says about the server that sent it.
   void OnResponseHead(const ServerId& aServer, const ReplyFacts& aFacts);
 
+  /// Time until this VM may send the call to a server that it must spare now because of
+  /// its rate limit; zero if no limit prevents that.
+  [[nodiscard]] Duration RateLimitDelay(const Call& aCall, TimePoint aNow) const;
+
   /// A backend server and its address.
   struct Destination
   {
--- a/tests/unit/toucanstand_admission/TestServerRateLimits.cpp
+++ b/tests/unit/toucanstand_admission/TestServerRateLimits.cpp
@@ -225,6 +225,7 @@
   ServerRateLimits limits;
   limits.SetFleet(MakeVm(0), { MakeVm(1) });
   limits.OnResponse(kServer, Limited(0), true, kStart);
+  CHECK(limits.TimeUntilNextRequest(ServerId("other"), kStart) == Duration::zero());
   CHECK(limits.Exhausted(kStart + 1s) == std::vector{ kServer });
   limits.OnTime(kStart + ServerRateLimits::kLifetime + 1s);
   CHECK(limits.Exhausted(kStart + ServerRateLimits::kLifetime + 1s).empty());
@@ -238,7 +239,7 @@
   for (const double perSecond : { 0.0, 1e-300, 0.999999, 1e18, 1e300 }) {
     limits.OnResponse(kServer, Limited(perSecond), true, kStart);
     limits.OnSent(kServer, kStart + 1s);
-    CHECK(limits.TimeUntilNextRequest(kStart + 1s).value_or(0s) <= 10s);
+    CHECK(limits.TimeUntilNextRequest(kServer, kStart + 1s).value_or(0s) <= 10s);
   }
   std::vector<ReportedRateLimit> reported;
   for (std::size_t server = 0; server < 2 * ServerRateLimits::kMaxServers; ++server) {
