End bodies and streams at their deadline while bytes are always ready

Callers of a group whose head sends comments without end waited until their own deadline, and a body from a faulty server was read until its limit of bytes.

Cause: the deadline of a read is a timer, and a read that finds bytes waiting succeeds before the timer can end it. Fetch, ReadWhole and RelayStream checked no time of their own.

Change: all three compare the time after each read.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -369,6 +369,10 @@
     if (response.body.size() > aMostBytes) {
       co_return HttpFailure::TooLarge;
     }
+    // A read that finds bytes waiting succeeds although its time is up.
+    if (BootClock::now() >= bodyDue) {
+      co_return HttpFailure::BodyTimedOut;
+    }
   }
 }
 
--- a/programs/toucanstand-server/CallSender.cpp
+++ b/programs/toucanstand-server/CallSender.cpp
@@ -56,6 +56,10 @@
     if (response.body.size() > kMaxResponseBytes) {
       co_return HttpFailure::TooLarge;
     }
+    // A read that finds bytes waiting succeeds although its time is up.
+    if (BootClock::now() >= this->call.deadline) {
+      co_return HttpFailure::BodyTimedOut;
+    }
   }
 }
 
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -183,10 +183,15 @@
     if (!events) {
       co_return FailedAttempt{ AttemptFailure::BrokenInBody, std::nullopt };
     }
+    const bool hasNewEvents = this->framer.EventCount() > eventsBefore;
+    // A read that finds bytes waiting succeeds although its time is up.
+    if (!hasNewEvents && BootClock::now() >= nextEventDue) {
+      co_return FailedAttempt{ this->sender.ClassifyFailure(HttpFailure::BodyTimedOut),
+                               std::nullopt };
+    }
     if (events->empty()) {
       continue;
     }
-    const bool hasNewEvents = this->framer.EventCount() > eventsBefore;
     if (hasNewEvents) {
       const auto now = BootClock::now();
       this->placement.OnEvents(this->ticket, now);
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -148,6 +148,28 @@
   CHECK(metrics->body.find("by=\"pause\"") != std::string::npos);
 }
 
+TEST_CASE("A stream that sends comments without end is resumed on another server",
+          "[server]")
+{
+  // Guards against a run that is kept until the deadline because bytes are always ready.
+  PlatformStandin platform(4);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(2);
+  const auto heads = platform.OpenGroupHeads();
+  platform.RunOnLoop(
+    [&] { platform.BackendServer(heads.begin()->second).faults.floodStreams = 100; });
+
+  std::size_t floodedStreams = 0;
+  for (int number = 0; number < 6; ++number) {
+    const auto attemptId = "f-" + std::to_string(number);
+    const auto answer = server.Generate(attemptId);
+    REQUIRE(answer.HasValue());
+    CHECK(answer->status == 200);
+    floodedStreams += RunCount(platform, attemptId) == 2 ? 1 : 0;
+  }
+  CHECK(floodedStreams > 0);
+}
+
 TEST_CASE("A stream of which the second run is rejected is not reported as complete",
           "[server]")
 {
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -264,6 +264,7 @@
 {
   const bool isAborted = ConsumeFault(this->faults.abortStreams);
   const bool isStalled = ConsumeFault(this->faults.stallStreams);
+  const bool isFlooded = ConsumeFault(this->faults.floodStreams);
   const int eventsBeforeAbort = this->faults.abortAfterEvents;
   const auto lastEventId = std::string(aExchange.Request().headers.Find("Last-Event-Id"));
   int number = lastEventId.empty() ? 0 : std::stoi(lastEventId);
@@ -290,6 +291,13 @@
       // sends no more events.
       continue;
     }
+    if (isFlooded && eventsSent > 0) {
+      static const std::string kComments(4096, ':');
+      while (!aExchange.CallerGone() &&
+             co_await aExchange.WriteChunk(kComments + "\n\n")) {
+      }
+      co_return;
+    }
     if (isStalled && eventsSent > 0) {
       co_await aExchange.WriteChunk(":");
       continue;
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -32,6 +32,8 @@
   int abortAfterEvents = 3;
   /// Streams that send one event and then single bytes that never complete another one.
   int stallStreams = 0;
+  /// Streams that send one event and then comments without a pause.
+  int floodStreams = 0;
   /// Requests rejected with 421 without being run.
   int rejectAsWrongServer = 0;
   /// Requests rejected with 503 and the header that says that they did not run.
--- a/tests/unit/toucanstand_transport/TestEndlessBytes.cpp
+++ b/tests/unit/toucanstand_transport/TestEndlessBytes.cpp
@@ -120,7 +120,8 @@
 
 Received FetchFrom(const std::string& aBeginning,
                    const std::string& aFiller,
-                   std::chrono::milliseconds aPause = 0ms)
+                   std::chrono::milliseconds aPause = 0ms,
+                   std::size_t aMostBytes = 1U << 20U)
 {
   asio::io_context loop;
   MetricsRegistry metrics;
@@ -141,7 +142,7 @@
       const auto answer = co_await client.Fetch(server.Address(),
                                                 std::move(request),
                                                 deadlines,
-                                                1U << 20U,
+                                                aMostBytes,
                                                 ConnectionUse::Single);
       received.succeeded = answer.HasValue();
       received.took = BootClock::now() - startedAt;
@@ -180,6 +181,20 @@
   CHECK(received.took < 5s);
 }
 
+TEST_CASE("A body whose bytes are always ready ends at its deadline", "[http]")
+{
+  // Guards against a deadline that is checked only while the client waits for bytes.
+  const auto received = FetchFrom("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                  "5\r\nhello\r\n",
+                                  0ms,
+                                  kMostSent);
+  CHECK(received.closedByClient);
+  CHECK_FALSE(received.succeeded);
+  CHECK(received.sent < kMostSent);
+  CHECK(received.took >= 2s);
+  CHECK(received.took < 5s);
+}
+
 TEST_CASE("An answer that comes a byte now and then ends in time", "[http]")
 {
   // Guards against waits without end: each byte began the time for the next one anew.
