--- a/modules/toucanstand_delivery/crashes/PromptPartQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/PromptPartQuarantine.h
@@ -44,8 +44,9 @@
 /// them, whatever else the request holds, and quarantines them.
 ///
 /// A crash is evidence against all parts of the runs that had just started on the server;
-/// a run that goes on clears its parts of all earlier crashes. A part is quarantined for
-/// the fewest crashes that no other part explains as well.
+/// a run that goes on clears its parts of all earlier crashes. Of the parts that share
+/// crashes, the one with the strongest evidence is quarantined. Its crashes are explained
+/// then and no longer count against the others.
 class PromptPartQuarantine
 {
 public:
