Pause between the requests of the rate limit test

TestServerLimits ran beside it and opened some ten thousand connections, so that the kernel gave that port to one of them. The test now pauses 5 ms between requests; its bounds are the same.

--- a/tests/platform/TestServerLimits.cpp
+++ b/tests/platform/TestServerLimits.cpp
@@ -20,6 +20,8 @@
   template<typename SendFunction>
   void Run(std::chrono::milliseconds aLength, SendFunction aSend)
   {
+    // Each request opens connections; without a pause they take up the ephemeral ports.
+    constexpr auto kPause = std::chrono::milliseconds(5);
     constexpr auto kPauseAfterRefusal = std::chrono::milliseconds(20);
     const auto end = steady_clock::now() + aLength;
     while (steady_clock::now() < end) {
@@ -30,6 +32,7 @@
       REQUIRE(answer.HasValue());
       if (answer->status == 200) {
         ++this->answered;
+        std::this_thread::sleep_for(kPause);
         continue;
       }
       ++this->refused;
