Move the conversions of peer reports to their own file, and share NewsScope

PeerChannel had grown by 60 lines that only translate, two classes declared the same enumeration, and two tests repeated one loop over seeds with the same checks.

--- a/modules/toucanstand_admission/limits/ServerRateLimits.h
+++ b/modules/toucanstand_admission/limits/ServerRateLimits.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "identifiers/Identifiers.h"
+#include "observation/NewsScope.h"
 #include "serving/CallFacts.h"
 #include "time/BootClock.h"
 
@@ -100,15 +101,7 @@
   /// Drops limits that have not been stated again. Call about once a second.
   void OnTime(TimePoint aNow);
 
-  /// Which statements are passed on.
-  enum class NewsScope
-  {
-    /// Those in responses to this VM.
-    Own,
-    /// Also those that peers reported; for a relay's reports to its subscribers.
-    All,
-  };
-
+  /// What servers have stated within kNewsLifetime.
   [[nodiscard]] std::vector<ReportedRateLimit> News(TimePoint aNow,
                                                     NewsScope aScope) const;
 
--- a/modules/toucanstand_delivery/crashes/PromptPartQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/PromptPartQuarantine.h
@@ -11,6 +11,7 @@
 
 #include "crashes/CrashQuarantine.h"
 #include "identifiers/Identifiers.h"
+#include "observation/NewsScope.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -126,18 +127,9 @@
   /// Removes what has expired and judges new evidence. Call several times a second.
   std::vector<Verdict> OnTime(TimePoint aNow);
 
-  /// Which survivals are passed on.
-  enum class NewsScope
-  {
-    /// Those of this VM's runs. Peers that passed on each other's would move the time of
-    /// a survival on by the delay of each message.
-    Own,
-    /// Also those that peers reported; for a relay's reports to its subscribers.
-    All,
-  };
-
   /// What has changed within kNewsLifetime, and the quarantined parts. Parts taken over
   /// from others are left out: two VMs would renew each other's quarantine forever.
+  /// @param aScope of the survivals; all new crashes are passed on
   [[nodiscard]] PromptPartEvidence News(TimePoint aNow, NewsScope aScope) const;
 
   [[nodiscard]] nlohmann::json Describe(TimePoint aNow) const;
--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "PeerReportConversion.h"
 #include "StoreSession.h"
 #include "peers/PeerReportAggregator.h"
 
@@ -33,63 +34,6 @@
   return kSender;
 }
 
-/// Upper bound of an age in a report; anything older has expired.
-constexpr double kMaxReportedAgeSeconds = 3600;
-
-Duration ToAge(double aSeconds)
-{
-  return FromSeconds(std::min(aSeconds, kMaxReportedAgeSeconds));
-}
-
-PromptPartEvidence ToPromptPartEvidence(const PeerReport& aReport)
-{
-  PromptPartEvidence evidence;
-  for (const auto& crash : aReport.crashes) {
-    evidence.crashes.push_back(
-      { ServerId(crash.server), ToAge(crash.ageSeconds), crash.parts });
-  }
-  for (const auto& survival : aReport.survivals) {
-    evidence.survivals.push_back({ survival.part, ToAge(survival.ageSeconds) });
-  }
-  evidence.quarantined = aReport.quarantinedParts;
-  return evidence;
-}
-
-/// Replaces the report's crashes and survivals.
-void SetCrashEvidence(PeerReport& aReport, const PromptPartEvidence& aEvidence)
-{
-  aReport.crashes.clear();
-  for (const auto& crash : aEvidence.crashes) {
-    aReport.crashes.push_back(
-      { crash.server.Value(), ToSeconds(crash.age), crash.parts });
-  }
-  aReport.survivals.clear();
-  for (const auto& survival : aEvidence.survivals) {
-    aReport.survivals.push_back({ survival.part, ToSeconds(survival.age) });
-  }
-}
-
-std::vector<ReportedRateLimit> ToRateLimits(const PeerReport& aReport)
-{
-  std::vector<ReportedRateLimit> limits;
-  std::ranges::transform(
-    aReport.rateLimits, std::back_inserter(limits), [](const auto& aLimit) {
-      return ReportedRateLimit{ ServerId(aLimit.server),
-                                aLimit.perSecond,
-                                ToAge(aLimit.ageSeconds) };
-    });
-  return limits;
-}
-
-void SetRateLimits(PeerReport& aReport, const std::vector<ReportedRateLimit>& aLimits)
-{
-  aReport.rateLimits.clear();
-  for (const auto& limit : aLimits) {
-    aReport.rateLimits.push_back(
-      { limit.server.Value(), limit.perSecond, ToSeconds(limit.age) });
-  }
-}
-
 std::vector<GroupLoad> ToGroupLoads(const PeerReport& aReport)
 {
   std::vector<GroupLoad> loads;
@@ -320,12 +264,10 @@
   report.sequence = ++this->sequence;
   report.demand = this->state.workMeter.Rates(aNow);
   report.quarantinedFingerprints = this->state.quarantine.LocallyQuarantined(aNow);
-  const auto evidence =
-    this->state.promptPartQuarantine.News(aNow, PromptPartQuarantine::NewsScope::Own);
+  const auto evidence = this->state.promptPartQuarantine.News(aNow, NewsScope::Own);
   SetCrashEvidence(report, evidence);
   report.quarantinedParts = evidence.quarantined;
-  SetRateLimits(report,
-                this->state.rateLimits.News(aNow, ServerRateLimits::NewsScope::Own));
+  SetRateLimits(report, this->state.rateLimits.News(aNow, NewsScope::Own));
   for (auto& placement : this->state.placements | std::views::values) {
     for (const auto& load : placement.OwnLoads(aNow)) {
       report.loads.push_back({ load.group.Value(),
@@ -380,10 +322,8 @@
   PeerReportAggregator total;
   total.Add(this->lastReport);
   ++this->aggregateSequence;
-  const auto evidence =
-    this->state.promptPartQuarantine.News(aNow, PromptPartQuarantine::NewsScope::All);
-  const auto rateLimits =
-    this->state.rateLimits.News(aNow, ServerRateLimits::NewsScope::All);
+  const auto evidence = this->state.promptPartQuarantine.News(aNow, NewsScope::All);
+  const auto rateLimits = this->state.rateLimits.News(aNow, NewsScope::All);
   std::map<Endpoint, const PeerReport*> reports;
   for (const auto& peer : this->latestReports | std::views::values) {
     if (aNow - peer.receivedAt <= kLoadLifetime) {
--- a/tests/unit/toucanstand_admission/TestServerRateLimits.cpp
+++ b/tests/unit/toucanstand_admission/TestServerRateLimits.cpp
@@ -17,7 +17,6 @@
 
 using Kind = StatedRateLimit::Kind;
 using Change = ServerRateLimits::Change;
-using Scope = ServerRateLimits::NewsScope;
 
 constexpr TimePoint kStart{ 100s };
 const ServerId kServer("server-1");
@@ -133,7 +132,7 @@
 
   void Report(std::size_t aVm)
   {
-    const auto news = this->limits[aVm].News(this->now, Scope::Own);
+    const auto news = this->limits[aVm].News(this->now, NewsScope::Own);
     for (std::size_t other = 0; other < this->limits.size(); ++other) {
       if (other != aVm && this->random.Fraction() < 0.8) {
         this->limits[other].Merge(news, this->now + 10ms);
@@ -248,8 +247,8 @@
   reported.push_back({ ServerId("old"), 1.0, 1000h });
   limits.Merge(reported, kStart + 1s);
   CHECK(limits.Describe(kStart).size() <= ServerRateLimits::kMaxServers);
-  CHECK(limits.News(kStart + 1s, Scope::All).size() <=
+  CHECK(limits.News(kStart + 1s, NewsScope::All).size() <=
         ServerRateLimits::kMaxReportedServers);
   // Only a VM's own statements are passed on, so that reports do not renew each other.
-  CHECK(limits.News(kStart + 1s, Scope::Own).size() == 1);
+  CHECK(limits.News(kStart + 1s, NewsScope::Own).size() == 1);
 }
--- a/tests/unit/toucanstand_delivery/TestPromptPartQuarantine.cpp
+++ b/tests/unit/toucanstand_delivery/TestPromptPartQuarantine.cpp
@@ -20,8 +20,6 @@
 constexpr PromptPartId kDeadlyPart = 0xdead;
 constexpr TimePoint kStart{ 100s };
 
-using NewsScope = PromptPartQuarantine::NewsScope;
-
 /// What the simulated callers, network and servers do.
 struct Scenario
 {
@@ -247,6 +245,18 @@
 
 constexpr std::uint64_t kSeeds = 18;
 
+/// Checks the operators' bound on late requests, and that no sound request is rejected.
+void CheckAllSeeds(const Scenario& aScenario)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    INFO("seed " << seed);
+    SimulatedFleet fleet(seed, aScenario);
+    fleet.Run();
+    CHECK(fleet.lateDeadlySends <= 3);
+    CHECK(fleet.soundRejections == 0);
+  }
+}
+
 /// One VM that saw requests with these parts start on servers that then crashed.
 class CrashSequence
 {
@@ -331,13 +341,7 @@
   // Guards against crashes of one part that are all attributed to the other.
   Scenario scenario;
   scenario.deadlyParts = { kDeadlyPart, kDeadlyPart + 1 };
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    INFO("seed " << seed);
-    SimulatedFleet fleet(seed, scenario);
-    fleet.Run();
-    CHECK(fleet.lateDeadlySends <= 3);
-    CHECK(fleet.soundRejections == 0);
-  }
+  CheckAllSeeds(scenario);
 }
 
 TEST_CASE("Servers that are lost together bring no prompt part into quarantine",
@@ -363,13 +367,7 @@
   Scenario scenario;
   scenario.serversLostTogether = 5;
   scenario.messageLoss = 0.4;
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    INFO("seed " << seed);
-    SimulatedFleet fleet(seed, scenario);
-    fleet.Run();
-    CHECK(fleet.lateDeadlySends <= 3);
-    CHECK(fleet.soundRejections == 0);
-  }
+  CheckAllSeeds(scenario);
 }
 
 TEST_CASE("Of prompt parts that always come together, the one that never went on is held",
