Keep requests that were just answered out of quarantine for one common fault

Callers of requests that many repeat got 503 crashes_servers for 10 minutes when two engines crashed for another reason while such requests were starting on them.

Cause: CrashQuarantine holds a fingerprint after two crashes, whatever its other runs showed.

Change: a fingerprint that was answered within the last 10 s is held after three crashes instead of two, and crashes within 100 ms count as one for it. Others are held after two as before, so that a request that crashes each server still costs two.

The model of decision 0006 and its bound of two servers are unchanged.

--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.cpp
@@ -66,6 +66,9 @@
     found->second.expiresAt = aNow + kAbandonedRunRetention;
     return;
   }
+  if (aEnd == RunEnd::Survived) {
+    this->RecordAnswer(found->second.fingerprint, aNow);
+  }
   const auto record = this->records.find(found->second.fingerprint);
   // Only a run that was sent after the last known crash clears the marks: a run sent
   // before it is no evidence that the fingerprint is harmless.
@@ -287,6 +290,9 @@
 {
   std::erase_if(this->records,
                 [aNow](const auto& aEntry) { return aEntry.second.expiresAt <= aNow; });
+  std::erase_if(this->answeredAt, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kAnswerRetention;
+  });
   std::erase_if(this->serverLostAt, [aNow](const auto& aEntry) {
     return aEntry.second + kLostServerRetention <= aNow;
   });
@@ -305,6 +311,7 @@
 {
   auto document = nlohmann::json::object();
   document["in_flight"] = this->runs.size();
+  document["answered"] = this->answeredAt.size();
   document["fingerprints"] = nlohmann::json::array();
   for (const auto& [fingerprint, record] : this->records) {
     document["fingerprints"].push_back(
@@ -317,17 +324,23 @@
   return document;
 }
 
-SuspicionLevel CrashQuarantine::LevelOf(const Record& aRecord)
+std::size_t CrashQuarantine::UnclearedMarks(const Record& aRecord)
 {
-  const auto uncleared =
-    std::ranges::count_if(aRecord.marks, [&](const CrashMark& aMark) {
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aRecord.marks, [&aRecord](const CrashMark& aMark) {
       return !aRecord.cleared.contains(aMark);
-    });
+    }));
+}
+
+SuspicionLevel CrashQuarantine::LevelOf(const Record& aRecord)
+{
+  const auto uncleared = UnclearedMarks(aRecord);
   const bool full = aRecord.marks.size() >= kMaximumMarks;
-  if (aRecord.quarantinedRemotely || uncleared >= 2 || full) {
+  const bool hasEnoughMarks = uncleared >= aRecord.marksForQuarantine;
+  if (aRecord.quarantinedRemotely || hasEnoughMarks || full) {
     return SuspicionLevel::Quarantined;
   }
-  return uncleared == 1 ? SuspicionLevel::RunAlone : SuspicionLevel::Clear;
+  return uncleared > 0 ? SuspicionLevel::RunAlone : SuspicionLevel::Clear;
 }
 
 const CrashQuarantine::Record* CrashQuarantine::Find(std::uint64_t aFingerprint) const
@@ -351,11 +364,38 @@
   return this->records[aFingerprint];
 }
 
+bool CrashQuarantine::WasAnsweredRecently(std::uint64_t aFingerprint,
+                                          TimePoint aNow) const
+{
+  const auto answered = this->answeredAt.find(aFingerprint);
+  return answered != this->answeredAt.end() &&
+         aNow - answered->second <= kAnswerRetention;
+}
+
+void CrashQuarantine::RecordAnswer(std::uint64_t aFingerprint, TimePoint aNow)
+{
+  if (this->answeredAt.size() < kMaximumAnswered ||
+      this->answeredAt.contains(aFingerprint)) {
+    this->answeredAt.insert_or_assign(aFingerprint, aNow);
+  }
+}
+
 void CrashQuarantine::AddMark(const Run& aRun, TimePoint aNow)
 {
   Record& record = this->FindOrInsert(aRun.fingerprint, aNow);
-  InsertUpToMaximum(record.marks, { { aRun.server, aRun.priorMarks } });
   record.expiresAt = aNow + kSuspicionLifetime;
+  if (UnclearedMarks(record) == 0) {
+    record.marksForQuarantine = this->WasAnsweredRecently(aRun.fingerprint, aNow)
+                                  ? kMarksAfterAnswers
+                                  : kMarksForQuarantine;
+  }
+  const bool isSameFault = record.marksForQuarantine == kMarksAfterAnswers &&
+                           aNow - record.lastOwnMarkAt < kMinCrashDistance;
+  if (isSameFault) {
+    return;
+  }
+  InsertUpToMaximum(record.marks, { { aRun.server, aRun.priorMarks } });
+  record.lastOwnMarkAt = aNow;
   this->changedFingerprints.insert(aRun.fingerprint);
 }
 
--- a/modules/toucanstand_delivery/crashes/CrashQuarantine.h
+++ b/modules/toucanstand_delivery/crashes/CrashQuarantine.h
@@ -26,8 +26,8 @@
   /// Was in flight during one crash: runs one at a time, with a grant from the
   /// SuspectArbiter.
   RunAlone,
-  /// Was in flight during two crashes: not run; the caller gets 422 `quarantined`
-  /// immediately.
+  /// Was in flight during two crashes, or three if it was answered shortly before: not
+  /// run; the caller gets 422 `quarantined` immediately.
   Quarantined,
 };
 
@@ -101,6 +101,17 @@
   /// a new loss.
   static constexpr Duration kLostServerRetention = std::chrono::seconds(10);
   static constexpr std::size_t kMaximumFingerprints = 10'000;
+  /// Uncleared marks that quarantine a fingerprint, and one that was answered shortly
+  /// before its first mark: callers repeat it often, so that it is in flight on many
+  /// servers that crash for another reason.
+  static constexpr std::size_t kMarksForQuarantine = 2;
+  static constexpr std::size_t kMarksAfterAnswers = 3;
+  /// Time for which the answer to a fingerprint is remembered.
+  static constexpr Duration kAnswerRetention = std::chrono::seconds(10);
+  static constexpr std::size_t kMaximumAnswered = 4096;
+  /// Crashes that follow one another more closely count as one for a fingerprint that was
+  /// answered shortly before: a fault of the machines ends several servers at once.
+  static constexpr Duration kMinCrashDistance = std::chrono::milliseconds(100);
   /// A fingerprint with this many marks is quarantined even if all of them are cleared.
   static constexpr std::size_t kMaximumMarks = 8;
 
@@ -192,6 +203,9 @@
     std::set<CrashMark> marks;
     std::set<CrashMark> cleared;
     TimePoint expiresAt{};
+    std::size_t marksForQuarantine = kMarksForQuarantine;
+    /// Time of the last mark for a run of this process.
+    TimePoint lastOwnMarkAt{};
     /// Reported as quarantined by a snapshot or peer, without the marks behind it.
     bool quarantinedRemotely = false;
   };
@@ -200,10 +214,14 @@
   [[nodiscard]] std::optional<ServerId> TrialServer(
     std::uint64_t aFingerprint,
     const std::vector<ServerId>& aHomes) const;
+  [[nodiscard]] static std::size_t UnclearedMarks(const Record& aRecord);
   [[nodiscard]] static SuspicionLevel LevelOf(const Record& aRecord);
+  [[nodiscard]] bool WasAnsweredRecently(std::uint64_t aFingerprint,
+                                         TimePoint aNow) const;
   [[nodiscard]] const Record* Find(std::uint64_t aFingerprint) const;
   Record& FindOrInsert(std::uint64_t aFingerprint, TimePoint aNow);
   void AddMark(const Run& aRun, TimePoint aNow);
+  void RecordAnswer(std::uint64_t aFingerprint, TimePoint aNow);
   void EvictLeastSuspectedRecord();
 
   std::unordered_map<RequestId, Run> runs;
@@ -211,6 +229,8 @@
   std::unordered_map<std::uint64_t, Record> records;
   std::unordered_map<ServerId, TimePoint> serverLostAt;
   std::set<std::uint64_t> changedFingerprints;
+  /// Time of the last answer, by fingerprint.
+  std::unordered_map<std::uint64_t, TimePoint> answeredAt;
 };
 
 } // namespace toucanstand
--- a/tests/platform/TestCrashingPromptParts.cpp
+++ b/tests/platform/TestCrashingPromptParts.cpp
@@ -1,4 +1,7 @@
+#include <atomic>
 #include <csignal>
+#include <iterator>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -166,3 +169,43 @@
     CHECK(answer->status == 200);
   }
 }
+
+TEST_CASE("A request that is often answered is served although two of its engines crash",
+          "[server]")
+{
+  // Guards against an outage that rejects the requests that many callers repeat.
+  PlatformStandin platform(8);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(4);
+  std::atomic<bool> stop = false;
+  constexpr int kCallers = 20;
+  std::vector<std::thread> callers;
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
+    callers.emplace_back([&server, &stop, caller] {
+      HttpCaller own(std::chrono::seconds(6));
+      for (int number = 0; !stop; ++number) {
+        const auto name = std::to_string(caller) + "-" + std::to_string(number);
+        (void)own.Call(server.listenEndpoint,
+                       "POST",
+                       "/chat/1",
+                       "prompt",
+                       ServerUnderTest::GenerationHeaders(name));
+      }
+    });
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  const auto heads = platform.OpenGroupHeads();
+  for (auto head = heads.begin(); head != std::next(heads.begin(), 2); ++head) {
+    platform.CrashServer(head->second);
+    platform.DeleteRegistration(head->second);
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  stop = true;
+  std::ranges::for_each(callers, &std::thread::join);
+  for (int number = 0; number < 10; ++number) {
+    const auto answer = server.Generate("after-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    CHECK(answer->status == 200);
+  }
+}
--- a/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
+++ b/tests/unit/toucanstand_delivery/TestCrashQuarantine.cpp
@@ -390,3 +390,57 @@
   quarantine.OnServerCrashed(ServerId("s2"), now);
   CHECK(quarantine.LocallyQuarantined(now) == std::vector<std::uint64_t>{ 7 });
 }
+
+TEST_CASE(
+  "A request that was just answered is not quarantined by one fault of the machines",
+  "[crashes]")
+{
+  // Guards against an outage that rejects the requests that many callers repeat.
+  CrashQuarantine quarantine;
+  TimePoint now{ std::chrono::hours(1) };
+  int runs = 0;
+  const auto crash = [&](std::uint64_t aFingerprint) {
+    const ServerId server("s" + std::to_string(++runs));
+    quarantine.OnSent(RequestId(std::to_string(runs)), aFingerprint, server);
+    quarantine.OnServerCrashed(server, now);
+  };
+  quarantine.OnSent(RequestId("answered"), 7, ServerId("s"));
+  quarantine.OnEnded(RequestId("answered"), RunEnd::Survived, now);
+  for (int server = 0; server < 5; ++server) {
+    crash(7);
+    now += 10ms;
+  }
+  CHECK(quarantine.Level(7, now) == SuspicionLevel::RunAlone);
+  // It crashes servers after all: the third separate crash decides.
+  now += CrashQuarantine::kMinCrashDistance;
+  crash(7);
+  CHECK(quarantine.Level(7, now) == SuspicionLevel::RunAlone);
+  now += CrashQuarantine::kMinCrashDistance;
+  crash(7);
+  CHECK(quarantine.Level(7, now) == SuspicionLevel::Quarantined);
+
+  // Without an answer shortly before, two crashes decide, also at the same time.
+  crash(8);
+  crash(8);
+  CHECK(quarantine.Level(8, now) == SuspicionLevel::Quarantined);
+  quarantine.OnSent(RequestId("old"), 9, ServerId("s"));
+  quarantine.OnEnded(RequestId("old"), RunEnd::Survived, now);
+  now += CrashQuarantine::kAnswerRetention + 1ms;
+  crash(9);
+  crash(9);
+  CHECK(quarantine.Level(9, now) == SuspicionLevel::Quarantined);
+}
+
+TEST_CASE("The number of remembered answers is bounded", "[crashes]")
+{
+  CrashQuarantine quarantine;
+  const TimePoint now{ std::chrono::hours(1) };
+  for (std::uint64_t fingerprint = 0; fingerprint < 10'000; ++fingerprint) {
+    const RequestId request(std::to_string(fingerprint));
+    quarantine.OnSent(request, fingerprint, ServerId("s"));
+    quarantine.OnEnded(request, RunEnd::Survived, now);
+  }
+  CHECK(quarantine.Describe(now).at("answered") == CrashQuarantine::kMaximumAnswered);
+  quarantine.OnTime(now + CrashQuarantine::kAnswerRetention + 1ms);
+  CHECK(quarantine.Describe(now).at("answered") == 0);
+}
