--- a/modules/toucanstand_transport/store/PlatformStore.h
+++ b/modules/toucanstand_transport/store/PlatformStore.h
@@ -14,6 +14,9 @@
 using StoreRevision = std::int64_t;
 /// Lease of the store; 0 is none.
 using StoreLease = std::int64_t;
+/// Number of the store's history. Each restoration from a copy begins a new one with a
+/// higher number.
+using StoreHistory = std::int64_t;
 
 /// A key's value and the revision of the write that set it.
 struct StoredValue
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -285,6 +285,8 @@
            { "configuration_version",
              this->state.configuration ? this->state.configuration->Version() : 0 },
            { "store_age_ms", ToMilliseconds(now - this->state.storeUpToDateAt).count() },
+           { "store_history", this->store.History().value_or(0) },
+           { "store_revision", this->storeSynchronizer.Revision() },
            { "leader_term", this->storeSession.LeaderTerm(now) },
            { "peers", this->peers.PeerCount() },
            { "relay", this->peers.Directory().IsRelay() },
--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -221,7 +221,8 @@
   }
   this->state.log.Write(LogWeight::Notable,
                         "store_regained",
-                        { { "outage_ms", ToMilliseconds(aOutage).count() } });
+                        { { "outage_ms", ToMilliseconds(aOutage).count() },
+                          { "revision", this->mirror.At() } });
 }
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/StoreSynchronizer.h
+++ b/programs/toucanstand-server/StoreSynchronizer.h
@@ -50,6 +50,9 @@
   /// True once every key has been read.
   [[nodiscard]] bool IsComplete() const { return this->mirror.IsComplete(); }
 
+  /// Revision of the store that the local copy has reached.
+  [[nodiscard]] StoreRevision Revision() const { return this->mirror.At(); }
+
   /// Returns the time as of which the local copy of the store is known to be complete:
   /// the start of the last read of the store, by this VM or its relay, that brought it up
   /// to date.
