Keep a server's entry when the store shows an older one of the same run

Callers saw: nothing yet; found while going through what holds by a revision. A store that is restored from a copy shows entries that are some heartbeats old until the engines write again, so that requests go to former group heads and the leader plans with former groups. Cause: of two entries, the one that was read last was taken. Change: entries of one run are ordered by the heartbeat number that they carry. An outdated entry and the write that replaces it are passed on to peers, which may have only the outdated one. Test: TestServerDirectory, which failed before (the sequence was not read).

--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -21,9 +21,17 @@
   auto& known = this->servers[aEntry.id];
   // Leaving is final for one run of a server: an older entry may be written late.
   const bool sameRun = known.startedAtUnixMs == aEntry.startedAtUnixMs;
+  const bool isOutdated = sameRun && aEntry.startedAtUnixMs != 0 &&
+                          aEntry.sequence.number < known.sequence.number;
+  if (isOutdated) {
+    this->outdatedInStore.insert(aEntry.id);
+    return true;
+  }
+  const bool isRenewed = this->outdatedInStore.erase(aEntry.id) > 0;
   aEntry.leaving = aEntry.leaving || (sameRun && known.leaving);
   if (known == aEntry) {
-    return restored;
+    known.sequence = aEntry.sequence;
+    return restored || isRenewed;
   }
   known = std::move(aEntry);
   ++this->revision;
@@ -41,6 +49,7 @@
     return;
   }
   this->pendingRemovals.erase(aServer);
+  this->outdatedInStore.erase(aServer);
   this->servers.erase(found);
   ++this->revision;
 }
--- a/modules/toucanstand_world/serving/ServerDirectory.h
+++ b/modules/toucanstand_world/serving/ServerDirectory.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include <nlohmann/json_fwd.hpp>
@@ -36,7 +37,9 @@
   /// its return; the rest covers the delay of the change feed.
   static constexpr Duration kReturnGrace = std::chrono::milliseconds(2700);
 
-  /// @returns false when the entry was known as it is and was not being removed
+  /// Adds or replaces an entry, unless it is older than the known one of the same run:
+  /// the store may have been restored from a copy.
+  /// @returns false when the store had the entry as it is and it was not being removed
   bool Put(ServerEntry aEntry);
   void Remove(const ServerId& aServer, TimePoint aNow);
 
@@ -63,6 +66,8 @@
 private:
   std::map<ServerId, ServerEntry> servers;
   std::map<ServerId, TimePoint> pendingRemovals;
+  /// Servers whose entry in the store is older than the known one.
+  std::set<ServerId> outdatedInStore;
   TimePoint graceUntil{};
   std::uint64_t revision = 0;
 };
--- a/modules/toucanstand_world/serving/ServerEntry.h
+++ b/modules/toucanstand_world/serving/ServerEntry.h
@@ -41,6 +41,15 @@
   friend bool operator==(const GroupMembership&, const GroupMembership&) = default;
 };
 
+/// Position of an entry among those of one run of a server. Entries that differ in
+/// nothing else are equal.
+struct EntrySequence
+{
+  std::int64_t number = 0;
+
+  friend bool operator==(const EntrySequence&, const EntrySequence&) { return true; }
+};
+
 /// A backend server as it registered itself with the platform.
 struct ServerEntry
 {
@@ -56,6 +65,8 @@
   bool leaving = false;
   /// Start of this run of the server, milliseconds since 1970; 0 when unknown.
   std::int64_t startedAtUnixMs = 0;
+  /// Position among the entries that this run of the server wrote; 0 when unknown.
+  EntrySequence sequence;
   /// Models whose weights lie on the host.
   std::vector<std::string> stagedModels;
   std::optional<GroupMembership> membership;
--- a/tests/unit/toucanstand_world/TestServerDirectory.cpp
+++ b/tests/unit/toucanstand_world/TestServerDirectory.cpp
@@ -93,3 +93,26 @@
   CHECK(groups.begin()->second.Head()->id == ServerId("c"));
   CHECK(directory.GroupsOf(PoolId("other")).empty());
 }
+
+TEST_CASE("An older entry of a restored store does not replace a newer one",
+          "[directory]")
+{
+  ServerDirectory directory;
+  auto older = Entry("a");
+  older.sequence.number = 4;
+  auto newer = older;
+  newer.sequence.number = 9;
+  newer.membership = GroupMembership{ GroupId("m-1"), 1, 0, MembershipState::Open };
+  directory.Put(newer);
+
+  // Guards against a peer that has only the older entry and never gets the newer one.
+  CHECK(directory.Put(older));
+  CHECK(directory.Find(ServerId("a"))->membership);
+  CHECK(directory.Put(newer));
+  CHECK_FALSE(directory.Put(newer));
+
+  auto restarted = older;
+  restarted.startedAtUnixMs = 2;
+  CHECK(directory.Put(restarted));
+  CHECK_FALSE(directory.Find(ServerId("a"))->membership);
+}
