Keep VMs whose registrations the store lost for a grace period

Cause: registrations that were written since the copy that the store was restored from are gone. Every VM would take itself for the only one, and each would claim the whole of the retry budget and of the servers' rate limits, until the others have registered again. Change: after OnStoreBack(), a removal takes effect after 2.7 s unless the VM registers again, as for backend servers.

--- a/modules/toucanstand_membership/peers/PeerDirectory.h
+++ b/modules/toucanstand_membership/peers/PeerDirectory.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "peers/Presence.h"
+#include "time/BootClock.h"
 
 namespace toucanstand {
 
@@ -25,6 +26,10 @@
   /// relay answers about twice this number per second.
   static constexpr std::size_t kVmsPerRelay = 40;
 
+  /// Time that VMs have to register again after the store lost their registrations. A VM
+  /// that is not missed keeps its share of the limits that all VMs divide among them.
+  static constexpr Duration kReturnGrace = std::chrono::milliseconds(2700);
+
   /// @param aOwnRunId unique id of this run of this process
   PeerDirectory(std::string aOwnRunId, Presence aOwnPresence);
 
@@ -32,7 +37,14 @@
   /// with the higher store revision is kept: the other one is of a process that was
   /// killed and remains until its lease expires.
   void Put(const std::string& aRunId, const Presence& aPresence, std::int64_t aRevision);
-  void Remove(const std::string& aRunId);
+  /// Removes a registration; after OnStoreBack(), only if it does not come back in time.
+  void Remove(const std::string& aRunId, TimePoint aNow);
+
+  /// The store answers again after it lost registrations of VMs that live.
+  void OnStoreBack(TimePoint aNow) { this->graceUntil = aNow + kReturnGrace; }
+
+  /// Applies removals whose grace period has ended.
+  void OnTime(TimePoint aNow);
 
   /// The other entry VMs, by run id.
   [[nodiscard]] const std::map<std::string, Presence>& Peers() const
@@ -51,6 +63,8 @@
   /// Put(), because many VMs may register at the same time.
   void UpdateRelays();
 
+  void RemoveNow(const std::string& aRunId);
+
   struct Registration
   {
     std::string runId;
@@ -62,6 +76,8 @@
   std::map<std::string, Presence> peers;
   /// The registration with the highest revision, by endpoint.
   std::map<Endpoint, Registration> registrations;
+  std::map<std::string, TimePoint> pendingRemovals;
+  TimePoint graceUntil{};
   std::vector<Endpoint> relays;
   bool isRelay = true;
   bool relaysOutdated = true;
--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -353,7 +353,7 @@
   }
   const auto runId = aChange.key.substr(StoreSession::kPresencePrefix.size());
   if (!aChange.value) {
-    this->directory.Remove(runId);
+    this->directory.Remove(runId, BootClock::now());
     return;
   }
   const auto presence = Presence::Parse(*aChange.value);
--- a/tests/unit/toucanstand_membership/TestPeerDirectory.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerDirectory.cpp
@@ -71,7 +71,7 @@
   const auto before = directory.Relays();
   REQUIRE(!before.empty());
   const int removed = before.front().port - 1000;
-  directory.Remove(RunIdOf(removed));
+  directory.Remove(RunIdOf(removed), TimePoint{});
   const auto& after = directory.Relays();
   CHECK(std::ranges::find(after, before.front()) == after.end());
   const auto kept = std::ranges::count_if(after, [&before](const Endpoint& aRelay) {
@@ -106,7 +106,7 @@
   CHECK(directory.Peers().contains("vm-1.2"));
   directory.Put("vm-0.0", { EndpointOf(0), 0.25 }, 1);
   CHECK(directory.Peers().size() == 2);
-  directory.Remove(RunIdOf(1));
+  directory.Remove(RunIdOf(1), TimePoint{});
   CHECK(directory.Peers().size() == 2);
 }
 
@@ -131,3 +131,19 @@
     CHECK_FALSE(Presence::Parse(text).has_value());
   }
 }
+
+TEST_CASE("VMs whose registrations the store lost are missed only after a grace period",
+          "[peers]")
+{
+  // Guards against every VM claiming all of the limits that the VMs divide among them.
+  constexpr TimePoint kStart{ std::chrono::hours(1) };
+  auto directory = MakeDirectory(0, 3);
+  directory.OnStoreBack(kStart);
+  directory.Remove(RunIdOf(1), kStart);
+  directory.Remove(RunIdOf(2), kStart);
+  CHECK(directory.Peers().size() == 2);
+  directory.Put(RunIdOf(1), { EndpointOf(1), 0.25 }, 1);
+  directory.OnTime(kStart + PeerDirectory::kReturnGrace);
+  CHECK(directory.Peers().size() == 1);
+  CHECK(directory.Peers().contains(RunIdOf(1)));
+}
