Renew the registration that an earlier lease of the VM holds

Cause: a registration that met its own key (an answer that was lost, or a key of the copy from which the store was restored) took a new lease and left the key under the earlier one, which nobody renews: after 10 s the VM was registered nowhere until it was started anew. Change: the key is read and written again under the new lease. Test: 'A VM that finds its registration under an earlier lease stays registered', which failed without the change (0 peers instead of 1 after 11 s).

--- a/programs/toucanstand-server/StoreSession.cpp
+++ b/programs/toucanstand-server/StoreSession.cpp
@@ -63,19 +63,41 @@
   if (!granted) {
     co_return;
   }
-  std::string key = std::string(kPresencePrefix) + this->runId;
-  std::string text =
-    Presence{ this->state.settings.peers, this->state.settings.cpuShare }.Text();
-  const auto created =
-    co_await this->store.CreateIfAbsent(std::move(key), std::move(text), *granted);
-  // After a conflict the key already exists, under a lease granted to an earlier attempt;
-  // that registration expires with its own lease.
-  if (created || created.LastReason() == StoreFailure::Conflict) {
+  auto written = co_await this->store.CreateIfAbsent(
+    this->RegistrationKey(), this->RegistrationValue(), *granted);
+  const bool existsUnderEarlierLease =
+    !written && written.LastReason() == StoreFailure::Conflict;
+  if (existsUnderEarlierLease) {
+    // It would expire with that lease, which this process does not renew.
+    written = co_await this->ReplaceRegistration(*granted);
+  }
+  if (written) {
     this->presenceLease = *granted;
     this->presenceUpdateDue = BootClock::now() + kPresenceRenewal;
   }
 }
 
+Task<Result<StoreRevision, StoreFailure>> StoreSession::ReplaceRegistration(
+  StoreLease aLease)
+{
+  const auto existing = co_await this->store.Read(this->RegistrationKey());
+  if (!existing) {
+    co_return existing.LastReason();
+  }
+  co_return co_await this->store.ReplaceIf(
+    this->RegistrationKey(), existing->modRevision, this->RegistrationValue(), aLease);
+}
+
+std::string StoreSession::RegistrationKey() const
+{
+  return std::string(kPresencePrefix) + this->runId;
+}
+
+std::string StoreSession::RegistrationValue() const
+{
+  return Presence{ this->state.settings.peers, this->state.settings.cpuShare }.Text();
+}
+
 Task<> StoreSession::RenewPresence()
 {
   const auto renewed = co_await this->store.KeepLeaseAlive(this->presenceLease);
--- a/programs/toucanstand-server/StoreSession.h
+++ b/programs/toucanstand-server/StoreSession.h
@@ -73,6 +73,8 @@
 private:
   Task<> MaintainPresence();
   Task<> Register();
+  /// Puts the registration that the store has under this process's new lease.
+  Task<Result<StoreRevision, StoreFailure>> ReplaceRegistration(StoreLease aLease);
   Task<> RenewPresence();
   Task<> RenewLeadership();
   Task<> CampaignForLeadership();
@@ -84,6 +86,8 @@
   [[nodiscard]] std::string OwnLeaderValue() const;
   /// True once the store has shown that this process holds the leader's key.
   [[nodiscard]] bool HoldsLeadership() const;
+  [[nodiscard]] std::string RegistrationKey() const;
+  [[nodiscard]] std::string RegistrationValue() const;
 
   ServingState& state;
   PlatformStore& store;
--- a/tests/platform/TestStoreRestoration.cpp
+++ b/tests/platform/TestStoreRestoration.cpp
@@ -222,3 +222,20 @@
   ServerUnderTest other(platform, "vm-2");
   CHECK(WaitUntil(3s, [&] { return ServerState(other)["peers"] == 1; }));
 }
+
+TEST_CASE("A VM that finds its registration under an earlier lease stays registered",
+          "[restoration]")
+{
+  // Guards against a registration that expires with a lease that nobody renews.
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  ServerUnderTest other(platform, "vm-2");
+  REQUIRE(WaitUntil(5s, [&] { return ServerState(other)["peers"] == 1; }));
+  platform.TakeStoreCopy();
+  platform.RestoreStore();
+  // The lease lasts 10 s.
+  std::this_thread::sleep_for(11s);
+  CHECK(ServerState(other)["peers"] == 1);
+  CHECK(ServerState(vm)["peers"] == 1);
+}
