Keep a quarantine whose record a restoration of the store removed

Cause: a record that is gone ends the quarantine, since an operator ends it by deleting the record. A store restored from a copy of the time before the verdict has no record either. Change: a record of an earlier history that is gone was lost, not deleted; VMs that know the verdict write it again. Test: 'A quarantine whose record the store lost in a restoration goes on', which failed without the change (the request reached engines).

--- a/programs/toucanstand-server/PromptPartRecords.cpp
+++ b/programs/toucanstand-server/PromptPartRecords.cpp
@@ -109,7 +109,13 @@
     return;
   }
   if (known != this->stored.end()) {
+    const bool wasLost = IsFromLaterHistory(aChange.revision, known->second);
     this->stored.erase(known);
+    if (wasLost) {
+      // The copy that the store was restored from lacks the record: WriteMissing() writes
+      // it again while the quarantine lasts.
+      return;
+    }
     this->state.promptPartQuarantine.Release(*part, now);
     this->state.log.Write(LogWeight::Notable,
                           "prompt_part_released",
--- a/tests/platform/TestCrashingPromptParts.cpp
+++ b/tests/platform/TestCrashingPromptParts.cpp
@@ -209,3 +209,23 @@
     CHECK(answer->status == 200);
   }
 }
+
+TEST_CASE("A quarantine whose record the store lost in a restoration goes on", "[server]")
+{
+  // Guards against a lost record that is taken for one that the operator deleted.
+  PlatformStandin platform(kEngines);
+  platform.TakeStoreCopy();
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(kEngines / 2);
+  MakeEnginesCrashOnDeadlyPart(platform);
+  REQUIRE(ProvokeQuarantine(platform, { &server }));
+  WaitForQuarantine(server);
+  // The record is written within kNonRelayDelay.
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  platform.RestoreStore();
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  CheckRejectedAsNotRun(platform, server, "late-1");
+
+  ServerUnderTest other(platform, "vm-2");
+  WaitForQuarantine(other);
+}
