Do not let test processes inherit listeners of the test

Cause: programs under test inherited the listening sockets of the stand-ins, so that a stand-in that closed its listener ('crashed') still accepted connections and answered nothing, and its port stayed in use. Found when a stand-in that should refuse connections for a while could not listen again. Change: children keep standard input, output and error only.

--- a/tests/integration/support/ProcessLauncher.cpp
+++ b/tests/integration/support/ProcessLauncher.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 #include <boost/process/pipe.hpp>
 #include <sys/wait.h>
@@ -26,7 +27,10 @@
 {
   this->child->process = process::child(TOUCANSTAND_PROGRAM_DIRECTORY "/" + aName,
                                         process::args(aArguments),
-                                        process::std_out > this->child->output);
+                                        process::std_out > this->child->output,
+                                        // A listener that a child inherited would accept
+                                        // connections after the test closed it.
+                                        process::limit_handles);
 }
 
 ProcessLauncher::~ProcessLauncher()
