Refuse change answers of builds whose revisions have no history

Cause: a build before revisions carry the history would answer a newer one 'nothing after' a revision that is far above its own. Change: the version of the datagrams rises, so that VMs of the two builds read the store themselves while an upgrade runs.

--- a/modules/toucanstand_core/serialization/Datagram.cpp
+++ b/modules/toucanstand_core/serialization/Datagram.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Rises when the fields of any kind change.
-constexpr std::uint64_t kVersion = 4;
+/// Rises when the fields of any kind, or their meaning, change.
+constexpr std::uint64_t kVersion = 5;
 constexpr std::uint64_t kKinds = 3;
 /// Version, kind and fields.
 constexpr std::size_t kParts = 3;
