Reach backend servers through peers when the network to them is partitioned

Cause: a VM had one way to an engine. Every failed connection counted as the engine's failure, its retries used up the budget, and its callers were refused although peers reached every engine (hypothesis 1: connect_timed_out and connect_refused only at the partitioned VMs, answered at all others at the same time). Class of fault: a failure of the observer taken for one of the observed.

Change: when a direct connection fails and no other server accepted one meanwhile, the client asks a peer for a tunnel to the same server. The peer carries bytes only: where to send, retries, deadlines and at-most-once stay with the VM that has the request, and a tunnel that can't be made is a request that was not sent. Two servers that only peers reach within 1.5 s make a VM cut off: it connects through peers at once, refuses tunnels itself, and tries direct connections four times a second until two servers accept. What requests failed to reach before that no longer counts against groups. A peer carries at most 128 tunnels, to registered servers only, and keeps those in use through a planned stop.

Ruled out: handing the request to a peer (a second place that decides about repeats); reporting not ready (most of a zone may be cut off, and then the balancer uses all its VMs); a silent engine as evidence (peers do not reach it either, or others answer meanwhile; tested).

Tests: TestBackendPaths, TestTunnel (new classes; without them there is no second way).

--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -398,6 +398,16 @@
   }
 }
 
+void GroupPlacement::ForgetFailures()
+{
+  this->suspicions.clear();
+  for (auto& state : this->groups | std::views::values) {
+    state.avoidedUntil = {};
+    state.suspectedUntil = {};
+    state.failuresInARow = 0;
+  }
+}
+
 void GroupPlacement::OnPeerSuspicion(const GroupId& aGroup, TimePoint aNow)
 {
   auto* state = this->Find(aGroup);
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -178,6 +178,10 @@
   /// Records that a peer reports a group as silent. Ignored while this VM's own streams
   /// from the group produce events, because then only the peer's connection to the group
   /// may have failed.
+  /// Drops what failed requests made this VM believe of groups: their failures had
+  /// another cause.
+  void ForgetFailures();
+
   void OnPeerSuspicion(const GroupId& aGroup, TimePoint aNow);
 
   /// Sets the estimated number of requests for the model that peers have sent, to any
--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <string>
 #include <vector>
 
 #include <boost/asio/as_tuple.hpp>
@@ -35,6 +36,15 @@
 constexpr std::size_t kReadBytes = 4096;
 /// Time for a response that the server sent before it refused the rest of a request.
 constexpr Duration kEarlyResponse = std::chrono::milliseconds(100);
+/// A VM accepts a connection within one round trip.
+constexpr Duration kProxyConnectTimeout = std::chrono::milliseconds(150);
+/// Time for a proxy to connect to the destination.
+constexpr Duration kProxyAnswerTimeout = std::chrono::milliseconds(300);
+/// Proxies that are asked for one connection.
+constexpr std::size_t kMaxProxies = 4;
+/// Proxies that must fail to connect before the destination counts as lost. One of them
+/// may itself be cut off without knowing it yet.
+constexpr std::size_t kFailuresOfDestination = 2;
 
 struct Connection
 {
@@ -141,10 +151,20 @@
     }
   }
 
+  /// Connects directly or through a proxy.
+  Task<Result<ConnectionPointer, HttpFailure>> Reach(Endpoint aDestination,
+                                                     Duration aTimeout,
+                                                     CancelSwitch& aCancel);
+  Task<Result<ConnectionPointer, HttpFailure>> ReachDirectly(Endpoint aDestination,
+                                                             Duration aTimeout,
+                                                             CancelSwitch& aCancel);
+
   asio::io_context& loop; // NOLINT(misc-non-private-member-variables-in-classes)
   MetricsRegistry& metrics;
   UnframedBody unframed;
   std::map<Endpoint, std::vector<ConnectionPointer>> idle;
+  /// Null to connect directly.
+  ConnectionPaths* paths = nullptr;
 };
 
 namespace {
@@ -246,6 +266,58 @@
   co_return connection;
 }
 
+struct ProxiedConnection
+{
+  ProxyResult result = ProxyResult::Unavailable;
+  ConnectionPointer connection;
+};
+
+ProxyResult ToProxyResult(const http::response<http::empty_body>& aResponse)
+{
+  if (aResponse.result() == http::status::switching_protocols) {
+    return ProxyResult::Connected;
+  }
+  const auto failure = aResponse[kTunnelFailureField];
+  if (failure == Name(HttpFailure::ConnectRefused)) {
+    return ProxyResult::DestinationRefused;
+  }
+  return failure == Name(HttpFailure::ConnectTimedOut) ? ProxyResult::DestinationTimedOut
+                                                       : ProxyResult::Unavailable;
+}
+
+Task<ProxiedConnection> ConnectThrough(asio::io_context& aLoop,
+                                       const Endpoint& aProxy,
+                                       const Endpoint& aDestination,
+                                       CancelSwitch& aCancel)
+{
+  auto connected = co_await Connect(aLoop, aProxy, kProxyConnectTimeout, aCancel);
+  if (!connected) {
+    co_return ProxiedConnection{};
+  }
+  ProxiedConnection proxied{ ProxyResult::Unavailable, std::move(*connected) };
+  auto& stream = proxied.connection->stream;
+  http::request<http::empty_body> request{
+    http::verb::get, std::string(kTunnelTargetPrefix) + aDestination.Text(), 11
+  };
+  request.set(http::field::host, aProxy.Text());
+  request.set(http::field::connection, "Upgrade");
+  request.set(http::field::upgrade, "tunnel");
+  http::response_parser<http::empty_body> parser;
+  parser.skip(true);
+  const CancelScope scope(aCancel, stream);
+  stream.expires_after(kProxyAnswerTimeout);
+  auto [sendError, sent] = co_await http::async_write(stream, request, kAwait);
+  if (sendError) {
+    co_return ProxiedConnection{};
+  }
+  auto [readError, received] =
+    co_await http::async_read_header(stream, proxied.connection->buffer, parser, kAwait);
+  if (!readError && !aCancel.IsTripped()) {
+    proxied.result = ToProxyResult(parser.get());
+  }
+  co_return proxied;
+}
+
 http::request<http::string_body> ToMessage(const Endpoint& aEndpoint,
                                            HttpRequest aRequest)
 {
@@ -266,6 +338,64 @@
 
 } // namespace
 
+Task<Result<ConnectionPointer, HttpFailure>> HttpClient::Implementation::ReachDirectly(
+  Endpoint aDestination,
+  Duration aTimeout,
+  CancelSwitch& aCancel)
+{
+  auto connected = co_await Connect(this->loop, aDestination, aTimeout, aCancel);
+  const bool isCancelled = !connected && connected.LastReason() == HttpFailure::Cancelled;
+  if (this->paths != nullptr && !isCancelled) {
+    this->paths->OnDirectConnect(aDestination, connected.HasValue(), BootClock::now());
+  }
+  co_return connected;
+}
+
+Task<Result<ConnectionPointer, HttpFailure>> HttpClient::Implementation::Reach(
+  Endpoint aDestination,
+  Duration aTimeout,
+  CancelSwitch& aCancel)
+{
+  const auto startedAt = BootClock::now();
+  HttpFailure failure = HttpFailure::ConnectTimedOut;
+  if (this->paths == nullptr ||
+      this->paths->MayConnectDirectly(aDestination, startedAt)) {
+    auto connected = co_await this->ReachDirectly(aDestination, aTimeout, aCancel);
+    if (connected || connected.LastReason() == HttpFailure::Cancelled) {
+      co_return connected;
+    }
+    failure = connected.LastReason();
+  }
+  std::vector<Endpoint> tried;
+  std::size_t failuresOfDestination = 0;
+  while (this->paths != nullptr && tried.size() < kMaxProxies) {
+    const auto proxy = this->paths->NextProxy(tried, startedAt, BootClock::now());
+    if (!proxy) {
+      break;
+    }
+    tried.push_back(*proxy);
+    auto proxied = co_await ConnectThrough(this->loop, *proxy, aDestination, aCancel);
+    if (aCancel.IsTripped()) {
+      co_return HttpFailure::Cancelled;
+    }
+    this->paths->OnProxied(aDestination, *proxy, proxied.result, BootClock::now());
+    if (proxied.result == ProxyResult::Connected) {
+      this->metrics.Count("http_connections_proxied_total");
+      co_return std::move(proxied.connection);
+    }
+    if (proxied.result == ProxyResult::Unavailable) {
+      continue;
+    }
+    failure = proxied.result == ProxyResult::DestinationRefused
+                ? HttpFailure::ConnectRefused
+                : HttpFailure::ConnectTimedOut;
+    if (++failuresOfDestination == kFailuresOfDestination) {
+      break;
+    }
+  }
+  co_return failure;
+}
+
 HttpClient::HttpClient(asio::io_context& aLoop,
                        MetricsRegistry& aMetrics,
                        UnframedBody aUnframed)
@@ -288,8 +418,7 @@
     connection = shared->TakeIdle(aEndpoint);
   }
   if (!connection) {
-    auto connected =
-      co_await Connect(shared->loop, aEndpoint, aDeadlines.connect, aCancel);
+    auto connected = co_await shared->Reach(aEndpoint, aDeadlines.connect, aCancel);
     if (!connected) {
       co_return connected.LastReason();
     }
@@ -376,6 +505,19 @@
   }
 }
 
+void HttpClient::SetPaths(ConnectionPaths* aPaths)
+{
+  this->implementation->paths = aPaths;
+}
+
+Task<> HttpClient::TryDirectConnection(Endpoint aEndpoint, Duration aTimeout)
+{
+  const auto shared = this->implementation;
+  CancelSwitch never;
+  // The paths learn the result.
+  (void)co_await shared->ReachDirectly(std::move(aEndpoint), aTimeout, never);
+}
+
 void HttpClient::DropIdle(const Endpoint& aEndpoint)
 {
   this->implementation->idle.erase(aEndpoint);
--- a/modules/toucanstand_transport/http/HttpClient.h
+++ b/modules/toucanstand_transport/http/HttpClient.h
@@ -3,11 +3,13 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
 #include "errors/Result.h"
 #include "http/CancelSwitch.h"
+#include "http/ConnectionPaths.h"
 #include "http/HttpMessage.h"
 #include "http/Task.h"
 #include "metrics/MetricsRegistry.h"
@@ -95,6 +97,11 @@
   EndsWithConnection,
 };
 
+/// Target of the request that asks an HTTP server for a tunnel; the endpoint follows.
+constexpr std::string_view kTunnelTargetPrefix = "/tunnel/";
+/// Response field that says why the server could not connect: the name of an HttpFailure.
+constexpr std::string_view kTunnelFailureField = "Tunnel-Failure";
+
 /// HTTP/1.1 client with a pool of idle connections per endpoint (Boost.Beast).
 class HttpClient
 {
@@ -124,6 +131,13 @@
     std::size_t aMostBytes = 4U << 20U,
     ConnectionUse aUse = ConnectionUse::MayReuse);
 
+  /// Lets every further connection be made as the paths decide.
+  /// @param aPaths must outlive the client
+  void SetPaths(ConnectionPaths* aPaths);
+
+  /// Connects directly and closes the connection again; tells the paths the result.
+  Task<> TryDirectConnection(Endpoint aEndpoint, Duration aTimeout);
+
   /// Closes the idle connections to an endpoint, for example after one went silent.
   void DropIdle(const Endpoint& aEndpoint);
 
--- a/modules/toucanstand_transport/http/HttpExchange.h
+++ b/modules/toucanstand_transport/http/HttpExchange.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <string_view>
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include "http/HttpMessage.h"
 #include "http/Task.h"
 #include "network/Endpoint.h"
@@ -41,6 +43,10 @@
   /// Ends a chunked answer as complete.
   virtual Task<bool> FinishStream() = 0;
 
+  /// Answers that the connection now is one to a server, and copies bytes between the
+  /// caller and the server until either of them closes. The exchange ends with it.
+  virtual Task<> RelayTo(boost::asio::ip::tcp::socket aServer) = 0;
+
   /// Closes the connection so that the caller sees that the answer is not complete.
   virtual void BreakOff() = 0;
 };
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 #include <spdlog/spdlog.h>
 
+#include "http/ByteRelay.h"
 #include "http/RequestTarget.h"
 #include "http/SocketOptions.h"
 
@@ -309,6 +310,21 @@
   co_return !error;
 }
 
+Task<> HttpSession::RelayTo(asio::ip::tcp::socket aServer)
+{
+  this->StopWatching();
+  this->BreakOff();
+  http::response<http::empty_body> message{ http::status::switching_protocols, 11 };
+  message.set(http::field::connection, "Upgrade");
+  message.set(http::field::upgrade, "tunnel");
+  this->stream.expires_after(this->context->limits.writeTimeout);
+  auto [error, bytes] = co_await http::async_write(this->stream, message, kAwait);
+  this->stream.expires_never();
+  if (!error) {
+    co_await RelayBytes(this->stream.socket(), aServer);
+  }
+}
+
 void HttpSession::BreakOff()
 {
   this->answerFinished = false;
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -47,6 +47,7 @@
   Task<bool> BeginStream(int aStatus, HttpHeaders aHeaders) override;
   Task<bool> WriteChunk(std::string_view aBytes) override;
   Task<bool> FinishStream() override;
+  Task<> RelayTo(boost::asio::ip::tcp::socket aServer) override;
   void BreakOff() override;
 
 private:
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -1,6 +1,8 @@
 #include "ServerProcess.h"
 
 #include <csignal>
+#include <iterator>
+#include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,6 +24,8 @@
 /// Fraction of the stop period for requests in flight; the rest is left for the process
 /// itself to exit.
 constexpr double kDrainFraction = 0.9;
+/// Timeout of a direct connection on trial while this VM is cut off.
+constexpr Duration kTrialTimeout = std::chrono::milliseconds(200);
 
 Duration DrainPeriod(const ServerSettings& aSettings)
 {
@@ -61,6 +65,7 @@
   , promptPartRecords(this->state, this->store, this->peers.Directory())
   , groupCoordinator(this->state, this->storeSession, this->peers)
   , handler(this->state)
+  , tunnels(this->state)
   , callerServer(
       this->loop,
       MakeHttpLimits(this->state.settings),
@@ -71,12 +76,10 @@
       HttpServerLimits{},
       [this](HttpExchange& aExchange) { return this->ServeReadiness(aExchange); },
       this->state.metrics)
-  , changeServer(
+  , peerServer(
       this->loop,
       HttpServerLimits{},
-      [this](HttpExchange& aExchange) {
-        return RelayedChangeFeed::ServeChanges(aExchange, this->peers.onQuery);
-      },
+      [this](HttpExchange& aExchange) { return this->ServePeer(aExchange); },
       this->state.metrics)
   , operators(this->loop,
               "toucanstand-server",
@@ -146,7 +149,7 @@
   const bool isListening = this->callerServer.Listen(settings.listen).HasValue() &&
                            this->readinessServer.Listen(settings.readiness).HasValue() &&
                            this->operators.Listen(settings.operatorEndpoint).HasValue() &&
-                           this->changeServer.Listen(settings.peers).HasValue() &&
+                           this->peerServer.Listen(settings.peers).HasValue() &&
                            this->peers.Listen(settings.peers);
   if (!isListening) {
     this->state.log.Write(LogWeight::Notable,
@@ -166,6 +169,7 @@
   this->storeSynchronizer.SetIsRelay(this->peers.Directory().IsRelay());
   this->state.directory.OnTime(now);
   this->peers.Directory().OnTime(now);
+  this->UpdatePaths(now);
   this->state.quarantine.OnTime(now);
   this->JudgePromptParts(now);
   this->ShareRateLimits(now);
@@ -194,6 +198,39 @@
   });
 }
 
+Task<> ServerProcess::ServePeer(HttpExchange& aExchange)
+{
+  if (aExchange.Request().target.starts_with(kTunnelTargetPrefix)) {
+    co_await this->tunnels.Serve(aExchange);
+    co_return;
+  }
+  co_await RelayedChangeFeed::ServeChanges(aExchange, this->peers.onQuery);
+}
+
+void ServerProcess::UpdatePaths(TimePoint aNow)
+{
+  auto& paths = this->state.paths;
+  std::vector<BackendPaths::Proxy> proxies;
+  for (const auto& peer : this->peers.Directory().Peers() | std::views::values) {
+    proxies.push_back({ peer.endpoint, peer.cpuShare });
+  }
+  paths.SetProxies(std::move(proxies));
+  const auto& servers = this->state.directory.Servers();
+  if (!servers.empty() && paths.TakeTrial(aNow)) {
+    const auto position =
+      static_cast<std::ptrdiff_t>(this->state.random.Below(servers.size()));
+    asio::co_spawn(
+      this->loop,
+      this->state.backendClient.TryDirectConnection(
+        std::next(servers.begin(), position)->second.endpoint, kTrialTimeout),
+      asio::detached);
+  }
+  if (this->wasCutOff != paths.IsCutOff()) {
+    this->wasCutOff = paths.IsCutOff();
+    this->state.OnPathsChanged();
+  }
+}
+
 void ServerProcess::JudgePromptParts(TimePoint aNow)
 {
   for (const auto& verdict : this->state.promptPartQuarantine.OnTime(aNow)) {
@@ -220,7 +257,8 @@
 
 bool ServerProcess::IsBusy() const
 {
-  return this->listenerOpen || this->callerServer.ActiveExchanges() > 0;
+  return this->listenerOpen || this->callerServer.ActiveExchanges() > 0 ||
+         this->tunnels.TunnelCount() > 0;
 }
 
 void ServerProcess::BeginStop()
@@ -230,6 +268,7 @@
     "stop_begins",
     { { "in_flight", static_cast<std::int64_t>(this->callerServer.ActiveExchanges()) } });
   this->callerServer.AnnounceClose();
+  this->tunnels.Drain();
   asio::co_spawn(this->loop, this->storeSession.RevokeLeases(), asio::detached);
   this->listenerCloseTimer.expires_after(kBalancerRemovalTime);
   this->listenerCloseTimer.async_wait([this](const boost::system::error_code& aError) {
@@ -295,6 +334,8 @@
            { "store_revision", RevisionText(this->storeSynchronizer.Revision()) },
            { "leader_term", this->storeSession.LeaderTerm(now) },
            { "peers", this->peers.PeerCount() },
+           { "paths", this->state.paths.Describe() },
+           { "tunnels", this->tunnels.TunnelCount() },
            { "relay", this->peers.Directory().IsRelay() },
            { "suspicions_to_pass_on", this->peers.PendingSuspicionCount() },
            { "open_connections", this->callerServer.OpenConnections() },
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -15,6 +15,7 @@
 #include "ServingState.h"
 #include "StoreSession.h"
 #include "StoreSynchronizer.h"
+#include "TunnelService.h"
 #include "http/HttpServer.h"
 #include "lifecycle/ShutdownSequence.h"
 #include "operators/OperatorEndpoint.h"
@@ -43,6 +44,8 @@
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] bool IsBusy() const;
   [[nodiscard]] nlohmann::json DescribeState();
+  Task<> ServePeer(HttpExchange& aExchange);
+  void UpdatePaths(TimePoint aNow);
   Task<> ServeReadiness(HttpExchange& aExchange);
 
   boost::asio::io_context loop;
@@ -60,15 +63,17 @@
   PromptPartRecords promptPartRecords;
   GroupCoordinator groupCoordinator;
   RequestHandler handler;
+  TunnelService tunnels;
   HttpServer callerServer;
   HttpServer readinessServer;
-  /// Serves store changes to peers that follow the store through this VM.
-  HttpServer changeServer;
+  /// Serves store changes to peers that follow the store through this VM, and tunnels.
+  HttpServer peerServer;
   OperatorEndpoint operators;
   boost::asio::signal_set reloadSignals;
   boost::asio::steady_timer tickTimer;
   boost::asio::steady_timer listenerCloseTimer;
   bool listenerOpen = true;
+  bool wasCutOff = false;
   /// Version of the configuration whose limits are in force; -1 makes the next Tick()
   /// apply the limits again.
   std::int64_t appliedLimitsVersion = -1;
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -66,9 +66,12 @@
         { this->settings.routineLinesPerSecond, this->settings.notableLinesPerSecond })
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
+  , paths(Random(this->random.Engine()()))
   , backendClient(aLoop, this->metrics, UnframedBody::EndsWithConnection)
   , engineClient(aLoop, this->metrics)
 {
+  this->backendClient.SetPaths(&this->paths);
+  this->engineClient.SetPaths(&this->paths);
 }
 
 bool ServingState::ApplyConfiguration(ServingConfiguration aConfiguration)
@@ -254,6 +257,19 @@
                     { "suspects", static_cast<std::int64_t>(suspects.size()) } });
 }
 
+void ServingState::OnPathsChanged()
+{
+  const bool isCutOff = this->paths.IsCutOff();
+  this->log.Write(
+    LogWeight::Notable, isCutOff ? "backends_cut_off" : "backends_reconnected", {});
+  if (isCutOff) {
+    this->metrics.Count("backends_cut_off_total");
+    for (auto& placement : this->placements | std::views::values) {
+      placement.ForgetFailures();
+    }
+  }
+}
+
 GroupPlacement* ServingState::FindPlacement(const PoolId& aPool)
 {
   const auto found = this->placements.find(aPool);
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -16,6 +16,7 @@
 #include "limits/ServerRateLimits.h"
 #include "logging/DecisionLog.h"
 #include "metrics/MetricsRegistry.h"
+#include "paths/BackendPaths.h"
 #include "placement/GroupPlacement.h"
 #include "platform/EngineClient.h"
 #include "routing/Router.h"
@@ -48,6 +49,10 @@
   void UpdateUnseenRequests(const std::map<std::string, double>& aPeerDemand,
                             Duration aAge);
 
+  /// Logs that this VM was cut off from the backend servers or reaches them again.
+  /// Failures that the cut explains no longer count against the servers.
+  void OnPathsChanged();
+
   /// Returns the placement of a pool of model engines; null for other pools.
   [[nodiscard]] GroupPlacement* FindPlacement(const PoolId& aPool);
 
@@ -100,6 +105,8 @@
   PromptPartQuarantine promptPartQuarantine;
   ServerRateLimits rateLimits;
   WorkMeter workMeter;
+  /// Ways from this VM to the backend servers.
+  BackendPaths paths;
   HttpClient backendClient;
   platform::EngineClient engineClient;
   /// Time as of which the local copy of the store is known to be complete: the start of
