Do not take a leader's own partition for the end of engines

Change: that an engine does not answer or refuses connections counts only if the leader reaches another engine after that, and a refusal only if it comes again then. A leader that is cut off steps down, and a VM that is cut off does not campaign. Test: TestPartitionedVm, first case: three partitions of different lengths; 2 joins at each of three heads before, none now.

--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -1,5 +1,6 @@
 #include "GroupCoordinator.h"
 
+#include <iterator>
 #include <ranges>
 
 #include <boost/asio/as_tuple.hpp>
@@ -53,6 +54,12 @@
       now < this->planAgainAt) {
     co_return;
   }
+  if (this->state.paths.IsCutOff()) {
+    // Another VM reaches the engines without help. Its term starts without what this one
+    // believed of engines that it did not reach.
+    co_await this->session.StepDown();
+    co_return;
+  }
   if (aTerm != this->term) {
     this->term = aTerm;
     this->controllers.clear();
@@ -148,7 +155,7 @@
 Task<> GroupCoordinator::SendOrder(PoolId aPool, EngineOrder aOrder)
 {
   const auto sentInTerm = this->term;
-  const auto reply = co_await this->state.engineClient.SendOrder(aOrder);
+  const auto reply = co_await this->SendVerified(aOrder);
   this->state.log.Write(LogWeight::Notable,
                         "engine_order",
                         { { "kind", Name(aOrder.kind) },
@@ -162,6 +169,39 @@
   }
 }
 
+Task<EngineOrderReply> GroupCoordinator::SendVerified(EngineOrder aOrder)
+{
+  const auto reply = co_await this->state.engineClient.SendOrder(aOrder);
+  if (reply != EngineOrderReply::ConnectionRefused) {
+    co_return reply;
+  }
+  if (!co_await this->ReachesAnotherServer(aOrder.server)) {
+    co_return EngineOrderReply::Unknown;
+  }
+  co_return co_await this->state.engineClient.SendOrder(aOrder);
+}
+
+Task<bool> GroupCoordinator::ReachesAnotherServer(ServerId aExcept)
+{
+  constexpr int kTries = 3;
+  for (int attempt = 0; attempt < kTries; ++attempt) {
+    const auto& servers = this->state.directory.Servers();
+    if (servers.empty()) {
+      co_return false;
+    }
+    const auto position =
+      static_cast<std::ptrdiff_t>(this->state.random.Below(servers.size()));
+    const auto entry = std::next(servers.begin(), position)->second;
+    const bool answers =
+      entry.id != aExcept && entry.membership &&
+      co_await this->state.engineClient.RespondsToProbe(entry.id, entry.endpoint);
+    if (answers) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
 void GroupCoordinator::OnGroupSuspected(const GroupId& aGroup)
 {
   const auto now = BootClock::now();
@@ -197,7 +237,9 @@
   this->state.log.Write(LogWeight::Notable,
                         "member_examined",
                         { { "server", aMember.Value() }, { "answers", answers } });
-  if (startedInTerm != this->term) {
+  // A VM that reaches no other server knows nothing about this one.
+  const bool isKnown = answers || co_await this->ReachesAnotherServer(aMember);
+  if (startedInTerm != this->term || !isKnown) {
     co_return;
   }
   auto& controller = this->ControllerOf(aPool);
--- a/programs/toucanstand-server/GroupCoordinator.h
+++ b/programs/toucanstand-server/GroupCoordinator.h
@@ -49,6 +49,10 @@
   void PlanPool(const PoolId& aPool, const EngineCostModel& aCost, TimePoint aNow);
   void ProbeSilentServers(TimePoint aNow);
   Task<> SendOrder(PoolId aPool, EngineOrder aOrder);
+  /// Sends an order. A refused connection counts only if this VM reaches another server
+  /// before and the connection is refused again after that.
+  Task<EngineOrderReply> SendVerified(EngineOrder aOrder);
+  Task<bool> ReachesAnotherServer(ServerId aExcept);
   Task<> ProbeMember(PoolId aPool, ServerId aMember, Endpoint aEndpoint);
   FormationController& ControllerOf(const PoolId& aPool);
 
--- a/programs/toucanstand-server/StoreSession.cpp
+++ b/programs/toucanstand-server/StoreSession.cpp
@@ -30,11 +30,11 @@
       co_await this->RenewLeadership();
     } else if (this->leaderValue.starts_with(this->runId + "/")) {
       co_await this->DeleteLapsedLeadership();
-    } else if (this->presenceLease != 0 && this->leaderValue.empty()) {
+    } else if (this->MayCampaign()) {
       if (!this->peers.IsRelay()) {
         co_await this->Wait(kNonRelayElectionDelay);
       }
-      if (this->leaderValue.empty() && !this->ended) {
+      if (this->MayCampaign()) {
         co_await this->CampaignForLeadership();
       }
     }
@@ -150,6 +150,12 @@
   }
 }
 
+bool StoreSession::MayCampaign() const
+{
+  return this->presenceLease != 0 && this->leaderValue.empty() && !this->ended &&
+         !this->state.paths.IsCutOff();
+}
+
 std::string StoreSession::OwnLeaderValue() const
 {
   return this->runId + "/" + std::to_string(this->leadershipLease);
--- a/programs/toucanstand-server/StoreSession.h
+++ b/programs/toucanstand-server/StoreSession.h
@@ -82,6 +82,8 @@
   Task<> DeleteLapsedLeadership();
   Task<> Wait(Duration aDuration);
 
+  /// A VM that does not reach the engines gives no orders.
+  [[nodiscard]] bool MayCampaign() const;
   /// Value of the leader key while this process leads.
   [[nodiscard]] std::string OwnLeaderValue() const;
   /// True once the store has shown that this process holds the leader's key.
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -52,7 +52,18 @@
     HttpServerLimits{},
     [this](HttpExchange& aExchange) { return this->HandleRequest(aExchange); },
     this->metrics);
-  this->endpoint = *this->server->Listen({ "127.0.0.1", 0 });
+  this->endpoint = *this->server->Listen({ "127.0.0.1", this->endpoint.port });
+  this->reservedPort.reset();
+}
+
+void BackendServerStandin::RefuseConnections()
+{
+  using boost::asio::ip::tcp;
+  this->server->Abort();
+  this->reservedPort.emplace(this->loop, tcp::v4());
+  this->reservedPort->set_option(tcp::socket::reuse_address(true));
+  this->reservedPort->bind(
+    { boost::asio::ip::address_v4::loopback(), this->endpoint.port });
 }
 
 std::string BackendServerStandin::CompleteStream()
@@ -146,6 +157,7 @@
     if (groupName == this->group && orderedEpoch == this->epoch) {
       return 200;
     }
+    this->joinsWhileOpen += this->groupState == "open" && this->rank == 0 ? 1 : 0;
     const auto members = aOrder.value("Members", std::vector<std::string>{});
     this->highestEpoch = this->epoch = orderedEpoch;
     this->group = groupName;
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
 #include "http/HttpServer.h"
@@ -80,6 +81,9 @@
                        std::string aDomain);
 
   void Listen();
+  /// Refuses all connections, as behind a partition, until Listen() is called again.
+  /// Keeps its state.
+  void RefuseConnections();
   /// Closes the listener and all connections without changing the registration.
   void Crash();
 
@@ -97,6 +101,8 @@
   BackendServerFaults faults;
   /// Kind and group of each order that was received, oldest first: `join m-1`.
   std::vector<std::string> receivedOrders;
+  /// Orders to join another group that arrived while this server was an open head.
+  int joinsWhileOpen = 0;
 
 private:
   Task<> HandleRequest(HttpExchange& aExchange);
@@ -118,6 +124,8 @@
   std::string domain;
   std::string registrationState = "ready";
   std::unique_ptr<HttpServer> server;
+  /// Keeps the port while the server does not listen.
+  std::optional<boost::asio::ip::tcp::socket> reservedPort;
   Endpoint endpoint;
   bool alive = true;
   std::string group;
