Do not spread suspicions that a VM's own partition explains

Change: a suspicion is reported once this VM has connected to a server after it, or after 0.5 s if the VM has not found itself cut off; it is dropped if it has. The leader's own suspicions are still looked at at once.

--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -276,14 +276,15 @@
                                load.decodeRequests });
     }
     for (const auto& group : placement.TakeSuspicions(aNow)) {
-      report.suspectedGroups.push_back(group.Value());
+      this->ownSuspicions.push_back({ group.Value(), aNow });
+      this->NotifySuspected({ group.Value() });
     }
     for (const auto& [model, learned] : placement.LearnedOverheads()) {
       report.learnedOverheads[model] = { ToSeconds(learned.time),
                                          static_cast<double>(learned.samples) };
     }
   }
-  this->NotifySuspected(report.suspectedGroups);
+  report.suspectedGroups = this->TakeSharedSuspicions(aNow);
   // The leader knows which groups are about to be closed before their registrations show
   // it; peers must stop using them now.
   std::ranges::transform(this->state.endingGroups,
@@ -293,6 +294,23 @@
   return report;
 }
 
+std::vector<std::string> PeerChannel::TakeSharedSuspicions(TimePoint aNow)
+{
+  const auto& paths = this->state.paths;
+  if (paths.IsCutOff()) {
+    this->ownSuspicions.clear();
+  }
+  const auto pending =
+    std::ranges::partition(this->ownSuspicions, [&](const OwnSuspicion& aSuspicion) {
+      return !paths.HasConnectedSince(aSuspicion.at) &&
+             aNow - aSuspicion.at < kSuspicionDelay;
+    });
+  std::vector<std::string> groups;
+  std::ranges::transform(pending, std::back_inserter(groups), &OwnSuspicion::group);
+  this->ownSuspicions.erase(pending.begin(), pending.end());
+  return groups;
+}
+
 void PeerChannel::SendReport(const PeerReport& aReport)
 {
   const auto bytes = EncodePeerReport(aReport);
--- a/programs/toucanstand-server/PeerChannel.h
+++ b/programs/toucanstand-server/PeerChannel.h
@@ -38,6 +38,9 @@
   static constexpr Duration kAggregateInterval = std::chrono::milliseconds(50);
   /// With more peers, direct reports need more datagrams than reports through relays.
   static constexpr std::size_t kMaxDirectPeers = 16;
+  /// Peers hear of a suspected group once this VM has connected to another server, or
+  /// after this time if it has not found itself cut off.
+  static constexpr Duration kSuspicionDelay = std::chrono::milliseconds(500);
   /// A VM receives aggregates for this long after its last query for changes; VMs query
   /// about every 0.5 s.
   static constexpr Duration kSubscriptionLifetime = std::chrono::milliseconds(1500);
@@ -112,6 +115,9 @@
   void NotifySuspected(const std::vector<std::string>& aGroups);
 
   [[nodiscard]] PeerReport MakeReport(TimePoint aNow);
+  /// Returns the suspicions that peers should hear of: not those that a failure of this
+  /// VM's own network would explain.
+  [[nodiscard]] std::vector<std::string> TakeSharedSuspicions(TimePoint aNow);
   void SendReport(const PeerReport& aReport);
   void SendAggregatesNow(TimePoint aNow);
   [[nodiscard]] bool ReportsDirectly() const
@@ -133,6 +139,14 @@
   ReceivedReport latestAggregate;
   /// Time of the last query for changes, by VM.
   std::map<Endpoint, TimePoint> subscribers;
+  /// A group that failed requests of this VM point to.
+  struct OwnSuspicion
+  {
+    std::string group;
+    TimePoint at{};
+  };
+
+  std::vector<OwnSuspicion> ownSuspicions;
   /// Groups reported as suspected since the last aggregates were sent.
   std::vector<std::string> pendingSuspicions;
   std::array<std::uint8_t, 65536> buffer{};
