--- a/tests/integration/support/ProcessLauncher.cpp
+++ b/tests/integration/support/ProcessLauncher.cpp
@@ -6,10 +6,12 @@
 
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
-#include <boost/process/handles.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 #include <boost/process/pipe.hpp>
+#include <linux/close_range.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace toucanstand {
 
@@ -21,16 +23,27 @@
   process::child process;
 };
 
+namespace {
+
+/// Lets the child inherit standard input, output and error only. A listener that it
+/// inherited would accept connections after the test closed it.
+void KeepStandardFiles()
+{
+  constexpr unsigned kFirstOther = 3;
+  (void)::close_range(kFirstOther, ~0U, CLOSE_RANGE_CLOEXEC);
+}
+
+} // namespace
+
 ProcessLauncher::ProcessLauncher(const std::string& aName,
                                  const std::vector<std::string>& aArguments)
   : child(std::make_unique<Child>())
 {
-  this->child->process = process::child(TOUCANSTAND_PROGRAM_DIRECTORY "/" + aName,
-                                        process::args(aArguments),
-                                        process::std_out > this->child->output,
-                                        // A listener that a child inherited would accept
-                                        // connections after the test closed it.
-                                        process::limit_handles);
+  this->child->process = process::child(
+    TOUCANSTAND_PROGRAM_DIRECTORY "/" + aName,
+    process::args(aArguments),
+    process::std_out > this->child->output,
+    process::extend::on_exec_setup = [](auto&) { KeepStandardFiles(); });
 }
 
 ProcessLauncher::~ProcessLauncher()
