--- a/tests/platform/TestPartitionedVm.cpp
+++ b/tests/platform/TestPartitionedVm.cpp
@@ -1,16 +1,67 @@
 #include <chrono>
+#include <csignal>
 #include <thread>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
+#include "http/HttpClient.h"
 #include "support/PlatformStandin.h"
 
 using namespace toucanstand;
+using nlohmann::json;
 using namespace std::chrono_literals;
 
 // VMs that are partitioned from the engines while the store, callers and peers reach
 // them.
 
+namespace {
+
+/// Sends every connection through one VM.
+class ThroughOneVm final : public ConnectionPaths
+{
+public:
+  explicit ThroughOneVm(Endpoint aVm)
+    : vm(std::move(aVm))
+  {
+  }
+  bool MayConnectDirectly(const Endpoint&, TimePoint) override { return false; }
+  void OnDirectConnect(const Endpoint&, bool, TimePoint) override {}
+  std::optional<Endpoint> NextProxy(const std::vector<Endpoint>& aTried,
+                                    TimePoint,
+                                    TimePoint) override
+  {
+    return aTried.empty() ? std::optional(this->vm) : std::nullopt;
+  }
+  void OnProxied(const Endpoint&,
+                 const Endpoint&,
+                 ProxyResult aResult,
+                 TimePoint) override
+  {
+    this->results.push_back(aResult);
+  }
+
+  // NOLINTNEXTLINE(misc-non-private-member-variables-in-classes): observed by the tests
+  std::vector<ProxyResult> results;
+
+private:
+  Endpoint vm;
+};
+
+HttpRequest GenerationRequest(const std::string& aAttemptId, const std::string& aServer)
+{
+  HttpRequest request;
+  request.method = "POST";
+  request.target = "/chat/1";
+  request.headers = ServerUnderTest::GenerationHeaders(aAttemptId);
+  request.headers.Add("X-Expect-Instance", aServer);
+  return request;
+}
+
+} // namespace
+
 TEST_CASE("A leader that reaches no engine does not give its engines to other groups",
           "[partition]")
 {
@@ -66,3 +117,50 @@
   CHECK(ask("nonsense") == 404);
   CHECK(ask("") == 404);
 }
+
+TEST_CASE("A planned stop of a VM does not cut the tunnels of its peers", "[partition]")
+{
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  const auto head = platform.OpenGroupHeads().begin()->second;
+  const auto entry = json::parse(platform.BackendServer(head).RegistrationText());
+  const auto endpoint = *Endpoint::Parse(entry.at("Address").get<std::string>());
+
+  boost::asio::io_context loop;
+  MetricsRegistry metrics;
+  ThroughOneVm paths(server.peerEndpoint);
+  HttpClient client(loop, metrics);
+  client.SetPaths(&paths);
+  std::string body;
+  std::optional<HttpFailure> failure;
+  const auto readStream = [&]() -> Task<> {
+    CancelSwitch never;
+    const HttpDeadlines deadlines;
+    auto request = GenerationRequest("stream", head);
+    auto stream = co_await client.Open(
+      endpoint, std::move(request), deadlines, ConnectionUse::Single, never);
+    if (!stream) {
+      failure = stream.LastReason();
+      co_return;
+    }
+    server.process->Signal(SIGTERM);
+    while (true) {
+      auto piece = co_await (*stream)->Read(never);
+      if (!piece || piece->empty()) {
+        failure = piece ? std::nullopt : std::optional(piece.LastReason());
+        break;
+      }
+      body += *piece;
+    }
+    auto late = GenerationRequest("late", head);
+    (void)co_await client.Open(
+      endpoint, std::move(late), deadlines, ConnectionUse::Single, never);
+  };
+  boost::asio::co_spawn(loop, readStream(), boost::asio::detached);
+  loop.run();
+  CHECK(!failure);
+  CHECK(body == BackendServerStandin::CompleteStream());
+  CHECK(paths.results == std::vector{ ProxyResult::Connected, ProxyResult::Unavailable });
+  CHECK(server.process->Wait() == 0);
+}
