Share the grace period of removals between the directories of VMs and of servers

DeferredRemovals holds what both directories wrote twice; behaviour is unchanged. The test of datagram versions follows the new version, and checks the former one besides.

--- a/modules/toucanstand_membership/peers/PeerDirectory.cpp
+++ b/modules/toucanstand_membership/peers/PeerDirectory.cpp
@@ -24,7 +24,7 @@
   if (aRunId == this->ownRunId || aPresence.endpoint == this->ownPresence.endpoint) {
     return;
   }
-  this->pendingRemovals.erase(aRunId);
+  this->removals.Cancel(aRunId);
   auto& registration = this->registrations[aPresence.endpoint];
   if (registration.runId != aRunId && registration.revision > aRevision) {
     return;
@@ -37,29 +37,21 @@
 
 void PeerDirectory::Remove(const std::string& aRunId, TimePoint aNow)
 {
-  if (aNow < this->graceUntil) {
-    this->pendingRemovals.try_emplace(aRunId, this->graceUntil);
-  } else {
+  if (!this->removals.Defer(aRunId, aNow)) {
+    this->removals.Cancel(aRunId);
     this->RemoveNow(aRunId);
   }
 }
 
 void PeerDirectory::OnTime(TimePoint aNow)
 {
-  std::vector<std::string> due;
-  for (const auto& [runId, until] : this->pendingRemovals) {
-    if (aNow >= until) {
-      due.push_back(runId);
-    }
-  }
-  for (const auto& runId : due) {
+  for (const auto& runId : this->removals.TakeDue(aNow)) {
     this->RemoveNow(runId);
   }
 }
 
 void PeerDirectory::RemoveNow(const std::string& aRunId)
 {
-  this->pendingRemovals.erase(aRunId);
   const auto found = this->peers.find(aRunId);
   if (found == this->peers.end()) {
     return;
--- a/modules/toucanstand_membership/peers/PeerDirectory.h
+++ b/modules/toucanstand_membership/peers/PeerDirectory.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "peers/Presence.h"
-#include "time/BootClock.h"
+#include "serving/DeferredRemovals.h"
 
 namespace toucanstand {
 
@@ -41,7 +41,7 @@
   void Remove(const std::string& aRunId, TimePoint aNow);
 
   /// The store answers again after it lost registrations of VMs that live.
-  void OnStoreBack(TimePoint aNow) { this->graceUntil = aNow + kReturnGrace; }
+  void OnStoreBack(TimePoint aNow) { this->removals.BeginGrace(aNow + kReturnGrace); }
 
   /// Applies removals whose grace period has ended.
   void OnTime(TimePoint aNow);
@@ -76,8 +76,7 @@
   std::map<std::string, Presence> peers;
   /// The registration with the highest revision, by endpoint.
   std::map<Endpoint, Registration> registrations;
-  std::map<std::string, TimePoint> pendingRemovals;
-  TimePoint graceUntil{};
+  DeferredRemovals<std::string> removals;
   std::vector<Endpoint> relays;
   bool isRelay = true;
   bool relaysOutdated = true;
--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -17,7 +17,7 @@
 
 bool ServerDirectory::Put(ServerEntry aEntry)
 {
-  const bool restored = this->pendingRemovals.erase(aEntry.id) > 0;
+  const bool restored = this->removals.Cancel(aEntry.id);
   auto& known = this->servers[aEntry.id];
   // Leaving is final for one run of a server: an older entry may be written late.
   const bool sameRun = known.startedAtUnixMs == aEntry.startedAtUnixMs;
@@ -40,40 +40,33 @@
 
 void ServerDirectory::Remove(const ServerId& aServer, TimePoint aNow)
 {
-  const auto found = this->servers.find(aServer);
-  if (found == this->servers.end()) {
-    return;
-  }
-  if (aNow < this->graceUntil && !found->second.leaving) {
-    this->pendingRemovals.try_emplace(aServer, this->graceUntil);
+  const auto* known = this->Find(aServer);
+  if (known == nullptr || (!known->leaving && this->removals.Defer(aServer, aNow))) {
     return;
   }
-  this->pendingRemovals.erase(aServer);
-  this->outdatedInStore.erase(aServer);
-  this->servers.erase(found);
-  ++this->revision;
+  this->removals.Cancel(aServer);
+  this->RemoveNow(aServer);
 }
 
 void ServerDirectory::OnStoreBack(TimePoint aNow)
 {
-  this->graceUntil = aNow + kReturnGrace;
+  this->removals.BeginGrace(aNow + kReturnGrace);
 }
 
 void ServerDirectory::OnTime(TimePoint aNow)
 {
-  std::vector<ServerId> due;
-  for (const auto& [server, until] : this->pendingRemovals) {
-    if (aNow >= until) {
-      due.push_back(server);
-    }
-  }
-  for (const auto& server : due) {
-    this->pendingRemovals.erase(server);
-    this->servers.erase(server);
-    ++this->revision;
+  for (const auto& server : this->removals.TakeDue(aNow)) {
+    this->RemoveNow(server);
   }
 }
 
+void ServerDirectory::RemoveNow(const ServerId& aServer)
+{
+  this->outdatedInStore.erase(aServer);
+  this->servers.erase(aServer);
+  ++this->revision;
+}
+
 const ServerEntry* ServerDirectory::Find(const ServerId& aServer) const
 {
   const auto found = this->servers.find(aServer);
--- a/modules/toucanstand_world/serving/ServerDirectory.h
+++ b/modules/toucanstand_world/serving/ServerDirectory.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "serving/DeferredRemovals.h"
 #include "serving/ServerEntry.h"
 #include "time/BootClock.h"
 
@@ -64,11 +65,12 @@
   [[nodiscard]] nlohmann::json Describe() const;
 
 private:
+  void RemoveNow(const ServerId& aServer);
+
   std::map<ServerId, ServerEntry> servers;
-  std::map<ServerId, TimePoint> pendingRemovals;
+  DeferredRemovals<ServerId> removals;
   /// Servers whose entry in the store is older than the known one.
   std::set<ServerId> outdatedInStore;
-  TimePoint graceUntil{};
   std::uint64_t revision = 0;
 };
 
--- a/tests/unit/toucanstand_membership/TestPeerReport.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerReport.cpp
@@ -103,12 +103,15 @@
   const auto fields = nlohmann::json::array();
   CHECK(failure(nlohmann::json::array({ 99U, 0U, fields })) ==
         DatagramFailure::OtherVersion);
-  // Earlier versions: answers to queries with one field less, reports without crashes.
+  // Earlier versions: answers to queries with one field less, reports without crashes,
+  // revisions without a history.
   CHECK(failure(nlohmann::json::array({ 2U, 0U, fields })) ==
         DatagramFailure::OtherVersion);
   CHECK(failure(nlohmann::json::array({ 3U, 0U, fields })) ==
         DatagramFailure::OtherVersion);
-  CHECK(failure(nlohmann::json::array({ 4U, 99U, fields })) ==
+  CHECK(failure(nlohmann::json::array({ 4U, 0U, fields })) ==
+        DatagramFailure::OtherVersion);
+  CHECK(failure(nlohmann::json::array({ 5U, 99U, fields })) ==
         DatagramFailure::UnknownKind);
   CHECK(failure(nlohmann::json::array({ 4U, 0U })) == DatagramFailure::Malformed);
   CHECK(failure(nlohmann::json::array({ "2", 0U, fields })) ==
