--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -14,10 +14,10 @@
 
 constexpr auto kStateChangeDelay = std::chrono::milliseconds(20);
 
-std::string EventText(int aNumber)
+std::string EventText(int aNumber, std::size_t aPadding)
 {
   return "id: " + std::to_string(aNumber) + "\ndata: piece " + std::to_string(aNumber) +
-         "\n\n";
+         std::string(aPadding, '.') + "\n\n";
 }
 
 /// Decrements the count. Returns false when it is already zero.
@@ -66,12 +66,11 @@
     { boost::asio::ip::address_v4::loopback(), this->endpoint.port });
 }
 
-std::string BackendServerStandin::CompleteStream()
+std::string BackendServerStandin::CompleteStream(int aEvents, std::size_t aPadding)
 {
   std::string text;
-  for (int number = 1; number <= kEventCount; ++number) {
-    text += "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) +
-            "\n\n";
+  for (int number = 1; number <= aEvents; ++number) {
+    text += EventText(number, aPadding);
   }
   return text;
 }
@@ -292,8 +291,8 @@
     co_return;
   }
   int eventsSent = 0;
-  while (number < kEventCount) {
-    co_await this->Sleep(kEventInterval);
+  while (number < this->eventCount) {
+    co_await this->Sleep(this->eventInterval);
     if (!this->alive || aExchange.CallerGone()) {
       aExchange.BreakOff();
       co_return;
@@ -314,7 +313,7 @@
       co_await aExchange.WriteChunk(":");
       continue;
     }
-    std::string event = EventText(++number);
+    std::string event = EventText(++number, this->eventPadding);
     ++eventsSent;
     if (isAborted && eventsSent > eventsBeforeAbort) {
       co_await aExchange.WriteChunk(event.substr(0, event.size() / 2));
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -67,12 +67,13 @@
   /// Returns whether all members of the group are alive.
   using GroupCompletenessCheck = std::function<bool(const std::string& aGroup)>;
 
-  /// Time between two events of a stream.
+  /// Usual time between two events of a stream, and their usual number.
   static constexpr auto kEventInterval = std::chrono::milliseconds(20);
   static constexpr int kEventCount = 12;
 
   /// Text of a stream in which each event occurs once and in order.
-  [[nodiscard]] static std::string CompleteStream();
+  [[nodiscard]] static std::string CompleteStream(int aEvents = kEventCount,
+                                                  std::size_t aPadding = 0);
 
   BackendServerStandin(boost::asio::io_context& aLoop,
                        MetricsRegistry& aMetrics,
@@ -99,6 +100,10 @@
   RunStartedHandler onRunStarted;
   GroupCompletenessCheck isGroupComplete;
   BackendServerFaults faults;
+  std::chrono::milliseconds eventInterval = kEventInterval;
+  int eventCount = kEventCount;
+  /// Bytes that each event has beyond the usual ones.
+  std::size_t eventPadding = 0;
   /// Kind and group of each order that was received, oldest first: `join m-1`.
   std::vector<std::string> receivedOrders;
   /// Orders to join another group that arrived while this server was an open head.
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -17,7 +17,9 @@
 constexpr auto kGroupFormationTimeout = std::chrono::seconds(15);
 constexpr auto kPollInterval = std::chrono::milliseconds(20);
 
-json DefaultConfiguration(std::int64_t aVersion)
+} // namespace
+
+json PlatformStandin::DefaultConfiguration(std::int64_t aVersion)
 {
   const json engine = {
     { "Slots", 8 },
@@ -67,8 +69,6 @@
              { { { "Name", "shop" }, { "ApiKeys", { "key-1", "key-2" } } } } } };
 }
 
-} // namespace
-
 PlatformStandin::PlatformStandin(int aEngines)
   : store(std::make_unique<StoreStandin>(this->loop, this->metrics))
 {
@@ -208,7 +208,8 @@
 
 ServerUnderTest::ServerUnderTest(PlatformStandin& aPlatform,
                                  const std::string& aId,
-                                 const Endpoint& aStore)
+                                 const Endpoint& aStore,
+                                 std::chrono::milliseconds aStopPeriod)
   : platform(aPlatform)
   , caller(std::chrono::seconds(6))
   , listenEndpoint(this->ports.Reserve())
@@ -223,7 +224,8 @@
                           { "peers", this->peerEndpoint.Text() },
                           { "operator", this->operatorEndpoint.Text() },
                           { "store", aStore.Text() },
-                          { "stop_period_s", 8 },
+                          { "stop_period_s",
+                            static_cast<double>(aStopPeriod.count()) / 1000 },
                           { "head_stall_ms", 500 },
                           { "seed", 7 } };
   this->settings = std::make_unique<SettingsFile>(document);
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -34,6 +34,9 @@
   /// the stand-ins may only be accessed this way while requests are processed.
   void RunOnLoop(const std::function<void()>& aFunction);
 
+  /// The configuration that is in force when no other has been written.
+  [[nodiscard]] static nlohmann::json DefaultConfiguration(std::int64_t aVersion);
+
   /// Writes a configuration to the store.
   /// @param aChange JSON merge patch for the default configuration
   void WriteConfiguration(std::int64_t aVersion, const nlohmann::json& aChange = {});
@@ -81,11 +84,14 @@
   ReservedPorts ports;
 
 public:
+  static constexpr std::chrono::milliseconds kStopPeriod = std::chrono::seconds(8);
+
   ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
   /// @param aStore address of the platform's store, or of a proxy in front of it
   ServerUnderTest(PlatformStandin& aPlatform,
                   const std::string& aId,
-                  const Endpoint& aStore);
+                  const Endpoint& aStore,
+                  std::chrono::milliseconds aStopPeriod = kStopPeriod);
 
   /// Sends the signal to the process, waits until it has exited and starts it again.
   void Restart(int aSignal);
