Show the state of callers' connections during a planned stop

The log could not tell a request that is still arriving from an idle connection, nor an answer that was cut from one that ended: the hypotheses of the incident looked the same. Each connection now has a state, and stop_begins, listener_closed and stop count them; request_end says how long the request took to arrive and how much of the drain was left; http_answers_truncated_total counts answers whose end the kernel dropped.

No decision changed, but for requests that are rejected as malformed: they count as in progress until their answer is written.

--- /dev/null
+++ b/modules/toucanstand_transport/http/ConnectionState.cpp
@@ -0,0 +1,14 @@
+#include "http/ConnectionState.h"
+
+namespace toucanstand {
+
+const char* Name(ConnectionState aState)
+{
+  constexpr std::array kNames = {
+    "awaiting_request", "receiving_request", "awaiting_answer", "sending_answer"
+  };
+  static_assert(kNames.size() == kConnectionStateCount);
+  return kNames.at(static_cast<std::size_t>(aState));
+}
+
+} // namespace toucanstand
--- a/modules/toucanstand_transport/http/HttpExchange.h
+++ b/modules/toucanstand_transport/http/HttpExchange.h
@@ -8,6 +8,7 @@
 #include "http/HttpMessage.h"
 #include "http/Task.h"
 #include "network/Endpoint.h"
+#include "time/BootClock.h"
 
 namespace toucanstand {
 
@@ -27,6 +28,9 @@
   [[nodiscard]] virtual const HttpRequest& Request() const = 0;
   [[nodiscard]] virtual Endpoint Caller() const = 0;
 
+  /// Time from the first to the last byte of the request.
+  [[nodiscard]] virtual Duration ReceiveTime() const = 0;
+
   /// True once the caller closed its side. A half-closed connection counts as closed.
   [[nodiscard]] virtual bool CallerGone() const = 0;
 
--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -45,7 +45,7 @@
     : loop(aLoop)
     , acceptor(aLoop)
     , context(std::make_shared<HttpSession::Context>(
-        HttpSession::Context{ aLimits, std::move(aHandler), aMetrics }))
+        HttpSession::Context{ aLimits, std::move(aHandler), aMetrics, {} }))
   {
   }
 
@@ -204,7 +204,14 @@
 
 std::size_t HttpServer::ActiveExchanges() const
 {
-  return this->implementation->context->activeExchanges;
+  const auto& connections = this->Connections();
+  return connections.Of(ConnectionState::AwaitingAnswer) +
+         connections.Of(ConnectionState::SendingAnswer);
+}
+
+const ConnectionCounts& HttpServer::Connections() const
+{
+  return this->implementation->context->connections;
 }
 
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/HttpServer.h
+++ b/modules/toucanstand_transport/http/HttpServer.h
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "errors/Result.h"
+#include "http/ConnectionState.h"
 #include "http/HttpExchange.h"
 #include "metrics/MetricsRegistry.h"
 #include "network/Endpoint.h"
@@ -69,7 +70,9 @@
   void Abort();
 
   [[nodiscard]] std::size_t OpenConnections() const;
+  /// Requests that are complete and whose answers are not.
   [[nodiscard]] std::size_t ActiveExchanges() const;
+  [[nodiscard]] const ConnectionCounts& Connections() const;
 
 private:
   class Implementation;
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -49,6 +49,12 @@
   , context(std::move(aContext))
 {
   SetLivenessOptions(this->stream.socket(), kUserTimeout);
+  this->context->connections.Add(*this->state);
+}
+
+HttpSession::~HttpSession()
+{
+  this->EnterState(std::nullopt);
 }
 
 Task<> HttpSession::Run()
@@ -59,14 +65,16 @@
       break;
     }
   }
+  this->CountLostOutput();
   beast::error_code ignored;
   this->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   this->stream.close();
+  this->EnterState(std::nullopt);
 }
 
 void HttpSession::CloseIfIdle()
 {
-  if (!this->waitingForRequest) {
+  if (this->state != ConnectionState::AwaitingRequest) {
     return;
   }
   boost::system::error_code error;
@@ -126,6 +134,7 @@
     co_await this->RejectMalformed(bodyError);
     co_return false;
   }
+  this->receiveTime = BootClock::now() - this->firstByteAt;
   auto message = parser.release();
   this->httpVersion = message.version();
   this->keepAlive = message.keep_alive();
@@ -153,15 +162,18 @@
 
 Task<bool> HttpSession::AwaitFirstByte()
 {
+  this->EnterState(ConnectionState::AwaitingRequest);
   if (this->buffer.size() > 0) {
+    this->OnFirstByte();
     co_return true;
   }
-  this->waitingForRequest = true;
   this->stream.expires_after(this->context->limits.idleTimeout);
   auto [error, bytes] =
     co_await this->stream.async_read_some(this->buffer.prepare(kFirstRead), kAwait);
-  this->waitingForRequest = false;
   this->buffer.commit(bytes);
+  if (!error) {
+    this->OnFirstByte();
+  }
   co_return !error;
 }
 
@@ -221,7 +233,7 @@
   this->callerGone = false;
   this->answerFinished = false;
   this->goneListener = nullptr;
-  ++this->context->activeExchanges;
+  this->EnterState(ConnectionState::AwaitingAnswer);
   this->WatchCaller();
   try {
     co_await this->context->handler(*this);
@@ -230,11 +242,11 @@
     spdlog::error("request handler failed: {}", error.what());
   }
   this->StopWatching();
-  --this->context->activeExchanges;
 }
 
 Task<bool> HttpSession::Respond(HttpResponse aResponse)
 {
+  this->EnterState(ConnectionState::SendingAnswer);
   http::response<http::string_body> message;
   FillHead(message,
            this->httpVersion,
@@ -269,6 +281,7 @@
       ErrorResponse(505, "http_version", "a streamed answer needs HTTP/1.1"));
     co_return false;
   }
+  this->EnterState(ConnectionState::SendingAnswer);
   http::response<http::empty_body> message;
   FillHead(message, this->httpVersion, aStatus, aHeaders, this->ClosesAfterAnswer());
   message.chunked(true);
@@ -312,6 +325,7 @@
 
 Task<> HttpSession::RelayTo(asio::ip::tcp::socket aServer)
 {
+  this->EnterState(ConnectionState::SendingAnswer);
   this->StopWatching();
   this->BreakOff();
   http::response<http::empty_body> message{ http::status::switching_protocols, 11 };
@@ -364,6 +378,34 @@
   }
 }
 
+void HttpSession::OnFirstByte()
+{
+  this->firstByteAt = BootClock::now();
+  this->EnterState(ConnectionState::ReceivingRequest);
+}
+
+void HttpSession::EnterState(std::optional<ConnectionState> aState)
+{
+  if (this->state) {
+    this->context->connections.Remove(*this->state);
+  }
+  this->state = aState;
+  if (this->state) {
+    this->context->connections.Add(*this->state);
+  }
+}
+
+void HttpSession::CountLostOutput()
+{
+  // The kernel drops unacknowledged bytes when a connection is closed with unread input.
+  beast::error_code error;
+  auto& socket = this->stream.socket();
+  const bool hasUnreadInput = socket.available(error) > 0;
+  if (this->answerFinished && hasUnreadInput && UnacknowledgedBytes(socket) > 0) {
+    this->context->metrics.Count("http_answers_truncated_total");
+  }
+}
+
 bool HttpSession::ClosesAfterAnswer() const
 {
   return !this->keepAlive || this->context->announceClose || this->context->draining;
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -3,12 +3,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "http/ConnectionState.h"
 #include "http/HttpExchange.h"
 #include "http/HttpServer.h"
 
@@ -26,12 +28,13 @@
     HttpServerLimits limits;
     HttpServer::Handler handler;
     MetricsRegistry& metrics;
+    ConnectionCounts connections;
     bool announceClose = false;
     bool draining = false;
-    std::size_t activeExchanges = 0;
   };
 
   HttpSession(boost::asio::ip::tcp::socket aSocket, std::shared_ptr<Context> aContext);
+  ~HttpSession() override;
 
   /// Serves requests until either side closes.
   Task<> Run();
@@ -41,6 +44,7 @@
 
   [[nodiscard]] const HttpRequest& Request() const override { return this->request; }
   [[nodiscard]] Endpoint Caller() const override;
+  [[nodiscard]] Duration ReceiveTime() const override { return this->receiveTime; }
   [[nodiscard]] bool CallerGone() const override { return this->callerGone; }
   void OnCallerGone(std::function<void()> aListener) override;
   Task<bool> Respond(HttpResponse aResponse) override;
@@ -63,18 +67,24 @@
   void StopWatching();
   void NoteCallerGone();
   [[nodiscard]] bool ClosesAfterAnswer() const;
+  void OnFirstByte();
+  /// @param aState nothing once the connection is closed
+  void EnterState(std::optional<ConnectionState> aState);
+  void CountLostOutput();
 
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   std::shared_ptr<Context> context;
   HttpRequest request;
   std::function<void()> goneListener;
+  std::optional<ConnectionState> state = ConnectionState::AwaitingRequest;
+  TimePoint firstByteAt{};
+  Duration receiveTime{ 0 };
   std::uint64_t watchSerial = 0;
   unsigned httpVersion = 11;
   /// The answer to a HEAD request has no body.
   bool headOnly = false;
   bool keepAlive = true;
-  bool waitingForRequest = false;
   bool callerGone = false;
   bool answerFinished = false;
 };
--- a/modules/toucanstand_transport/http/SocketOptions.cpp
+++ b/modules/toucanstand_transport/http/SocketOptions.cpp
@@ -2,7 +2,9 @@
 
 #include <cerrno>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace toucanstand {
@@ -46,4 +48,11 @@
   return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  int bytes = 0;
+  const int result = ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes);
+  return result == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/SocketOptions.h
+++ b/modules/toucanstand_transport/http/SocketOptions.h
@@ -13,4 +13,7 @@
 /// True when the other end closed its side, without consuming received bytes.
 [[nodiscard]] bool PeerHasClosed(boost::asio::ip::tcp::socket& aSocket);
 
+/// Bytes that the other end has not acknowledged; 0 when the kernel can't tell.
+[[nodiscard]] std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
+
 } // namespace toucanstand
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -163,6 +163,9 @@
 void RequestHandler::RecordResult(const Call& aCall, const CallResult& aResult)
 {
   const auto took = BootClock::now() - aCall.arrivedAt;
+  const auto& stopEndsAt = this->state.stopEndsAt;
+  const std::int64_t timeBeforeStop =
+    stopEndsAt ? ToMilliseconds(*stopEndsAt - aCall.arrivedAt).count() : -1;
   this->state.metrics.Count(std::string("requests_total{outcome=\"") +
                             WireName(aResult.outcome) + "\"}");
   this->state.metrics.Record("request_seconds", took);
@@ -190,6 +193,8 @@
       { "first_ms",
         aResult.timeToFirstByte ? ToMilliseconds(*aResult.timeToFirstByte).count() : -1 },
       { "pause_ms", ToMilliseconds(aResult.maxEventGap).count() },
+      { "received_ms", ToMilliseconds(aCall.exchange.ReceiveTime()).count() },
+      { "before_stop_ms", timeBeforeStop },
       { "took_ms", ToMilliseconds(took).count() } });
 }
 
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -139,7 +139,7 @@
   this->WaitForReload();
   this->Tick();
   this->loop.run();
-  this->state.log.Write(LogWeight::Notable, "stop", {});
+  this->LogConnections("stop");
   return this->shutdown.Outcome();
 }
 
@@ -263,10 +263,8 @@
 
 void ServerProcess::BeginStop()
 {
-  this->state.log.Write(
-    LogWeight::Notable,
-    "stop_begins",
-    { { "in_flight", static_cast<std::int64_t>(this->callerServer.ActiveExchanges()) } });
+  this->state.stopEndsAt = BootClock::now() + DrainPeriod(this->state.settings);
+  this->LogConnections("stop_begins");
   this->callerServer.AnnounceClose();
   this->tunnels.Drain();
   asio::co_spawn(this->loop, this->storeSession.RevokeLeases(), asio::detached);
@@ -275,11 +273,27 @@
     if (!aError) {
       this->callerServer.Drain();
       this->listenerOpen = false;
+      this->LogConnections("listener_closed");
       this->shutdown.NoteProgress();
     }
   });
 }
 
+void ServerProcess::LogConnections(std::string_view aEvent)
+{
+  const auto count = [this](ConnectionState aState) {
+    return LogField{
+      Name(aState), static_cast<std::int64_t>(this->callerServer.Connections().Of(aState))
+    };
+  };
+  this->state.log.Write(LogWeight::Notable,
+                        aEvent,
+                        { count(ConnectionState::AwaitingRequest),
+                          count(ConnectionState::ReceivingRequest),
+                          count(ConnectionState::AwaitingAnswer),
+                          count(ConnectionState::SendingAnswer) });
+}
+
 void ServerProcess::WaitForReload()
 {
   this->reloadSignals.async_wait([this](const boost::system::error_code& aError, int) {
@@ -340,6 +354,8 @@
            { "suspicions_to_pass_on", this->peers.PendingSuspicionCount() },
            { "open_connections", this->callerServer.OpenConnections() },
            { "in_flight", this->callerServer.ActiveExchanges() },
+           { "receiving",
+             this->callerServer.Connections().Of(ConnectionState::ReceivingRequest) },
            { "servers", this->state.directory.Describe() },
            { "placements", std::move(placements) },
            { "groups", this->groupCoordinator.Describe() },
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -36,6 +37,8 @@
 private:
   bool Listen();
   void BeginStop();
+  /// Logs an event of the stop with the number of connections in each state.
+  void LogConnections(std::string_view aEvent);
   void WaitForReload();
   void Reload();
   void Tick();
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -112,6 +112,8 @@
   /// Time as of which the local copy of the store is known to be complete: the start of
   /// the last read of the store, by this VM or its relay, that brought it up to date.
   TimePoint storeUpToDateAt{};
+  /// End of the drain, once a planned stop has begun.
+  std::optional<TimePoint> stopEndsAt;
   /// True once all registrations of backend servers have been read.
   bool hasReadServers = false;
   /// Groups that this process, as the leader, is about to close.
