Give every connection a defined end in a planned stop

Callers lost requests around SIGTERM: the next request on a connection whose last head had said that it stays open, a request on a connection opened just before the listener closed, and a request whose body was still arriving when nothing else was in progress. Two states decided independently: what the head of an answer said was computed again when the answer ended, and the end of the process looked at requests in progress only.

Each connection now has a state, each stop a phase (StopSchedule), and one table (ConnectionStopTable) says what a phase does to a state; docs/design.md, section 9, explains the rows. A head decides once whether the connection is kept. A connection without a request stays open for 1 s after it was accepted or answered. A request that is arriving is received, or rejected as not run when final answers are due. A request without an answer gets a final one before the end of the drain. The listener stays open while there is work, for zones in which the load balancer uses VMs that are not ready. What is cut off is counted, logged with its request, and makes the exit code 1. toucanstand-entry follows the same table.

Ruled out: closing idle connections later in general; a caller whose request meets an open connection near the end is rejected, where a closed one sends it to another VM at once.

--- a/modules/toucanstand_calls/attempts/AttemptClassification.cpp
+++ b/modules/toucanstand_calls/attempts/AttemptClassification.cpp
@@ -32,6 +32,7 @@
     case AttemptFailure::RefusedAsNotRun:
       return RouteOutcome::Refused;
     case AttemptFailure::CallerLeft:
+    case AttemptFailure::Stopping:
       return RouteOutcome::Abandoned;
     default:
       return RouteOutcome::Broken;
--- a/modules/toucanstand_delivery/attempts/AttemptFailure.cpp
+++ b/modules/toucanstand_delivery/attempts/AttemptFailure.cpp
@@ -15,7 +15,7 @@
 };
 
 // In the order of AttemptFailure.
-constexpr std::array<FailureTraits, 10> kTraits = { {
+constexpr std::array<FailureTraits, 11> kTraits = { {
   { "connect_refused", true, true },
   { "connect_timed_out", true, false },
   { "send_broken", false, true },
@@ -26,6 +26,7 @@
   { "refused_as_not_run", true, false },
   { "server_error", false, false },
   { "caller_left", false, false },
+  { "stopping", false, false },
 } };
 
 const FailureTraits& TraitsOf(AttemptFailure aFailure)
--- a/modules/toucanstand_delivery/attempts/AttemptFailure.h
+++ b/modules/toucanstand_delivery/attempts/AttemptFailure.h
@@ -21,6 +21,8 @@
   /// A 5xx answer that doesn't prove that the request was not run.
   ServerError,
   CallerLeft,
+  /// A planned stop of this process needed the final answer before the server's came.
+  Stopping,
 };
 
 /// True when no part of the request can have been executed. A connection that breaks
--- a/modules/toucanstand_delivery/attempts/AttemptTracker.cpp
+++ b/modules/toucanstand_delivery/attempts/AttemptTracker.cpp
@@ -16,7 +16,8 @@
                                   "retry_budget_exhausted",
                                   "too_many_attempts",
                                   "answer_started",
-                                  "caller_left" };
+                                  "caller_left",
+                                  "stopping" };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
 
@@ -95,6 +96,9 @@
   if (aFailure == AttemptFailure::CallerLeft) {
     return GiveUpReason::CallerLeft;
   }
+  if (aFailure == AttemptFailure::Stopping) {
+    return GiveUpReason::Stopping;
+  }
   if (this->repeatability == Repeatability::OnlyOnce &&
       this->Outcome() != CallOutcome::NotRun) {
     return GiveUpReason::MayHaveRun;
--- a/modules/toucanstand_delivery/attempts/AttemptTracker.h
+++ b/modules/toucanstand_delivery/attempts/AttemptTracker.h
@@ -38,6 +38,8 @@
   /// Part of an answer that can't be resumed has been sent to the caller.
   AnswerStarted,
   CallerLeft,
+  /// A planned stop of this process leaves no time for another attempt.
+  Stopping,
 };
 
 /// Name for metrics and error bodies.
--- a/modules/toucanstand_transport/http/HttpExchange.h
+++ b/modules/toucanstand_transport/http/HttpExchange.h
@@ -37,6 +37,13 @@
   /// Called once, on the loop, when the caller closes its side; at once if it has.
   virtual void OnCallerGone(std::function<void()> aListener) = 0;
 
+  /// Called at most once, on the loop, when a planned stop needs the answer now: the
+  /// process can't wait for a backend server any longer.
+  virtual void OnFinalAnswerDue(std::function<void()> aListener) = 0;
+
+  /// True once the listener of OnFinalAnswerDue() was or would have been called.
+  [[nodiscard]] virtual bool IsFinalAnswerDue() const = 0;
+
   /// Sends a whole answer. @returns false when the caller was gone.
   virtual Task<bool> Respond(HttpResponse aResponse) = 0;
 
--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -70,24 +70,32 @@
     return Endpoint{ aEndpoint.address, this->acceptor.local_endpoint().port() };
   }
 
-  void Drain()
+  void AdvanceStop(StopPhase aPhase, TimePoint aNow)
   {
-    this->context->draining = true;
-    this->AcceptQueued();
-    boost::system::error_code ignored;
-    this->acceptor.close(ignored);
-    std::ranges::for_each(this->LiveSessions(),
-                          [](const auto& aSession) { aSession->CloseIfIdle(); });
+    this->context->stopPhase = aPhase;
+    std::ranges::for_each(this->LiveSessions(), [aPhase, aNow](const auto& aSession) {
+      aSession->AdvanceStop(aPhase, aNow);
+    });
+    const bool mustClose = aPhase >= StopPhase::FinalAnswers ||
+                           (aPhase == StopPhase::Draining && !this->HasWork(aNow));
+    if (mustClose && this->acceptor.is_open()) {
+      this->AcceptQueued();
+      boost::system::error_code ignored;
+      this->acceptor.close(ignored);
+    }
+  }
+
+  [[nodiscard]] bool IsBusy(TimePoint aNow) const
+  {
+    return this->acceptor.is_open() || this->HasWork(aNow);
   }
 
   void Abort()
   {
     boost::system::error_code ignored;
     this->acceptor.close(ignored);
-    std::ranges::for_each(this->LiveSessions(), [](const auto& aSession) {
-      aSession->BreakOff();
-      aSession->CloseIfIdle();
-    });
+    std::ranges::for_each(this->LiveSessions(),
+                          [](const auto& aSession) { aSession->Abort(); });
   }
 
   asio::io_context& loop; // NOLINT(misc-non-private-member-variables-in-classes)
@@ -149,7 +157,14 @@
     --aSelf->openConnections;
   }
 
-  std::vector<std::shared_ptr<HttpSession>> LiveSessions()
+  [[nodiscard]] bool HasWork(TimePoint aNow) const
+  {
+    return std::ranges::any_of(this->LiveSessions(), [aNow](const auto& aSession) {
+      return aSession->IsBusy(aNow);
+    });
+  }
+
+  [[nodiscard]] std::vector<std::shared_ptr<HttpSession>> LiveSessions() const
   {
     std::vector<std::shared_ptr<HttpSession>> live;
     for (const auto& weak : this->sessions) {
@@ -182,14 +197,14 @@
   this->implementation->context->limits = aLimits;
 }
 
-void HttpServer::Drain()
+void HttpServer::AdvanceStop(StopPhase aPhase, TimePoint aNow)
 {
-  this->implementation->Drain();
+  this->implementation->AdvanceStop(aPhase, aNow);
 }
 
-void HttpServer::AnnounceClose()
+bool HttpServer::IsBusy(TimePoint aNow) const
 {
-  this->implementation->context->announceClose = true;
+  return this->implementation->IsBusy(aNow);
 }
 
 void HttpServer::Abort()
--- a/modules/toucanstand_transport/http/HttpServer.h
+++ b/modules/toucanstand_transport/http/HttpServer.h
@@ -9,6 +9,7 @@
 #include "errors/Result.h"
 #include "http/ConnectionState.h"
 #include "http/HttpExchange.h"
+#include "lifecycle/StopSchedule.h"
 #include "metrics/MetricsRegistry.h"
 #include "network/Endpoint.h"
 #include "time/BootClock.h"
@@ -59,12 +60,12 @@
   /// Sets the limits for every further request.
   void SetLimits(const HttpServerLimits& aLimits);
 
-  /// Stops accepting, closes idle connections, and closes each other connection after
-  /// the answer in progress.
-  void Drain();
+  /// Brings the connections to what the phase of a planned stop demands; to be called at
+  /// each new phase and repeatedly during the stop. docs/design.md has the table.
+  void AdvanceStop(StopPhase aPhase, TimePoint aNow);
 
-  /// Sets `Connection: close` on every further answer, while still accepting.
-  void AnnounceClose();
+  /// True while a planned stop must wait for a connection.
+  [[nodiscard]] bool IsBusy(TimePoint aNow) const;
 
   /// Closes everything now.
   void Abort();
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -69,10 +69,11 @@
     if (!this->answerFinished || this->callerGone) {
       break;
     }
-    if (this->ClosesAfterAnswer()) {
+    if (!this->keepAlive) {
       co_await this->AwaitClose();
       break;
     }
+    this->quietSince = BootClock::now();
   }
   this->CountLostOutput();
   beast::error_code ignored;
@@ -81,11 +82,49 @@
   this->EnterState(std::nullopt);
 }
 
-void HttpSession::CloseIfIdle()
+void HttpSession::AdvanceStop(StopPhase aPhase, TimePoint aNow)
 {
-  if (this->state != ConnectionState::AwaitingRequest) {
+  if (!this->state) {
     return;
   }
+  switch (ActionDuringStop(aPhase, *this->state, this->QuietTime(aNow))) {
+    case StopAction::None:
+      return;
+    case StopAction::CloseIfQuiet:
+      this->CloseIfQuiet();
+      return;
+    case StopAction::RejectRequest:
+      this->RejectArrivingRequest();
+      return;
+    case StopAction::AskForFinalAnswer:
+      this->AskForFinalAnswer();
+      return;
+    case StopAction::BreakOff:
+      this->AskForFinalAnswer();
+      this->Abort();
+      return;
+  }
+}
+
+void HttpSession::Abort()
+{
+  this->BreakOff();
+  this->stream.close();
+}
+
+bool HttpSession::IsBusy(TimePoint aNow) const
+{
+  const bool mayBeUsed = this->QuietTime(aNow) < kQuietTime;
+  return this->state && (*this->state != ConnectionState::AwaitingRequest || mayBeUsed);
+}
+
+Duration HttpSession::QuietTime(TimePoint aNow) const
+{
+  return aNow - this->quietSince;
+}
+
+void HttpSession::CloseIfQuiet()
+{
   boost::system::error_code error;
   const bool requestArriving =
     this->buffer.size() > 0 || this->stream.socket().available(error) > 0;
@@ -94,6 +133,21 @@
   }
 }
 
+void HttpSession::RejectArrivingRequest()
+{
+  if (!std::exchange(this->rejectedForStop, true)) {
+    this->stream.cancel();
+  }
+}
+
+void HttpSession::AskForFinalAnswer()
+{
+  this->finalAnswerDue = true;
+  if (const auto listener = std::exchange(this->finalAnswerListener, nullptr)) {
+    listener();
+  }
+}
+
 Endpoint HttpSession::Caller() const
 {
   beast::error_code error;
@@ -110,6 +164,15 @@
   this->goneListener = std::move(aListener);
 }
 
+void HttpSession::OnFinalAnswerDue(std::function<void()> aListener)
+{
+  if (this->finalAnswerDue) {
+    aListener();
+    return;
+  }
+  this->finalAnswerListener = std::move(aListener);
+}
+
 Task<bool> HttpSession::ReadRequest()
 {
   http::request_parser<http::string_body> parser;
@@ -125,7 +188,7 @@
   auto [headError, headBytes] =
     co_await http::async_read_header(this->stream, this->buffer, parser, kAwait);
   if (headError) {
-    co_await this->RejectMalformed(headError);
+    co_await this->RejectUnread(headError);
     co_return false;
   }
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -133,6 +196,7 @@
     auto [proceedError, proceedBytes] =
       co_await http::async_write(this->stream, proceed, kAwait);
     if (proceedError) {
+      co_await this->RejectUnread(proceedError);
       co_return false;
     }
   }
@@ -140,7 +204,7 @@
   auto [bodyError, bodyBytes] =
     co_await http::async_read(this->stream, this->buffer, parser, kAwait);
   if (bodyError) {
-    co_await this->RejectMalformed(bodyError);
+    co_await this->RejectUnread(bodyError);
     co_return false;
   }
   this->receiveTime = BootClock::now() - this->firstByteAt;
@@ -158,11 +222,12 @@
   this->headOnly = message.method() == http::verb::head;
   // RFC 9112, section 3.2: a request without exactly one Host field is rejected.
   if (this->httpVersion >= 11 && message.count(http::field::host) != 1) {
-    co_await this->Reject(400, "malformed_request", "exactly one Host field is needed");
+    co_await this->RejectMalformed(
+      400, "malformed_request", "exactly one Host field is needed");
     co_return false;
   }
   if (!IsOriginForm(this->request.target) || HasDotSegments(this->request.target)) {
-    co_await this->Reject(
+    co_await this->RejectMalformed(
       400, "malformed_request", "the target must be a path without dot segments");
     co_return false;
   }
@@ -186,8 +251,12 @@
   co_return !error;
 }
 
-Task<> HttpSession::RejectMalformed(beast::error_code aError)
+Task<> HttpSession::RejectUnread(beast::error_code aError)
 {
+  if (this->rejectedForStop) {
+    co_await this->RejectForStop();
+    co_return;
+  }
   if (aError == http::error::end_of_stream || aError == asio::error::operation_aborted ||
       aError == beast::error::timeout ||
       aError.category() == asio::error::get_system_category()) {
@@ -203,18 +272,36 @@
     status = 431;
     type = "headers_too_large";
   }
-  co_await this->Reject(status, type, aError.message());
+  co_await this->RejectMalformed(status, type, aError.message());
+}
+
+Task<> HttpSession::RejectMalformed(int aStatus,
+                                    const char* aType,
+                                    const std::string& aMessage)
+{
+  auto response = ErrorResponse(aStatus, aType, aMessage);
+  co_await this->Reject(std::move(response), aType);
 }
 
-Task<> HttpSession::Reject(int aStatus, const char* aType, std::string aMessage)
+Task<> HttpSession::RejectForStop()
+{
+  auto response =
+    ErrorResponse(503, "stopping", "not run; this VM stops, another one serves");
+  // Other VMs are ready, so the caller need not wait.
+  response.headers.Add("Retry-After", "0");
+  co_await this->Reject(std::move(response), "stopping");
+}
+
+Task<> HttpSession::Reject(HttpResponse aResponse, const char* aType)
 {
   this->context->metrics.Count(std::string("http_rejected_total{type=\"") + aType +
                                "\"}");
   this->keepAlive = false;
-  HttpResponse response = ErrorResponse(aStatus, aType, aMessage);
-  response.headers.Add("Toucanstand-Outcome", "not-run");
-  co_await this->Respond(std::move(response));
-  co_await this->AwaitClose();
+  aResponse.headers.Add("Toucanstand-Outcome", "not-run");
+  const bool isSent = co_await this->Respond(std::move(aResponse));
+  if (isSent) {
+    co_await this->AwaitClose();
+  }
 }
 
 Task<> HttpSession::AwaitClose()
@@ -253,6 +340,8 @@
   this->callerGone = false;
   this->answerFinished = false;
   this->goneListener = nullptr;
+  this->finalAnswerListener = nullptr;
+  this->finalAnswerDue = false;
   this->EnterState(ConnectionState::AwaitingAnswer);
   this->WatchCaller();
   try {
@@ -272,7 +361,7 @@
            this->httpVersion,
            aResponse.status,
            aResponse.headers,
-           this->ClosesAfterAnswer());
+           this->DecideToClose());
   message.body() = std::move(aResponse.body);
   message.prepare_payload();
   this->stream.expires_after(this->context->limits.writeTimeout);
@@ -303,7 +392,7 @@
   }
   this->EnterState(ConnectionState::SendingAnswer);
   http::response<http::empty_body> message;
-  FillHead(message, this->httpVersion, aStatus, aHeaders, this->ClosesAfterAnswer());
+  FillHead(message, this->httpVersion, aStatus, aHeaders, this->DecideToClose());
   message.chunked(true);
   http::response_serializer<http::empty_body> serializer(message);
   this->stream.expires_after(this->context->limits.writeTimeout);
@@ -383,6 +472,7 @@
 {
   ++this->watchSerial;
   this->goneListener = nullptr;
+  this->finalAnswerListener = nullptr;
   beast::error_code ignored;
   this->stream.socket().cancel(ignored);
 }
@@ -426,9 +516,12 @@
   }
 }
 
-bool HttpSession::ClosesAfterAnswer() const
+bool HttpSession::DecideToClose()
 {
-  return !this->keepAlive || this->context->announceClose || this->context->draining;
+  // The caller relies on what the head says, even if a stop begins while the body is
+  // sent.
+  this->keepAlive = this->keepAlive && this->context->stopPhase == StopPhase::Serving;
+  return !this->keepAlive;
 }
 
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include "http/ConnectionState.h"
+#include "http/ConnectionStopTable.h"
 #include "http/HttpExchange.h"
 #include "http/HttpServer.h"
 
@@ -29,8 +30,7 @@
     HttpServer::Handler handler;
     MetricsRegistry& metrics;
     ConnectionCounts connections;
-    bool announceClose = false;
-    bool draining = false;
+    StopPhase stopPhase = StopPhase::Serving;
   };
 
   HttpSession(boost::asio::ip::tcp::socket aSocket, std::shared_ptr<Context> aContext);
@@ -39,14 +39,22 @@
   /// Serves requests until either side closes.
   Task<> Run();
 
-  /// Closes the connection unless a request is in progress or has begun to arrive.
-  void CloseIfIdle();
+  /// Does what the phase of a planned stop demands of the connection.
+  void AdvanceStop(StopPhase aPhase, TimePoint aNow);
+
+  /// Closes the connection now.
+  void Abort();
+
+  /// True while the process must not end because of this connection.
+  [[nodiscard]] bool IsBusy(TimePoint aNow) const;
 
   [[nodiscard]] const HttpRequest& Request() const override { return this->request; }
   [[nodiscard]] Endpoint Caller() const override;
   [[nodiscard]] Duration ReceiveTime() const override { return this->receiveTime; }
   [[nodiscard]] bool CallerGone() const override { return this->callerGone; }
   void OnCallerGone(std::function<void()> aListener) override;
+  void OnFinalAnswerDue(std::function<void()> aListener) override;
+  [[nodiscard]] bool IsFinalAnswerDue() const override { return this->finalAnswerDue; }
   Task<bool> Respond(HttpResponse aResponse) override;
   Task<bool> BeginStream(int aStatus, HttpHeaders aHeaders) override;
   Task<bool> WriteChunk(std::string_view aBytes) override;
@@ -59,16 +67,25 @@
   /// Waits for the first byte of a request. @returns false when the caller closed or the
   /// connection was idle for too long.
   Task<bool> AwaitFirstByte();
-  Task<> Reject(int aStatus, const char* aType, std::string aMessage);
-  Task<> RejectMalformed(boost::beast::error_code aError);
+  Task<> Reject(HttpResponse aResponse, const char* aType);
+  Task<> RejectMalformed(int aStatus, const char* aType, const std::string& aMessage);
+  /// Answers a request that could not be read, where an answer can still reach the
+  /// caller.
+  Task<> RejectUnread(boost::beast::error_code aError);
+  Task<> RejectForStop();
   Task<> RunHandler();
   /// Waits until the caller has received the answer and closed the connection. Discards
   /// what it still sends.
   Task<> AwaitClose();
+  void CloseIfQuiet();
+  void RejectArrivingRequest();
+  void AskForFinalAnswer();
   void WatchCaller();
   void StopWatching();
   void NoteCallerGone();
-  [[nodiscard]] bool ClosesAfterAnswer() const;
+  /// Decides, for the head of an answer, whether the connection stays open after it.
+  [[nodiscard]] bool DecideToClose();
+  [[nodiscard]] Duration QuietTime(TimePoint aNow) const;
   void OnFirstByte();
   /// @param aState nothing once the connection is closed
   void EnterState(std::optional<ConnectionState> aState);
@@ -79,7 +96,10 @@
   std::shared_ptr<Context> context;
   HttpRequest request;
   std::function<void()> goneListener;
+  std::function<void()> finalAnswerListener;
   std::optional<ConnectionState> state = ConnectionState::AwaitingRequest;
+  /// Time at which the connection was accepted or its last answer ended.
+  TimePoint quietSince = BootClock::now();
   TimePoint firstByteAt{};
   Duration receiveTime{ 0 };
   std::uint64_t watchSerial = 0;
@@ -87,6 +107,9 @@
   /// The answer to a HEAD request has no body.
   bool headOnly = false;
   bool keepAlive = true;
+  /// The request that is arriving is rejected because of a planned stop.
+  bool rejectedForStop = false;
+  bool finalAnswerDue = false;
   bool callerGone = false;
   bool answerFinished = false;
 };
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -1,7 +1,7 @@
 #include "lifecycle/ShutdownSequence.h"
 
-#include <algorithm>
 #include <csignal>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -11,25 +11,20 @@
 
 /// Time that is left for work in flight after a second signal.
 constexpr Duration kShortenedPeriod = std::chrono::milliseconds(250);
-/// How often a drain looks for the end of work that nobody reported.
-constexpr Duration kCheckInterval = std::chrono::milliseconds(20);
-
-std::chrono::steady_clock::duration TimerDuration(Duration aDuration)
-{
-  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-    std::max(aDuration, Duration::zero()));
-}
+/// Interval at which a drain looks for its next phase and for the end of its work.
+constexpr auto kCheckInterval = std::chrono::milliseconds(20);
+/// Time after the deadline for requests that were cut off to be logged.
+constexpr Duration kCutOffTime = std::chrono::milliseconds(50);
 
 } // namespace
 
 ShutdownSequence::ShutdownSequence(boost::asio::io_context& aLoop,
-                                   Duration aGracePeriod,
+                                   Periods aPeriods,
                                    RepeatedSignal aRepeated)
   : loop(aLoop)
   , signals(aLoop, SIGTERM, SIGINT)
-  , deadlineTimer(aLoop)
   , checkTimer(aLoop)
-  , gracePeriod(aGracePeriod)
+  , periods(aPeriods)
   , repeated(aRepeated)
 {
   std::signal(SIGPIPE, SIG_IGN);
@@ -43,27 +38,60 @@
 
 void ShutdownSequence::Begin()
 {
-  if (this->draining) {
+  if (this->schedule) {
     return;
   }
-  this->draining = true;
-  this->deadline = BootClock::now() + this->gracePeriod;
-  spdlog::info("draining, deadline in {} ms", ToMilliseconds(this->gracePeriod).count());
+  this->schedule.emplace(BootClock::now(), this->periods.drain, this->periods.rotation);
+  spdlog::info("draining, deadline in {} ms",
+               ToMilliseconds(this->periods.drain).count());
   if (this->hooks.beginDrain) {
     this->hooks.beginDrain();
   }
-  this->ArmDeadline();
-  this->NoteProgress();
+  this->Advance();
   this->ArmCheck();
 }
 
 void ShutdownSequence::NoteProgress()
 {
-  if (!this->draining || (this->hooks.isBusy && this->hooks.isBusy())) {
+  if (this->schedule) {
+    this->Advance();
+  }
+}
+
+void ShutdownSequence::Advance()
+{
+  const auto now = BootClock::now();
+  const auto phase = this->schedule->PhaseAt(now);
+  if (phase == StopPhase::Over) {
+    this->RecordCutOff();
+  }
+  if (this->hooks.advance) {
+    this->hooks.advance(phase, now);
+  }
+  const bool mayEnd = phase >= StopPhase::Draining && !this->IsBusy();
+  const bool mustEnd = now >= this->schedule->End() + kCutOffTime;
+  if (mayEnd || mustEnd) {
+    spdlog::info("stopped");
+    this->loop.stop();
+  }
+}
+
+bool ShutdownSequence::IsBusy() const
+{
+  return this->hooks.isBusy && this->hooks.isBusy();
+}
+
+void ShutdownSequence::RecordCutOff()
+{
+  if (std::exchange(this->hasRecordedCutOff, true)) {
     return;
   }
-  spdlog::info("stopped");
-  this->loop.stop();
+  const std::size_t unfinished = this->IsBusy() ? 1 : 0;
+  const auto count = this->hooks.countCutOff ? this->hooks.countCutOff() : unfinished;
+  if (count > 0) {
+    spdlog::warn("drain deadline passed with work in flight: {} cut off", count);
+    this->outcome = ExitCode::Failure;
+  }
 }
 
 void ShutdownSequence::WaitForSignal()
@@ -72,7 +100,7 @@
     if (aError) {
       return;
     }
-    if (!this->draining) {
+    if (!this->schedule) {
       this->Begin();
     } else if (this->repeated == RepeatedSignal::Shortens) {
       this->ShortenDeadline();
@@ -83,27 +111,13 @@
 
 void ShutdownSequence::ShortenDeadline()
 {
-  this->deadline = std::min(this->deadline, BootClock::now() + kShortenedPeriod);
+  this->schedule->Shorten(BootClock::now() + kShortenedPeriod);
   spdlog::info("second signal, drain shortened");
-  this->ArmDeadline();
-}
-
-void ShutdownSequence::ArmDeadline()
-{
-  this->deadlineTimer.expires_after(TimerDuration(this->deadline - BootClock::now()));
-  this->deadlineTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (aError) {
-      return;
-    }
-    spdlog::warn("drain deadline passed with work in flight");
-    this->outcome = ExitCode::Failure;
-    this->loop.stop();
-  });
 }
 
 void ShutdownSequence::ArmCheck()
 {
-  this->checkTimer.expires_after(TimerDuration(kCheckInterval));
+  this->checkTimer.expires_after(kCheckInterval);
   this->checkTimer.async_wait([this](const boost::system::error_code& aError) {
     if (aError) {
       return;
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
@@ -1,23 +1,30 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "commandline/CommandLine.h"
+#include "lifecycle/StopSchedule.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
 
-/// Steps of a program's planned stop.
+/// What a program does during its planned stop. Any hook may be empty.
 struct ShutdownHooks
 {
-  /// Stops taking new work. Called once.
+  /// The stop begins. Called once.
   std::function<void()> beginDrain;
+  /// Called at each new phase, and repeatedly until the end.
+  std::function<void(StopPhase aPhase, TimePoint aNow)> advance;
   /// True while work is in flight.
   std::function<bool()> isBusy;
+  /// Work that would be cut off now. Called at the deadline; any work in flight counts
+  /// as cut when empty.
+  std::function<std::size_t()> countCutOff;
 };
 
 /// What a second signal does to a stop in progress.
@@ -32,13 +39,22 @@
 /// Planned stop on SIGTERM or SIGINT under one absolute deadline.
 ///
 /// The signal handlers are installed by the constructor, before the program is ready.
-/// The program ends as soon as nothing is in flight.
+/// The program ends as soon as nothing is in flight, but not before the load balancer has
+/// had time to notice.
 class ShutdownSequence
 {
 public:
-  /// @param aGracePeriod longest time for work in flight after the first signal.
+  /// Times of a stop, from the first signal.
+  struct Periods
+  {
+    /// Longest time for work in flight.
+    Duration drain{ 0 };
+    /// Time until the load balancer sends no more connections.
+    Duration rotation{ 0 };
+  };
+
   ShutdownSequence(boost::asio::io_context& aLoop,
-                   Duration aGracePeriod,
+                   Periods aPeriods,
                    RepeatedSignal aRepeated = RepeatedSignal::Shortens);
 
   void SetHooks(ShutdownHooks aHooks);
@@ -49,26 +65,33 @@
   /// To be called when work has ended; ends the loop when draining and nothing is left.
   void NoteProgress();
 
-  [[nodiscard]] bool IsDraining() const { return this->draining; }
+  [[nodiscard]] bool IsDraining() const { return this->schedule.has_value(); }
+
+  /// Times of the stop; nothing before it.
+  [[nodiscard]] const std::optional<StopSchedule>& Schedule() const
+  {
+    return this->schedule;
+  }
 
-  /// Failure when the deadline passed with work in flight.
+  /// Failure when the deadline passed and work was cut off.
   [[nodiscard]] ExitCode Outcome() const { return this->outcome; }
 
 private:
   void WaitForSignal();
   void ShortenDeadline();
-  void ArmDeadline();
+  void Advance();
+  void RecordCutOff();
+  [[nodiscard]] bool IsBusy() const;
   void ArmCheck();
 
   boost::asio::io_context& loop;
   boost::asio::signal_set signals;
-  boost::asio::steady_timer deadlineTimer;
   boost::asio::steady_timer checkTimer;
-  Duration gracePeriod;
+  Periods periods;
   RepeatedSignal repeated;
-  TimePoint deadline{};
+  std::optional<StopSchedule> schedule;
   ShutdownHooks hooks;
-  bool draining = false;
+  bool hasRecordedCutOff = false;
   ExitCode outcome = ExitCode::Success;
 };
 
--- a/modules/toucanstand_transport/operators/OperatorEndpoint.cpp
+++ b/modules/toucanstand_transport/operators/OperatorEndpoint.cpp
@@ -43,11 +43,6 @@
   return this->server.Listen(aEndpoint);
 }
 
-void OperatorEndpoint::Close()
-{
-  this->server.Drain();
-}
-
 Task<> OperatorEndpoint::Serve(HttpExchange& aExchange)
 {
   const auto& request = aExchange.Request();
--- a/modules/toucanstand_transport/operators/OperatorEndpoint.h
+++ b/modules/toucanstand_transport/operators/OperatorEndpoint.h
@@ -36,9 +36,6 @@
   /// Starts to listen. Port 0 picks a free one.
   Result<Endpoint, ListenFailure> Listen(const Endpoint& aEndpoint);
 
-  /// Closes the listener and idle connections.
-  void Close();
-
 private:
   Task<> Serve(HttpExchange& aExchange);
   Task<> ServeState(HttpExchange& aExchange);
--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -18,7 +18,7 @@
 
 EntryProcess::EntryProcess(EntrySettings aSettings)
   : loop(1)
-  , shutdown(this->loop, aSettings.drainPeriod)
+  , shutdown(this->loop, { aSettings.drainPeriod, aSettings.listenerWait })
   , context(this->loop, aSettings, this->metrics, Random(SeedOf(aSettings)))
   , handler(this->context)
   , nodeLink(this->context)
@@ -34,7 +34,6 @@
                              [this] { return this->DescribeState(); },
                              [this] { this->shutdown.Begin(); },
                              nullptr })
-  , listenerTimer(this->loop)
 {
 }
 
@@ -44,8 +43,10 @@
     return ExitCode::Failure;
   }
   this->shutdown.SetHooks(ShutdownHooks{
-    [this] { this->BeginDrain(); },
-    [this] { return this->listenerOpen || this->server.ActiveExchanges() > 0; } });
+    nullptr,
+    [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
+    [this] { return this->server.IsBusy(BootClock::now()); },
+    [this] { return this->server.ActiveExchanges(); } });
   this->nodeLink.Start();
   this->loop.run();
   return this->shutdown.Outcome();
@@ -72,26 +73,13 @@
   return true;
 }
 
-void EntryProcess::BeginDrain()
+void EntryProcess::AdvanceStop(StopPhase aPhase, TimePoint aNow)
 {
-  this->server.AnnounceClose();
-  this->listenerTimer.expires_after(
-    std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-      this->context.settings.listenerWait));
-  this->listenerTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      this->CloseListener();
-    }
-  });
-}
-
-void EntryProcess::CloseListener()
-{
-  this->context.draining = true;
-  this->context.gate.StartDrain();
-  this->server.Drain();
-  this->listenerOpen = false;
-  this->shutdown.NoteProgress();
+  if (aPhase >= StopPhase::Draining && !this->context.draining) {
+    this->context.draining = true;
+    this->context.gate.StartDrain();
+  }
+  this->server.AdvanceStop(aPhase, aNow);
 }
 
 bool EntryProcess::IsReady() const
--- a/programs/toucanstand-entry/EntryProcess.h
+++ b/programs/toucanstand-entry/EntryProcess.h
@@ -22,8 +22,7 @@
 
 private:
   bool Listen();
-  void BeginDrain();
-  void CloseListener();
+  void AdvanceStop(StopPhase aPhase, TimePoint aNow);
   [[nodiscard]] bool IsReady() const;
   [[nodiscard]] nlohmann::json DescribeState() const;
 
@@ -35,8 +34,6 @@
   NodeLink nodeLink;
   HttpServer server;
   OperatorEndpoint operators;
-  boost::asio::steady_timer listenerTimer;
-  bool listenerOpen = true;
 };
 
 } // namespace toucanstand
--- a/programs/toucanstand-groups/GroupsProcess.cpp
+++ b/programs/toucanstand-groups/GroupsProcess.cpp
@@ -34,7 +34,7 @@
 GroupsProcess::GroupsProcess(GroupsSettings aSettings)
   : settings(std::move(aSettings))
   , loop(1)
-  , shutdown(this->loop, this->settings.drainPeriod)
+  , shutdown(this->loop, { this->settings.drainPeriod, Duration::zero() })
   , random(RandomOf(this->settings))
   , store(this->loop,
           StoreSettings(this->settings),
@@ -60,8 +60,10 @@
     return ExitCode::Failure;
   }
   std::cout << "operator " << endpoint->Text() << std::endl;
-  this->shutdown.SetHooks(
-    ShutdownHooks{ [this] { this->BeginDrain(); }, [this] { return this->IsBusy(); } });
+  this->shutdown.SetHooks(ShutdownHooks{ [this] { this->BeginDrain(); },
+                                         nullptr,
+                                         [this] { return this->IsBusy(); },
+                                         nullptr });
   this->store.Watch(kPlatformKey,
                     [this](const Result<StoredValue, StoreFailure>& aValue) {
                       this->OnPlatformList(aValue);
--- a/programs/toucanstand-ledger/LedgerProcess.cpp
+++ b/programs/toucanstand-ledger/LedgerProcess.cpp
@@ -20,7 +20,7 @@
 LedgerProcess::LedgerProcess(LedgerSettings aSettings)
   : loop(1)
   , settings(std::move(aSettings))
-  , shutdown(this->loop, this->settings.drainPeriod)
+  , shutdown(this->loop, { this->settings.drainPeriod, Duration::zero() })
   , port(this->loop, this->metrics)
   , store(this->loop, this->settings.store, this->metrics, MakeRandom(this->settings))
   , owners(this->loop, this->port, this->settings.node)
@@ -52,7 +52,9 @@
     return ExitCode::Failure;
   }
   this->shutdown.SetHooks(ShutdownHooks{ [this] { this->claims.StopGranting(); },
-                                         [this] { return this->claims.Open() > 0; } });
+                                         nullptr,
+                                         [this] { return this->claims.Open() > 0; },
+                                         [this] { return this->claims.Open(); } });
   this->owners.Start();
   this->claims.Start();
   this->loop.run();
--- a/programs/toucanstand-node/NodeProcess.cpp
+++ b/programs/toucanstand-node/NodeProcess.cpp
@@ -56,7 +56,7 @@
 NodeProcess::NodeProcess(NodeSettings aSettings)
   : settings(std::move(aSettings))
   , loop(1)
-  , shutdown(this->loop, this->settings.drainPeriod)
+  , shutdown(this->loop, { this->settings.drainPeriod, Duration::zero() })
   , random(SeedOf(this->settings))
   , port(this->loop, this->metrics)
   , operators(this->loop,
@@ -94,9 +94,11 @@
   if (!this->Listen()) {
     return ExitCode::Failure;
   }
-  this->shutdown.SetHooks(ShutdownHooks{
-    [this] { this->BeginDrain(); },
-    [this] { return BootClock::now() - this->leftAt < kFarewellPeriod; } });
+  this->shutdown.SetHooks(
+    ShutdownHooks{ [this] { this->BeginDrain(); },
+                   nullptr,
+                   [this] { return BootClock::now() - this->leftAt < kFarewellPeriod; },
+                   nullptr });
   this->Start();
   this->loop.run();
   return this->shutdown.Outcome();
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -30,6 +30,7 @@
 Task<CallResult> BufferedCall::Run()
 {
   this->call.exchange.OnCallerGone([this] { this->sender.Cancel(); });
+  this->call.exchange.OnFinalAnswerDue([this] { this->sender.Cancel(); });
   while (true) {
     RouteQuery query;
     query.pool = this->call.pool;
--- a/programs/toucanstand-server/CallSender.cpp
+++ b/programs/toucanstand-server/CallSender.cpp
@@ -65,9 +65,13 @@
 
 AttemptFailure CallSender::ClassifyFailure(HttpFailure aFailure) const
 {
-  if (this->call.exchange.CallerGone() || aFailure == HttpFailure::Cancelled) {
+  if (this->call.exchange.CallerGone()) {
     return AttemptFailure::CallerLeft;
   }
+  if (aFailure == HttpFailure::Cancelled) {
+    return this->call.exchange.IsFinalAnswerDue() ? AttemptFailure::Stopping
+                                                  : AttemptFailure::CallerLeft;
+  }
   const bool timedOut =
     aFailure == HttpFailure::HeadTimedOut || aFailure == HttpFailure::BodyTimedOut;
   if (timedOut) {
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -45,6 +45,7 @@
 Task<CallResult> GenerationCall::Run()
 {
   this->call.exchange.OnCallerGone([this] { this->sender.Cancel(); });
+  this->call.exchange.OnFinalAnswerDue([this] { this->sender.Cancel(); });
   while (true) {
     // A part may have been quarantined while an earlier attempt ran.
     const auto crashingPart = this->state.promptPartQuarantine.FindQuarantined(
@@ -270,6 +271,7 @@
     case AttemptFailure::SilentConnection:
       return GroupRequestOutcome::Stalled;
     case AttemptFailure::CallerLeft:
+    case AttemptFailure::Stopping:
       return GroupRequestOutcome::Abandoned;
     default:
       return GroupRequestOutcome::Failed;
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -163,9 +163,9 @@
 void RequestHandler::RecordResult(const Call& aCall, const CallResult& aResult)
 {
   const auto took = BootClock::now() - aCall.arrivedAt;
-  const auto& stopEndsAt = this->state.stopEndsAt;
+  const auto& stop = this->state.stopSchedule;
   const std::int64_t timeBeforeStop =
-    stopEndsAt ? ToMilliseconds(*stopEndsAt - aCall.arrivedAt).count() : -1;
+    stop ? ToMilliseconds(stop->End() - aCall.arrivedAt).count() : -1;
   this->state.metrics.Count(std::string("requests_total{outcome=\"") +
                             WireName(aResult.outcome) + "\"}");
   this->state.metrics.Record("request_seconds", took);
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -19,7 +19,7 @@
 /// Interval at which expired entries are removed and changed limits are applied.
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 /// The load balancer checks readiness once a second and removes a VM after two failures;
-/// the listener stays open until then.
+/// it ends no earlier than that.
 constexpr Duration kBalancerRemovalTime = std::chrono::milliseconds(2500);
 /// Fraction of the stop period for requests in flight; the rest is left for the process
 /// itself to exit.
@@ -43,7 +43,9 @@
 
 ServerProcess::ServerProcess(ServerSettings aSettings, std::string aSettingsFile)
   : loop(1)
-  , shutdown(this->loop, DrainPeriod(aSettings), RepeatedSignal::IsIgnored)
+  , shutdown(this->loop,
+             { DrainPeriod(aSettings), kBalancerRemovalTime },
+             RepeatedSignal::IsIgnored)
   , state(this->loop, aSettings)
   , settingsFile(std::move(aSettingsFile))
   , runNumber(this->state.random.Engine()())
@@ -90,7 +92,6 @@
                              nullptr })
   , reloadSignals(this->loop, SIGHUP)
   , tickTimer(this->loop)
-  , listenerCloseTimer(this->loop)
 {
 }
 
@@ -101,8 +102,11 @@
   }
   this->state.log.Write(
     LogWeight::Notable, "start", { { "version", TOUCANSTAND_VERSION } });
-  this->shutdown.SetHooks(
-    ShutdownHooks{ [this] { this->BeginStop(); }, [this] { return this->IsBusy(); } });
+  this->shutdown.SetHooks(ShutdownHooks{
+    [this] { this->BeginStop(); },
+    [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
+    [this] { return this->IsBusy(); },
+    [this] { return this->WorkInProgress(); } });
   this->storeSynchronizer.SetSystemKeyListener([this](const StoreChange& aChange) {
     this->storeSession.OnSystemKeyChanged(aChange);
     this->peers.OnSystemKeyChanged(aChange);
@@ -139,7 +143,9 @@
   this->WaitForReload();
   this->Tick();
   this->loop.run();
-  this->LogConnections("stop");
+  const auto& schedule = this->shutdown.Schedule();
+  this->LogConnections(
+    "stop", schedule ? schedule->PhaseAt(BootClock::now()) : StopPhase::Serving);
   return this->shutdown.Outcome();
 }
 
@@ -257,43 +263,48 @@
 
 bool ServerProcess::IsBusy() const
 {
-  return this->listenerOpen || this->callerServer.ActiveExchanges() > 0 ||
-         this->callerServer.Connections().Of(ConnectionState::AwaitingClose) > 0 ||
-         this->tunnels.TunnelCount() > 0;
+  return this->callerServer.IsBusy(BootClock::now()) || this->tunnels.TunnelCount() > 0;
+}
+
+std::size_t ServerProcess::WorkInProgress() const
+{
+  return this->callerServer.ActiveExchanges() + this->tunnels.TunnelCount();
 }
 
 void ServerProcess::BeginStop()
 {
-  this->state.stopEndsAt = BootClock::now() + DrainPeriod(this->state.settings);
-  this->LogConnections("stop_begins");
-  this->callerServer.AnnounceClose();
+  this->state.stopSchedule = this->shutdown.Schedule();
+  this->LogConnections("stop_begins", StopPhase::LeavingRotation);
   this->tunnels.Drain();
   asio::co_spawn(this->loop, this->storeSession.RevokeLeases(), asio::detached);
-  this->listenerCloseTimer.expires_after(kBalancerRemovalTime);
-  this->listenerCloseTimer.async_wait([this](const boost::system::error_code& aError) {
-    if (!aError) {
-      this->callerServer.Drain();
-      this->listenerOpen = false;
-      this->LogConnections("listener_closed");
-      this->shutdown.NoteProgress();
-    }
-  });
 }
 
-void ServerProcess::LogConnections(std::string_view aEvent)
+void ServerProcess::AdvanceStop(StopPhase aPhase, TimePoint aNow)
+{
+  if (aPhase != this->loggedStopPhase) {
+    this->loggedStopPhase = aPhase;
+    this->LogConnections("stop_phase", aPhase);
+  }
+  this->callerServer.AdvanceStop(aPhase, aNow);
+}
+
+void ServerProcess::LogConnections(std::string_view aEvent, StopPhase aPhase)
 {
   const auto count = [this](ConnectionState aState) {
     return LogField{
       Name(aState), static_cast<std::int64_t>(this->callerServer.Connections().Of(aState))
     };
   };
-  this->state.log.Write(LogWeight::Notable,
-                        aEvent,
-                        { count(ConnectionState::AwaitingRequest),
-                          count(ConnectionState::ReceivingRequest),
-                          count(ConnectionState::AwaitingAnswer),
-                          count(ConnectionState::SendingAnswer),
-                          count(ConnectionState::AwaitingClose) });
+  this->state.log.Write(
+    LogWeight::Notable,
+    aEvent,
+    { { "phase", Name(aPhase) },
+      count(ConnectionState::AwaitingRequest),
+      count(ConnectionState::ReceivingRequest),
+      count(ConnectionState::AwaitingAnswer),
+      count(ConnectionState::SendingAnswer),
+      count(ConnectionState::AwaitingClose),
+      { "tunnels", static_cast<std::int64_t>(this->tunnels.TunnelCount()) } });
 }
 
 void ServerProcess::WaitForReload()
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -37,8 +37,11 @@
 private:
   bool Listen();
   void BeginStop();
+  void AdvanceStop(StopPhase aPhase, TimePoint aNow);
+  /// Requests of callers and tunnels of peers that are in progress.
+  [[nodiscard]] std::size_t WorkInProgress() const;
   /// Logs an event of the stop with the number of connections in each state.
-  void LogConnections(std::string_view aEvent);
+  void LogConnections(std::string_view aEvent, StopPhase aPhase);
   void WaitForReload();
   void Reload();
   void Tick();
@@ -74,8 +77,7 @@
   OperatorEndpoint operators;
   boost::asio::signal_set reloadSignals;
   boost::asio::steady_timer tickTimer;
-  boost::asio::steady_timer listenerCloseTimer;
-  bool listenerOpen = true;
+  StopPhase loggedStopPhase = StopPhase::LeavingRotation;
   bool wasCutOff = false;
   /// Version of the configuration whose limits are in force; -1 makes the next Tick()
   /// apply the limits again.
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -13,6 +13,7 @@
 #include "crashes/PromptPartQuarantine.h"
 #include "demand/WorkMeter.h"
 #include "http/HttpClient.h"
+#include "lifecycle/StopSchedule.h"
 #include "limits/ServerRateLimits.h"
 #include "logging/DecisionLog.h"
 #include "metrics/MetricsRegistry.h"
@@ -112,8 +113,8 @@
   /// Time as of which the local copy of the store is known to be complete: the start of
   /// the last read of the store, by this VM or its relay, that brought it up to date.
   TimePoint storeUpToDateAt{};
-  /// End of the drain, once a planned stop has begun.
-  std::optional<TimePoint> stopEndsAt;
+  /// Times of the planned stop, once it has begun.
+  std::optional<StopSchedule> stopSchedule;
   /// True once all registrations of backend servers have been read.
   bool hasReadServers = false;
   /// Groups that this process, as the leader, is about to close.
--- a/tests/platform/TestPlannedStop.cpp
+++ b/tests/platform/TestPlannedStop.cpp
@@ -141,7 +141,7 @@
 }
 
 TEST_CASE("A request on a connection that the last answer kept gets a whole answer",
-          "[stop][known-red]")
+          "[stop]")
 {
   // Guards against a VM that closes a connection although the head of its last answer,
   // sent before the stop, said that it stays open.
@@ -207,7 +207,7 @@
 }
 
 TEST_CASE("A connection that was accepted just before the listener closes is answered",
-          "[stop][known-red]")
+          "[stop]")
 {
   // Guards against new connections that are closed before their first request arrives.
   PlannedStop stop(8000ms, 1000ms);
@@ -234,3 +234,53 @@
   }
   CHECK(stop.server.process->Wait() == 0);
 }
+
+TEST_CASE("A request that is still arriving keeps a stopping process alive", "[stop]")
+{
+  // Guards against a process that ends as nothing is in progress while a body arrives.
+  PlannedStop stop(4000ms, 400ms);
+  CallerConnection caller(stop.server.listenEndpoint);
+  REQUIRE(caller.Send(ChunkedRequestHead("POST", kTarget, Headers("alone"))));
+  stop.SendSignal();
+  stop.WaitUntil(2900ms);
+  CHECK(caller.Send(ChunkText("prompt") + ChunkText("")));
+  const auto answer = caller.ReadAnswer(kPatience);
+  stop.CheckWhole(answer, "alone");
+  CHECK(answer.ClosesConnection());
+  CHECK(stop.server.process->Wait() == 0);
+}
+
+TEST_CASE("A stop that cuts an answer off says so in its exit code and its log", "[stop]")
+{
+  // Guards against a stop that looks clean although a caller lost an answer.
+  PlannedStop stop(2000ms, 6000ms);
+  CallerConnection caller(stop.server.listenEndpoint);
+  REQUIRE(caller.Send(Request("too-long")));
+  std::this_thread::sleep_for(500ms);
+  stop.SendSignal();
+  const auto answer = caller.ReadAnswer(kPatience);
+  CHECK(answer.status == 200);
+  CHECK_FALSE(answer.isComplete);
+  CHECK(stop.server.process->Wait() == 1);
+  const auto log = stop.server.process->ReadAll();
+  const auto cutOff = log.find(R"("event":"request_end","request":"too-long")");
+  REQUIRE(cutOff != std::string::npos);
+  CHECK(log.find(R"("reason":"stopping")", cutOff) != std::string::npos);
+  CHECK(log.find(R"("phase":"over")") != std::string::npos);
+}
+
+TEST_CASE("A request without an answer at the end of the drain gets a final one",
+          "[stop]")
+{
+  // Guards against requests that end with their connection although a word was possible.
+  PlannedStop stop(2000ms, 6000ms);
+  stop.ForEachEngine([](BackendServerStandin& aEngine) { aEngine.eventInterval = 5s; });
+  CallerConnection caller(stop.server.listenEndpoint);
+  REQUIRE(caller.Send(Request("silent")));
+  std::this_thread::sleep_for(200ms);
+  stop.SendSignal();
+  const auto answer = caller.ReadAnswer(kPatience);
+  CHECK(answer.isComplete);
+  CHECK((answer.status == 502 || answer.status == 504));
+  CHECK(stop.server.process->Wait() == 0);
+}
--- /dev/null
+++ b/tests/unit/toucanstand_transport/TestStopSchedule.cpp
@@ -0,0 +1,49 @@
+#include <catch2/catch.hpp>
+
+#include "lifecycle/StopSchedule.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kBegin = TimePoint{} + 100s;
+
+} // namespace
+
+TEST_CASE("The phases of a stop follow one another whatever the period", "[stop]")
+{
+  // Guards against periods that are shorter than the time of the load balancer.
+  const Duration drain = GENERATE(Duration(900ms), 1800ms, 7200ms, 27s);
+  const StopSchedule schedule(kBegin, drain, 2500ms);
+  INFO(ToMilliseconds(drain).count());
+  CHECK(schedule.PhaseAt(kBegin) == StopPhase::LeavingRotation);
+  CHECK(schedule.End() == kBegin + drain);
+  CHECK(schedule.FinalAnswersAt() > kBegin + drain / 2);
+  CHECK(schedule.FinalAnswersAt() < schedule.End());
+  CHECK(schedule.End() - schedule.FinalAnswersAt() <= 1s);
+  auto phase = StopPhase::LeavingRotation;
+  for (auto now = kBegin; now <= schedule.End(); now += 10ms) {
+    CHECK(schedule.PhaseAt(now) >= phase);
+    phase = schedule.PhaseAt(now);
+  }
+  CHECK(phase == StopPhase::Over);
+}
+
+TEST_CASE("A stop without a load balancer ends as soon as its work does", "[stop]")
+{
+  // Guards against an idle program that waits for a load balancer that it does not have.
+  const StopSchedule schedule(kBegin, 10s, 0s);
+  CHECK(schedule.PhaseAt(kBegin) == StopPhase::Draining);
+}
+
+TEST_CASE("A stop that is shortened needs its final answers at once", "[stop]")
+{
+  // Guards against a second signal that leaves no phase in which answers are given.
+  StopSchedule schedule(kBegin, 10s, 0s);
+  schedule.Shorten(kBegin + 2s);
+  CHECK(schedule.PhaseAt(kBegin + 1s) == StopPhase::Draining);
+  CHECK(schedule.PhaseAt(kBegin + 2s) == StopPhase::Over);
+  schedule.Shorten(kBegin + 5s);
+  CHECK(schedule.End() == kBegin + 2s);
+}
