Reject fewer callers while a stopping VM is still in rotation

In the first 2.5 s of a stop, callers still reach this VM only, and a request that is rejected costs them their retry.

The margin now holds once the load balancer sends callers elsewhere; before, the longest latest answer must fit. A stream may use the time until the end of the drain, as it has begun when final answers are due; 64 answers are kept instead of 32. The decision is StopSchedule::LeavesTimeFor, with a unit test.

--- a/modules/toucanstand_delivery/answers/AnswerDurations.h
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.h
@@ -18,7 +18,7 @@
 {
 public:
   /// Answers of each kind and size that are kept.
-  static constexpr std::size_t kMaxSamples = 32;
+  static constexpr std::size_t kMaxSamples = 64;
   /// Answers from which the longest says something about the next one.
   static constexpr std::size_t kMinSamples = 8;
 
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
@@ -29,6 +29,18 @@
   this->finalAnswersAt = std::min(this->finalAnswersAt, this->end);
 }
 
+bool StopSchedule::LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const
+{
+  const auto lastEnd = aAnswer.isStream ? this->end : this->finalAnswersAt;
+  if (aAnswer.deadline <= lastEnd) {
+    return true;
+  }
+  const bool isLeavingRotation = this->PhaseAt(aNow) == StopPhase::LeavingRotation;
+  const double margin = isLeavingRotation ? 1.0 : kAnswerTimeMargin;
+  return aAnswer.longest &&
+         aNow + FromSeconds(ToSeconds(*aAnswer.longest) * margin) <= lastEnd;
+}
+
 StopPhase StopSchedule::PhaseAt(TimePoint aNow) const
 {
   if (aNow >= this->end) {
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -22,6 +24,17 @@
 /// Name of a phase for logs.
 [[nodiscard]] const char* Name(StopPhase aPhase);
 
+/// When the answer to a request that has not begun may end.
+struct ExpectedAnswer
+{
+  /// The caller waits no longer.
+  TimePoint deadline;
+  /// Longest of the latest answers of its kind; nothing if unknown.
+  std::optional<Duration> longest;
+  /// A stream goes on after final answers are due, as it has begun by then.
+  bool isStream = false;
+};
+
 /// Times of a planned stop, under one absolute deadline.
 class StopSchedule
 {
@@ -31,6 +44,10 @@
   static constexpr double kFinalAnswersShare = 0.125;
   static constexpr Duration kMaxFinalAnswersTime = std::chrono::seconds(1);
 
+  /// Factor on the longest usual answer once the load balancer sends callers elsewhere: a
+  /// server may slow down, and a rejected caller loses little by then.
+  static constexpr double kAnswerTimeMargin = 1.5;
+
   /// @param aBegin time of the signal
   /// @param aDrainPeriod from the signal until what is left is cut off
   /// @param aRotationTime from the signal until the load balancer sends no more
@@ -40,6 +57,10 @@
   /// Lets the drain end at this time, if it would end later.
   void Shorten(TimePoint aEnd);
 
+  /// True if the answer can be expected to end in time. While callers still reach this VM
+  /// only, it must be as long as usual; later, with a margin.
+  [[nodiscard]] bool LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
+
   [[nodiscard]] StopPhase PhaseAt(TimePoint aNow) const;
   [[nodiscard]] TimePoint FinalAnswersAt() const { return this->finalAnswersAt; }
   [[nodiscard]] TimePoint End() const { return this->end; }
--- a/tests/unit/toucanstand_transport/TestStopSchedule.cpp
+++ b/tests/unit/toucanstand_transport/TestStopSchedule.cpp
@@ -47,3 +47,31 @@
   schedule.Shorten(kBegin + 5s);
   CHECK(schedule.End() == kBegin + 2s);
 }
+
+TEST_CASE("A request begins in a stop only if its answer ends in time", "[stop]")
+{
+  // Guards against answers that the end of the drain cuts off, and against callers that
+  // are rejected although there is time for them.
+  const StopSchedule schedule(kBegin, 7200ms, 2500ms);
+  const auto mayBegin = [&schedule](Duration aAfterSignal,
+                                    std::optional<Duration> aLongest) {
+    const ExpectedAnswer answer{ kBegin + 60s, aLongest, true };
+    return schedule.LeavesTimeFor(answer, kBegin + aAfterSignal);
+  };
+  CHECK_FALSE(mayBegin(0s, std::nullopt));
+  CHECK(mayBegin(2400ms, 4s));
+  CHECK_FALSE(mayBegin(2600ms, 4s));
+  CHECK(mayBegin(2600ms, 3s));
+  CHECK_FALSE(mayBegin(2800ms, 3s));
+  CHECK_FALSE(mayBegin(7200ms, 1ms));
+  CHECK_FALSE(mayBegin(0s, 8s));
+}
+
+TEST_CASE("A request whose deadline is before the end needs no estimate", "[stop]")
+{
+  // Guards against a plain call that has no time left for its final answer.
+  const StopSchedule schedule(kBegin, 8s, 2500ms);
+  CHECK(schedule.LeavesTimeFor({ kBegin + 8s, std::nullopt, true }, kBegin));
+  CHECK_FALSE(schedule.LeavesTimeFor({ kBegin + 8s, std::nullopt, false }, kBegin));
+  CHECK(schedule.LeavesTimeFor({ kBegin + 7s, std::nullopt, false }, kBegin));
+}
