Give calls of toucanstand-entry a final answer at the end of its drain

A call in progress at the end of the drain ended with its connection. It now ends like at its deadline: whole, and unknown where it may have run.

--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -149,6 +149,8 @@
       this->context.gate.Abandon(aState.request.id);
     }
   });
+  // A planned stop ends the call like its deadline does.
+  aExchange.OnFinalAnswerDue([&aState] { aState.Cancel(CancelReason::DeadlinePassed); });
   boost::asio::steady_timer deadline(this->context.loop);
   deadline.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
     request.deadline - request.arrivedAt));
