--- a/modules/toucanstand_delivery/answers/AnswerDurations.cpp
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.cpp
@@ -3,36 +3,47 @@
 #include <algorithm>
 #include <bit>
 #include <cstdint>
+#include <ranges>
 
 namespace toucanstand {
 
-void AnswerDurations::OnAnswered(const Kind& aKind, Duration aDuration)
+void AnswerDurations::OnAnswered(const Kind& aKind, Duration aDuration, TimePoint aNow)
 {
-  auto& bySize = this->samples[{ aKind.pool, aKind.model }];
-  auto& latest = bySize.at(SizeClass(aKind.maxAnswerTokens));
-  if (latest.durations.size() < kMaxSamples) {
-    latest.durations.push_back(aDuration);
+  auto& bySize = this->latest[{ aKind.pool, aKind.model }];
+  auto& ofSize = bySize.at(SizeClass(aKind.maxAnswerTokens));
+  const Sample sample{ aDuration, aNow };
+  if (ofSize.samples.size() < kMaxSamples) {
+    ofSize.samples.push_back(sample);
     return;
   }
-  latest.durations.at(latest.oldest) = aDuration;
-  latest.oldest = (latest.oldest + 1) % kMaxSamples;
+  ofSize.samples.at(ofSize.oldest) = sample;
+  ofSize.oldest = (ofSize.oldest + 1) % kMaxSamples;
 }
 
-std::optional<Duration> AnswerDurations::Longest(const Kind& aKind) const
+std::optional<Duration> AnswerDurations::Longest(const Kind& aKind, TimePoint aNow) const
 {
-  const auto found = this->samples.find({ aKind.pool, aKind.model });
-  if (found == this->samples.end()) {
+  const auto found = this->latest.find({ aKind.pool, aKind.model });
+  if (found == this->latest.end()) {
     return std::nullopt;
   }
   const auto& bySize = found->second;
-  const auto first =
-    bySize.begin() + static_cast<std::ptrdiff_t>(SizeClass(aKind.maxAnswerTokens));
-  const auto known = std::find_if(first, bySize.end(), [](const Samples& aSamples) {
-    return aSamples.durations.size() >= kMinSamples;
-  });
-  return known == bySize.end()
-           ? std::nullopt
-           : std::optional(*std::ranges::max_element(known->durations));
+  for (auto size = SizeClass(aKind.maxAnswerTokens); size < bySize.size(); ++size) {
+    if (const auto longest = LongestOf(bySize.at(size), aNow)) {
+      return longest;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Duration> AnswerDurations::LongestOf(const Latest& aLatest, TimePoint aNow)
+{
+  auto recent = aLatest.samples | std::views::filter([aNow](const Sample& aSample) {
+                  return aNow - aSample.at <= kMaxAge;
+                });
+  if (static_cast<std::size_t>(std::ranges::distance(recent)) < kMinSamples) {
+    return std::nullopt;
+  }
+  return std::ranges::max(recent | std::views::transform(&Sample::duration));
 }
 
 std::size_t AnswerDurations::SizeClass(double aTokens)
--- a/modules/toucanstand_delivery/answers/AnswerDurations.h
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.h
@@ -21,6 +21,8 @@
   static constexpr std::size_t kMaxSamples = 64;
   /// Answers from which the longest says something about the next one.
   static constexpr std::size_t kMinSamples = 8;
+  /// Age from which an answer says nothing about the present speed of servers.
+  static constexpr Duration kMaxAge = std::chrono::minutes(1);
 
   /// Requests whose answers take about equally long.
   struct Kind
@@ -28,30 +30,37 @@
     PoolId pool;
     /// Empty for plain services.
     std::string model;
-    /// Most tokens that the answer may have; 0 for plain services.
+    /// Most tokens that the answer may have.
     double maxAnswerTokens = 0;
   };
 
-  void OnAnswered(const Kind& aKind, Duration aDuration);
+  void OnAnswered(const Kind& aKind, Duration aDuration, TimePoint aNow);
 
   /// Longest of the latest answers of this size, or of the next larger size that has
   /// enough answers; nothing if there is none.
-  [[nodiscard]] std::optional<Duration> Longest(const Kind& aKind) const;
+  [[nodiscard]] std::optional<Duration> Longest(const Kind& aKind, TimePoint aNow) const;
 
 private:
   /// Powers of two of the number of tokens.
   static constexpr std::size_t kSizeClasses = 24;
 
-  struct Samples
+  struct Sample
   {
-    std::vector<Duration> durations;
+    Duration duration{ 0 };
+    TimePoint at{};
+  };
+  struct Latest
+  {
+    std::vector<Sample> samples;
     std::size_t oldest = 0;
   };
-  using SamplesBySize = std::array<Samples, kSizeClasses>;
+  using LatestBySize = std::array<Latest, kSizeClasses>;
 
   [[nodiscard]] static std::size_t SizeClass(double aTokens);
+  [[nodiscard]] static std::optional<Duration> LongestOf(const Latest& aLatest,
+                                                         TimePoint aNow);
 
-  std::map<std::pair<PoolId, std::string>, SamplesBySize> samples;
+  std::map<std::pair<PoolId, std::string>, LatestBySize> latest;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/ConnectionStopTable.cpp
+++ b/modules/toucanstand_transport/http/ConnectionStopTable.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kPhaseCount = 5;
+constexpr std::size_t kPhaseCount = 6;
 using ActionsByState = std::array<StopAction, kConnectionStateCount>;
 
 /// A row for each StopPhase, a column for each ConnectionState.
@@ -18,6 +18,7 @@
     { None, None, None, None, None },
     { None, None, None, None, None },
     { CloseIfQuiet, None, None, None, None },
+    { CloseIfQuiet, RejectRequest, None, None, None },
     { CloseIfQuiet, RejectRequest, AskForFinalAnswer, None, None },
     { CloseIfQuiet, BreakOff, BreakOff, BreakOff, None },
   } };
@@ -31,7 +32,7 @@
   const auto action =
     kActions.at(static_cast<std::size_t>(aPhase)).at(static_cast<std::size_t>(aState));
   const bool mayStillBeUsed = action == StopAction::CloseIfQuiet &&
-                              aPhase == StopPhase::Draining && aQuiet < kQuietTime;
+                              aPhase != StopPhase::Over && aQuiet < kQuietTime;
   return mayStillBeUsed ? StopAction::None : action;
 }
 
--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "http/HttpServer.h"
 
 #include <algorithm>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/as_tuple.hpp>
@@ -32,6 +33,13 @@
                                               : ListenFailure::BadAddress;
 }
 
+HttpResponse DefaultStopRejection()
+{
+  auto response = ErrorResponse(503, "stopping", "not run; this VM stops");
+  response.headers.Add("Toucanstand-Outcome", "not-run");
+  return response;
+}
+
 } // namespace
 
 class HttpServer::Implementation
@@ -45,7 +53,11 @@
     : loop(aLoop)
     , acceptor(aLoop)
     , context(std::make_shared<HttpSession::Context>(
-        HttpSession::Context{ aLimits, std::move(aHandler), aMetrics, {} }))
+        HttpSession::Context{ aLimits,
+                              std::move(aHandler),
+                              aMetrics,
+                              {},
+                              DefaultStopRejection }))
   {
   }
 
@@ -73,21 +85,30 @@
   void AdvanceStop(StopPhase aPhase, TimePoint aNow)
   {
     this->context->stopPhase = aPhase;
-    std::ranges::for_each(this->LiveSessions(), [aPhase, aNow](const auto& aSession) {
+    const auto live = this->LiveSessions();
+    std::ranges::for_each(live, [aPhase, aNow](const auto& aSession) {
       aSession->AdvanceStop(aPhase, aNow);
     });
-    const bool mustClose = aPhase >= StopPhase::FinalAnswers ||
-                           (aPhase == StopPhase::Draining && !this->HasWork(aNow));
-    if (mustClose && this->acceptor.is_open()) {
-      this->AcceptQueued();
-      boost::system::error_code ignored;
-      this->acceptor.close(ignored);
+    if (aPhase == StopPhase::Draining && !this->drainingSince) {
+      this->drainingSince = aNow;
+    }
+    // While earlier requests keep the process, it can serve others as well.
+    const bool hasNoEarlierRequest =
+      this->drainingSince && std::ranges::none_of(live, [this](const auto& aSession) {
+        return aSession->HasRequestFrom(*this->drainingSince);
+      });
+    if (aPhase >= StopPhase::FinalAnswers || hasNoEarlierRequest) {
+      this->CloseListener();
     }
   }
 
-  [[nodiscard]] bool IsBusy(TimePoint aNow) const
+  void CloseListener()
   {
-    return this->acceptor.is_open() || this->HasWork(aNow);
+    if (this->acceptor.is_open()) {
+      this->AcceptQueued();
+      boost::system::error_code ignored;
+      this->acceptor.close(ignored);
+    }
   }
 
   void Abort()
@@ -98,11 +119,23 @@
                           [](const auto& aSession) { aSession->Abort(); });
   }
 
+  [[nodiscard]] std::vector<std::shared_ptr<HttpSession>> LiveSessions() const
+  {
+    std::vector<std::shared_ptr<HttpSession>> live;
+    for (const auto& weak : this->sessions) {
+      if (auto session = weak.lock()) {
+        live.push_back(std::move(session));
+      }
+    }
+    return live;
+  }
+
   asio::io_context& loop; // NOLINT(misc-non-private-member-variables-in-classes)
   tcp::acceptor acceptor;
   std::shared_ptr<HttpSession::Context> context;
   std::vector<std::weak_ptr<HttpSession>> sessions;
   std::size_t openConnections = 0;
+  std::optional<TimePoint> drainingSince;
 
 private:
   static Task<> Accept(std::shared_ptr<Implementation> aSelf)
@@ -156,24 +189,6 @@
     co_await aSession->Run();
     --aSelf->openConnections;
   }
-
-  [[nodiscard]] bool HasWork(TimePoint aNow) const
-  {
-    return std::ranges::any_of(this->LiveSessions(), [aNow](const auto& aSession) {
-      return aSession->IsBusy(aNow);
-    });
-  }
-
-  [[nodiscard]] std::vector<std::shared_ptr<HttpSession>> LiveSessions() const
-  {
-    std::vector<std::shared_ptr<HttpSession>> live;
-    for (const auto& weak : this->sessions) {
-      if (auto session = weak.lock()) {
-        live.push_back(std::move(session));
-      }
-    }
-    return live;
-  }
 };
 
 HttpServer::HttpServer(asio::io_context& aLoop,
@@ -202,9 +217,26 @@
   this->implementation->AdvanceStop(aPhase, aNow);
 }
 
-bool HttpServer::IsBusy(TimePoint aNow) const
+void HttpServer::SetStopRejection(RejectionFactory aFactory)
+{
+  this->implementation->context->makeStopRejection = std::move(aFactory);
+}
+
+void HttpServer::CloseListener()
+{
+  this->implementation->CloseListener();
+}
+
+bool HttpServer::IsBusy() const
+{
+  return this->implementation->acceptor.is_open() || this->OpenConnections() > 0;
+}
+
+std::size_t HttpServer::UnfinishedConnections() const
 {
-  return this->implementation->IsBusy(aNow);
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->implementation->LiveSessions(),
+                          [](const auto& aSession) { return aSession->IsUnfinished(); }));
 }
 
 void HttpServer::Abort()
--- a/modules/toucanstand_transport/http/HttpServer.h
+++ b/modules/toucanstand_transport/http/HttpServer.h
@@ -44,6 +44,7 @@
 {
 public:
   using Handler = std::function<Task<>(HttpExchange&)>;
+  using RejectionFactory = std::function<HttpResponse()>;
 
   /// @param aMetrics must outlive the server.
   HttpServer(boost::asio::io_context& aLoop,
@@ -64,8 +65,17 @@
   /// each new phase and repeatedly during the stop. docs/design.md has the table.
   void AdvanceStop(StopPhase aPhase, TimePoint aNow);
 
-  /// True while a planned stop must wait for a connection.
-  [[nodiscard]] bool IsBusy(TimePoint aNow) const;
+  /// Sets the answer to requests that a planned stop rejects while they are arriving.
+  void SetStopRejection(RejectionFactory aFactory);
+
+  /// Accepts what the kernel has queued and then no more.
+  void CloseListener();
+
+  /// True while a planned stop must wait: the listener or a connection is open.
+  [[nodiscard]] bool IsBusy() const;
+
+  /// Connections on which a part of a request or of an answer would be lost now.
+  [[nodiscard]] std::size_t UnfinishedConnections() const;
 
   /// Closes everything now.
   void Abort();
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -29,8 +29,10 @@
 constexpr std::size_t kFirstRead = 4096;
 /// Time without input for a caller that has received the whole answer and does not close
 /// the connection.
-constexpr auto kCloseTimeout = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxDiscardedBytes = 4U << 20U;
+constexpr Duration kCloseTimeout = std::chrono::milliseconds(500);
+/// Input that is discarded after an answer, beyond the largest body.
+constexpr std::size_t kMinDiscardedBytes = 1U << 20U;
+constexpr unsigned kHttp11 = 11;
 
 template<typename Body>
 void FillHead(http::response<Body>& aResponse,
@@ -70,7 +72,7 @@
       break;
     }
     if (!this->keepAlive) {
-      co_await this->AwaitClose();
+      co_await this->AwaitClose(kCloseTimeout);
       break;
     }
     this->quietSince = BootClock::now();
@@ -108,14 +110,25 @@
 
 void HttpSession::Abort()
 {
+  this->isAborted = true;
   this->BreakOff();
   this->stream.close();
 }
 
-bool HttpSession::IsBusy(TimePoint aNow) const
+bool HttpSession::HasRequestFrom(TimePoint aBefore) const
 {
-  const bool mayBeUsed = this->QuietTime(aNow) < kQuietTime;
-  return this->state && (*this->state != ConnectionState::AwaitingRequest || mayBeUsed);
+  const bool hasRequest = this->state == ConnectionState::ReceivingRequest ||
+                          this->state == ConnectionState::AwaitingAnswer ||
+                          this->state == ConnectionState::SendingAnswer;
+  return hasRequest && this->firstByteAt < aBefore;
+}
+
+bool HttpSession::IsUnfinished()
+{
+  if (this->state == ConnectionState::AwaitingClose) {
+    return UnacknowledgedBytes(this->stream.socket()) > 0;
+  }
+  return this->state && this->state != ConnectionState::AwaitingRequest;
 }
 
 Duration HttpSession::QuietTime(TimePoint aNow) const
@@ -135,9 +148,9 @@
 
 void HttpSession::RejectArrivingRequest()
 {
-  if (!std::exchange(this->rejectedForStop, true)) {
-    this->stream.cancel();
-  }
+  // Repeated until it takes effect: a read that has just finished is not cancelled.
+  this->rejectedForStop = true;
+  this->stream.cancel();
 }
 
 void HttpSession::AskForFinalAnswer()
@@ -181,6 +194,8 @@
   // The size line of a chunk and the trailers, which the parser does not limit.
   this->buffer.max_size(kFirstRead + 2 * this->context->limits.headerBytes);
 
+  this->httpVersion = kHttp11;
+  this->headOnly = false;
   if (!co_await this->AwaitFirstByte()) {
     co_return false;
   }
@@ -191,6 +206,10 @@
     co_await this->RejectUnread(headError);
     co_return false;
   }
+  if (this->context->stopPhase >= StopPhase::Closing) {
+    co_await this->RejectForStop();
+    co_return false;
+  }
   if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
     http::response<http::empty_body> proceed{ http::status::continue_, 11 };
     auto [proceedError, proceedBytes] =
@@ -280,45 +299,47 @@
                                     const std::string& aMessage)
 {
   auto response = ErrorResponse(aStatus, aType, aMessage);
-  co_await this->Reject(std::move(response), aType);
+  response.headers.Add("Toucanstand-Outcome", "not-run");
+  co_await this->Reject(std::move(response), aType, kCloseTimeout);
 }
 
 Task<> HttpSession::RejectForStop()
 {
-  auto response =
-    ErrorResponse(503, "stopping", "not run; this VM stops, another one serves");
-  // Other VMs are ready, so the caller need not wait.
-  response.headers.Add("Retry-After", "0");
-  co_await this->Reject(std::move(response), "stopping");
+  auto response = this->context->makeStopRejection();
+  // The caller may still send, and would lose the answer if the connection were closed.
+  co_await this->Reject(
+    std::move(response), "stopping", this->context->limits.requestTimeout);
 }
 
-Task<> HttpSession::Reject(HttpResponse aResponse, const char* aType)
+Task<> HttpSession::Reject(HttpResponse aResponse, const char* aType, Duration aSilence)
 {
   this->context->metrics.Count(std::string("http_rejected_total{type=\"") + aType +
                                "\"}");
   this->keepAlive = false;
-  aResponse.headers.Add("Toucanstand-Outcome", "not-run");
   const bool isSent = co_await this->Respond(std::move(aResponse));
   if (isSent) {
-    co_await this->AwaitClose();
+    co_await this->AwaitClose(aSilence);
   }
 }
 
-Task<> HttpSession::AwaitClose()
+Task<> HttpSession::AwaitClose(Duration aSilence)
 {
   using namespace asio::experimental::awaitable_operators;
   // Closing with unread input makes the kernel reset the connection, and the caller
   // could lose the end of the answer.
   this->EnterState(ConnectionState::AwaitingClose);
+  this->request = HttpRequest();
   auto& socket = this->stream.socket();
   beast::error_code ignored;
   socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  const auto silence = std::chrono::duration_cast<asio::steady_timer::duration>(aSilence);
   const auto giveUpAt = BootClock::now() + this->context->limits.writeTimeout;
-  std::array<char, 16384> scratch{};
+  const auto maxDiscarded = kMinDiscardedBytes + this->context->limits.bodyBytes;
+  std::array<char, kFirstRead> scratch{};
   std::size_t discarded = 0;
-  while (discarded < kMaxDiscardedBytes && BootClock::now() < giveUpAt) {
+  while (discarded < maxDiscarded && BootClock::now() < giveUpAt) {
     // Not the timer of the stream, which closes the socket.
-    asio::steady_timer timer(socket.get_executor(), kCloseTimeout);
+    asio::steady_timer timer(socket.get_executor(), silence);
     const auto next = co_await (socket.async_read_some(asio::buffer(scratch), kAwait) ||
                                 timer.async_wait(kAwait));
     const bool timedOut = next.index() == 1;
@@ -479,7 +500,7 @@
 
 void HttpSession::NoteCallerGone()
 {
-  if (this->callerGone) {
+  if (this->callerGone || this->isAborted) {
     return;
   }
   this->callerGone = true;
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -30,6 +30,8 @@
     HttpServer::Handler handler;
     MetricsRegistry& metrics;
     ConnectionCounts connections;
+    /// Answer to a request that a planned stop rejects before it is complete.
+    HttpServer::RejectionFactory makeStopRejection;
     StopPhase stopPhase = StopPhase::Serving;
   };
 
@@ -45,8 +47,11 @@
   /// Closes the connection now.
   void Abort();
 
-  /// True while the process must not end because of this connection.
-  [[nodiscard]] bool IsBusy(TimePoint aNow) const;
+  /// True while a request that began before this time is in progress or arriving.
+  [[nodiscard]] bool HasRequestFrom(TimePoint aBefore) const;
+
+  /// True if the end of the process would lose a part of a request or of an answer.
+  [[nodiscard]] bool IsUnfinished();
 
   [[nodiscard]] const HttpRequest& Request() const override { return this->request; }
   [[nodiscard]] Endpoint Caller() const override;
@@ -67,7 +72,8 @@
   /// Waits for the first byte of a request. @returns false when the caller closed or the
   /// connection was idle for too long.
   Task<bool> AwaitFirstByte();
-  Task<> Reject(HttpResponse aResponse, const char* aType);
+  /// @param aSilence see AwaitClose()
+  Task<> Reject(HttpResponse aResponse, const char* aType, Duration aSilence);
   Task<> RejectMalformed(int aStatus, const char* aType, const std::string& aMessage);
   /// Answers a request that could not be read, where an answer can still reach the
   /// caller.
@@ -76,7 +82,8 @@
   Task<> RunHandler();
   /// Waits until the caller has received the answer and closed the connection. Discards
   /// what it still sends.
-  Task<> AwaitClose();
+  /// @param aSilence time without input after which the caller is given up
+  Task<> AwaitClose(Duration aSilence);
   void CloseIfQuiet();
   void RejectArrivingRequest();
   void AskForFinalAnswer();
@@ -110,6 +117,7 @@
   /// The request that is arriving is rejected because of a planned stop.
   bool rejectedForStop = false;
   bool finalAnswerDue = false;
+  bool isAborted = false;
   bool callerGone = false;
   bool answerFinished = false;
 };
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -1,7 +1,6 @@
 #include "lifecycle/ShutdownSequence.h"
 
 #include <csignal>
-#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -13,7 +12,7 @@
 constexpr Duration kShortenedPeriod = std::chrono::milliseconds(250);
 /// Interval at which a drain looks for its next phase and for the end of its work.
 constexpr auto kCheckInterval = std::chrono::milliseconds(20);
-/// Time after the deadline for requests that were cut off to be logged.
+/// Time after the end of the drain in which requests that were cut off are logged.
 constexpr Duration kCutOffTime = std::chrono::milliseconds(50);
 
 } // namespace
@@ -61,21 +60,34 @@
 void ShutdownSequence::Advance()
 {
   const auto now = BootClock::now();
-  const auto phase = this->schedule->PhaseAt(now);
-  if (phase == StopPhase::Over) {
+  this->phase = this->NextPhase(now);
+  if (this->phase == StopPhase::Over && !this->overSince) {
+    this->overSince = now;
     this->RecordCutOff();
   }
   if (this->hooks.advance) {
-    this->hooks.advance(phase, now);
+    this->hooks.advance(this->phase, now);
   }
-  const bool mayEnd = phase >= StopPhase::Draining && !this->IsBusy();
-  const bool mustEnd = now >= this->schedule->End() + kCutOffTime;
+  const bool mayEnd = this->phase >= StopPhase::Draining && !this->IsBusy();
+  const bool mustEnd = this->overSince && now >= *this->overSince + kCutOffTime;
   if (mayEnd || mustEnd) {
+    if (!this->overSince) {
+      this->RecordCutOff();
+    }
     spdlog::info("stopped");
     this->loop.stop();
   }
 }
 
+StopPhase ShutdownSequence::NextPhase(TimePoint aNow) const
+{
+  // A process that was suspended until after the deadline still gives final answers.
+  const auto due = this->schedule->PhaseAt(aNow);
+  const bool skipsAnswers =
+    due == StopPhase::Over && this->phase < StopPhase::FinalAnswers;
+  return skipsAnswers ? StopPhase::FinalAnswers : due;
+}
+
 bool ShutdownSequence::IsBusy() const
 {
   return this->hooks.isBusy && this->hooks.isBusy();
@@ -83,13 +95,10 @@
 
 void ShutdownSequence::RecordCutOff()
 {
-  if (std::exchange(this->hasRecordedCutOff, true)) {
-    return;
-  }
   const std::size_t unfinished = this->IsBusy() ? 1 : 0;
   const auto count = this->hooks.countCutOff ? this->hooks.countCutOff() : unfinished;
   if (count > 0) {
-    spdlog::warn("drain deadline passed with work in flight: {} cut off", count);
+    spdlog::warn("the drain left {} requests without a whole answer", count);
     this->outcome = ExitCode::Failure;
   }
 }
@@ -111,7 +120,7 @@
 
 void ShutdownSequence::ShortenDeadline()
 {
-  this->schedule->Shorten(BootClock::now() + kShortenedPeriod);
+  this->schedule->Shorten(BootClock::now(), kShortenedPeriod);
   spdlog::info("second signal, drain shortened");
 }
 
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
@@ -22,8 +22,8 @@
   std::function<void(StopPhase aPhase, TimePoint aNow)> advance;
   /// True while work is in flight.
   std::function<bool()> isBusy;
-  /// Work that would be cut off now. Called at the deadline; any work in flight counts
-  /// as cut when empty.
+  /// Requests that the stop has left without a whole answer, or would now. Called once,
+  /// at the end; any work in flight counts when empty.
   std::function<std::size_t()> countCutOff;
 };
 
@@ -73,13 +73,14 @@
     return this->schedule;
   }
 
-  /// Failure when the deadline passed and work was cut off.
+  /// Failure when requests were left without a whole answer.
   [[nodiscard]] ExitCode Outcome() const { return this->outcome; }
 
 private:
   void WaitForSignal();
   void ShortenDeadline();
   void Advance();
+  [[nodiscard]] StopPhase NextPhase(TimePoint aNow) const;
   void RecordCutOff();
   [[nodiscard]] bool IsBusy() const;
   void ArmCheck();
@@ -91,7 +92,8 @@
   RepeatedSignal repeated;
   std::optional<StopSchedule> schedule;
   ShutdownHooks hooks;
-  bool hasRecordedCutOff = false;
+  StopPhase phase = StopPhase::Serving;
+  std::optional<TimePoint> overSince;
   ExitCode outcome = ExitCode::Success;
 };
 
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
@@ -7,9 +7,8 @@
 
 const char* Name(StopPhase aPhase)
 {
-  constexpr std::array kNames = {
-    "serving", "leaving_rotation", "draining", "final_answers", "over"
-  };
+  constexpr std::array kNames = { "serving", "leaving_rotation", "draining",
+                                  "closing", "final_answers",    "over" };
   return kNames.at(static_cast<std::size_t>(aPhase));
 }
 
@@ -19,26 +18,30 @@
   : rotationEnd(aBegin + aRotationTime)
   , end(aBegin + aDrainPeriod)
 {
-  const Duration share = FromSeconds(ToSeconds(aDrainPeriod) * kFinalAnswersShare);
-  this->finalAnswersAt = this->end - std::min(share, kMaxFinalAnswersTime);
+  const double closingSeconds =
+    std::min(ToSeconds(aDrainPeriod) * kClosingShare, ToSeconds(kMaxClosingTime));
+  this->closingAt = this->end - FromSeconds(closingSeconds);
+  this->finalAnswersAt = this->end - FromSeconds(closingSeconds * kFinalAnswersShare);
 }
 
-void StopSchedule::Shorten(TimePoint aEnd)
+void StopSchedule::Shorten(TimePoint aNow, Duration aPeriod)
 {
-  this->end = std::min(this->end, aEnd);
-  this->finalAnswersAt = std::min(this->finalAnswersAt, this->end);
+  this->end = std::min(this->end, aNow + aPeriod);
+  this->closingAt = std::min(this->closingAt, aNow);
+  this->finalAnswersAt =
+    std::min(this->finalAnswersAt,
+             this->end - FromSeconds(ToSeconds(aPeriod) * kFinalAnswersShare));
 }
 
 bool StopSchedule::LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const
 {
-  const auto lastEnd = aAnswer.isStream ? this->end : this->finalAnswersAt;
-  if (aAnswer.deadline <= lastEnd) {
+  if (aAnswer.deadline <= this->finalAnswersAt) {
     return true;
   }
   const bool isLeavingRotation = this->PhaseAt(aNow) == StopPhase::LeavingRotation;
   const double margin = isLeavingRotation ? 1.0 : kAnswerTimeMargin;
   return aAnswer.longest &&
-         aNow + FromSeconds(ToSeconds(*aAnswer.longest) * margin) <= lastEnd;
+         aNow + FromSeconds(ToSeconds(*aAnswer.longest) * margin) <= this->finalAnswersAt;
 }
 
 StopPhase StopSchedule::PhaseAt(TimePoint aNow) const
@@ -49,6 +52,9 @@
   if (aNow >= this->finalAnswersAt) {
     return StopPhase::FinalAnswers;
   }
+  if (aNow >= this->closingAt) {
+    return StopPhase::Closing;
+  }
   return aNow >= this->rotationEnd ? StopPhase::Draining : StopPhase::LeavingRotation;
 }
 
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -15,7 +15,9 @@
   LeavingRotation,
   /// The program ends as soon as no work is left.
   Draining,
-  /// What has no answer yet gets its final answer now.
+  /// No request begins any more. One that is still arriving is rejected.
+  Closing,
+  /// A request without an answer gets its final one now.
   FinalAnswers,
   /// What is left is cut off.
   Over,
@@ -31,18 +33,18 @@
   TimePoint deadline;
   /// Longest of the latest answers of its kind; nothing if unknown.
   std::optional<Duration> longest;
-  /// A stream goes on after final answers are due, as it has begun by then.
-  bool isStream = false;
 };
 
 /// Times of a planned stop, under one absolute deadline.
 class StopSchedule
 {
 public:
-  /// Time before the end of the drain at which final answers are due, so that callers
-  /// receive them: a share of the drain, and at most this long.
-  static constexpr double kFinalAnswersShare = 0.125;
-  static constexpr Duration kMaxFinalAnswersTime = std::chrono::seconds(1);
+  /// Time before the end of the drain from which no request begins: a share of the drain,
+  /// and at most this long. Callers that send slowly receive their rejection in it.
+  static constexpr double kClosingShare = 0.125;
+  static constexpr Duration kMaxClosingTime = std::chrono::seconds(1);
+  /// The last part of that time, in which final answers reach their callers.
+  static constexpr double kFinalAnswersShare = 0.2;
 
   /// Factor on the longest usual answer once the load balancer sends callers elsewhere: a
   /// server may slow down, and a rejected caller loses little by then.
@@ -54,19 +56,22 @@
   /// connections
   StopSchedule(TimePoint aBegin, Duration aDrainPeriod, Duration aRotationTime);
 
-  /// Lets the drain end at this time, if it would end later.
-  void Shorten(TimePoint aEnd);
+  /// Lets no further request begin, and the drain end after this time if it would end
+  /// later.
+  void Shorten(TimePoint aNow, Duration aPeriod);
 
   /// True if the answer can be expected to end in time. While callers still reach this VM
   /// only, it must be as long as usual; later, with a margin.
   [[nodiscard]] bool LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
 
   [[nodiscard]] StopPhase PhaseAt(TimePoint aNow) const;
+  [[nodiscard]] TimePoint ClosingAt() const { return this->closingAt; }
   [[nodiscard]] TimePoint FinalAnswersAt() const { return this->finalAnswersAt; }
   [[nodiscard]] TimePoint End() const { return this->end; }
 
 private:
   TimePoint rotationEnd;
+  TimePoint closingAt;
   TimePoint finalAnswersAt;
   TimePoint end;
 };
--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -45,8 +45,8 @@
   this->shutdown.SetHooks(ShutdownHooks{
     nullptr,
     [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
-    [this] { return this->server.IsBusy(BootClock::now()); },
-    [this] { return this->server.ActiveExchanges(); } });
+    [this] { return this->server.IsBusy(); },
+    [this] { return this->server.UnfinishedConnections(); } });
   this->nodeLink.Start();
   this->loop.run();
   return this->shutdown.Outcome();
@@ -78,6 +78,8 @@
   if (aPhase >= StopPhase::Draining && !this->context.draining) {
     this->context.draining = true;
     this->context.gate.StartDrain();
+    // Calls are refused from now on, so further callers are better off elsewhere.
+    this->server.CloseListener();
   }
   this->server.AdvanceStop(aPhase, aNow);
 }
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -32,6 +32,9 @@
   this->call.exchange.OnCallerGone([this] { this->sender.Cancel(); });
   this->call.exchange.OnFinalAnswerDue([this] { this->sender.Cancel(); });
   while (true) {
+    if (this->progress.MustLeaveToOtherVms(BootClock::now())) {
+      co_return co_await this->progress.GiveUp("stopping", this->state.stopRetryAfter);
+    }
     RouteQuery query;
     query.pool = this->call.pool;
     query.excluded = this->triedCandidates;
--- a/programs/toucanstand-server/CallProgress.cpp
+++ b/programs/toucanstand-server/CallProgress.cpp
@@ -42,6 +42,12 @@
   co_return this->MakeResult(outcome, deadlinePassed ? 504 : 502, std::move(aReason));
 }
 
+bool CallProgress::MustLeaveToOtherVms(TimePoint aNow) const
+{
+  return !this->responseStarted && this->tracker.Outcome() == CallOutcome::NotRun &&
+         !this->state.LeavesTimeFor(this->call, aNow);
+}
+
 void CallProgress::RecordEvents(TimePoint aNow)
 {
   if (!this->timeToFirstByte) {
--- a/programs/toucanstand-server/CallProgress.h
+++ b/programs/toucanstand-server/CallProgress.h
@@ -21,6 +21,10 @@
   /// @param aRetryAfter minimum Retry-After if the call has not run
   Task<CallResult> GiveUp(std::string aReason, Duration aRetryAfter);
 
+  /// True if a planned stop leaves no time for another attempt and the call has not run,
+  /// so that another VM can serve it.
+  [[nodiscard]] bool MustLeaveToOtherVms(TimePoint aNow) const;
+
   /// Records the arrival of complete stream events. The first call sets the time to first
   /// byte.
   void RecordEvents(TimePoint aNow);
--- a/programs/toucanstand-server/ErrorResponder.cpp
+++ b/programs/toucanstand-server/ErrorResponder.cpp
@@ -30,45 +30,62 @@
 {
 }
 
-Task<> ErrorResponder::RespondNotRun(std::string_view aReason, Duration aRetryAfter)
+HttpResponse ErrorResponder::MakeNotRunResponse(ServingState& aState,
+                                                const RequestId& aCall,
+                                                std::string_view aReason,
+                                                Duration aRetryAfter)
 {
-  const auto retryAfter = FromSeconds(ToSeconds(aRetryAfter) *
-                                      (1.0 + kMaxJitter * this->state.random.Fraction()));
-  co_await this->Send(503,
+  const auto retryAfter =
+    FromSeconds(ToSeconds(aRetryAfter) * (1.0 + kMaxJitter * aState.random.Fraction()));
+  return MakeResponse(aCall,
+                      503,
                       aReason,
                       "not run; come back after the time given",
                       CallOutcome::NotRun,
                       retryAfter);
 }
 
+Task<> ErrorResponder::RespondNotRun(std::string_view aReason, Duration aRetryAfter)
+{
+  co_await this->exchange.Respond(
+    MakeNotRunResponse(this->state, this->call, aReason, aRetryAfter));
+}
+
 Task<> ErrorResponder::RespondUnknown(std::string_view aReason, bool aDeadlinePassed)
 {
-  co_await this->Send(aDeadlinePassed ? 504 : 502,
-                      aReason,
-                      "the request may have run; its answer is not available",
-                      CallOutcome::Unknown,
-                      std::nullopt);
+  co_await this->exchange.Respond(
+    MakeResponse(this->call,
+                 aDeadlinePassed ? 504 : 502,
+                 aReason,
+                 "the request may have run; its answer is not available",
+                 CallOutcome::Unknown,
+                 std::nullopt));
 }
 
 Task<> ErrorResponder::RespondRejected(int aStatus, std::string_view aReason)
 {
-  co_await this->Send(
-    aStatus, aReason, "the request was not accepted", CallOutcome::NotRun, std::nullopt);
+  co_await this->exchange.Respond(MakeResponse(this->call,
+                                               aStatus,
+                                               aReason,
+                                               "the request was not accepted",
+                                               CallOutcome::NotRun,
+                                               std::nullopt));
 }
 
-Task<> ErrorResponder::Send(int aStatus,
-                            std::string_view aReason,
-                            std::string_view aMessage,
-                            CallOutcome aOutcome,
-                            std::optional<Duration> aRetryAfter)
+HttpResponse ErrorResponder::MakeResponse(const RequestId& aCall,
+                                          int aStatus,
+                                          std::string_view aReason,
+                                          std::string_view aMessage,
+                                          CallOutcome aOutcome,
+                                          std::optional<Duration> aRetryAfter)
 {
   HttpResponse response = ErrorResponse(aStatus, aReason, aMessage);
-  platform::AddAttemptId(response.headers, this->call);
+  platform::AddAttemptId(response.headers, aCall);
   response.headers.Add("Toucanstand-Outcome", WireName(aOutcome));
   if (aRetryAfter) {
     response.headers.Add("Retry-After", FormatSeconds(*aRetryAfter));
   }
-  co_await this->exchange.Respond(std::move(response));
+  return response;
 }
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/ErrorResponder.h
+++ b/programs/toucanstand-server/ErrorResponder.h
@@ -11,6 +11,15 @@
 public:
   ErrorResponder(ServingState& aState, HttpExchange& aExchange, RequestId aCall);
 
+  /// A 503 that says that the request has not run and will not run.
+  ///
+  /// @param aCall empty if its id was not read
+  /// @param aRetryAfter see RespondNotRun()
+  [[nodiscard]] static HttpResponse MakeNotRunResponse(ServingState& aState,
+                                                       const RequestId& aCall,
+                                                       std::string_view aReason,
+                                                       Duration aRetryAfter);
+
   /// Responds 503: the request has not run and will not run.
   ///
   /// @param aRetryAfter minimum Retry-After; random jitter is added so that refused
@@ -24,11 +33,12 @@
   Task<> RespondRejected(int aStatus, std::string_view aReason);
 
 private:
-  Task<> Send(int aStatus,
-              std::string_view aReason,
-              std::string_view aMessage,
-              CallOutcome aOutcome,
-              std::optional<Duration> aRetryAfter);
+  [[nodiscard]] static HttpResponse MakeResponse(const RequestId& aCall,
+                                                 int aStatus,
+                                                 std::string_view aReason,
+                                                 std::string_view aMessage,
+                                                 CallOutcome aOutcome,
+                                                 std::optional<Duration> aRetryAfter);
 
   ServingState& state;
   HttpExchange& exchange;
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -55,6 +55,9 @@
         "crashing_prompt_part",
         this->state.promptPartQuarantine.RemainingTime(*crashingPart, BootClock::now()));
     }
+    if (this->progress.MustLeaveToOtherVms(BootClock::now())) {
+      co_return co_await this->progress.GiveUp("stopping", this->state.stopRetryAfter);
+    }
     const auto choice =
       this->placement.Choose(this->MakePlacementQuery(), BootClock::now());
     if (!choice) {
@@ -201,7 +204,7 @@
       this->progress.RecordEvents(now);
     }
     if (!co_await this->ForwardEvents(aStream, *events)) {
-      co_return FailedAttempt{ AttemptFailure::CallerLeft, std::nullopt };
+      co_return this->MakeAbandonedAttempt();
     }
     if (hasNewEvents) {
       // Restart the timeout only after the write to the caller, so that the time a slow
@@ -215,7 +218,7 @@
   // A stream without any event is a valid response, so its head still has to be sent.
   const bool started = co_await this->ForwardEvents(aStream, std::string());
   if (!started || !co_await this->call.exchange.FinishStream()) {
-    co_return FailedAttempt{ AttemptFailure::CallerLeft, std::nullopt };
+    co_return this->MakeAbandonedAttempt();
   }
   co_return std::nullopt;
 }
@@ -255,6 +258,11 @@
   co_return FailedAttempt{ AttemptFailure::ServerError, std::move(*response) };
 }
 
+FailedAttempt GenerationCall::MakeAbandonedAttempt() const
+{
+  return { this->sender.ClassifyFailure(HttpFailure::Cancelled), std::nullopt };
+}
+
 GroupRequestOutcome GenerationCall::ToGroupRunEnd(
   const std::optional<FailedAttempt>& aFailedAttempt) const
 {
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -40,6 +40,8 @@
   /// Limits a timeout to the deadline of the call. A call that may not be repeated has no
   /// other timeout than its deadline.
   [[nodiscard]] Duration EffectiveTimeout(Duration aTimeout) const;
+  /// The attempt ended as its answer can't reach the caller any more.
+  [[nodiscard]] FailedAttempt MakeAbandonedAttempt() const;
   [[nodiscard]] GroupRequestOutcome ToGroupRunEnd(
     const std::optional<FailedAttempt>& aFailedAttempt) const;
   void LogAttempt(const PlacementChoice& aChoice,
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -102,31 +102,12 @@
   call.arrivedAt = aNow;
   call.deadline =
     aNow + std::min(call.facts.patience.value_or(route->timeout), route->timeout);
-  if (!this->CanEndBeforeStop(call, aNow)) {
-    // Other VMs are ready, so the caller need not wait.
-    return Rejection{ 503, "stopping", Duration::zero() };
+  if (!this->state.LeavesTimeFor(call, aNow)) {
+    return Rejection{ 503, "stopping", this->state.stopRetryAfter };
   }
   return call;
 }
 
-bool RequestHandler::CanEndBeforeStop(const Call& aCall, TimePoint aNow) const
-{
-  const auto& stop = this->state.stopSchedule;
-  if (!stop) {
-    return true;
-  }
-  ExpectedAnswer answer;
-  answer.deadline = aCall.deadline;
-  answer.longest = this->state.answerDurations.Longest(KindOf(aCall));
-  answer.isStream = this->state.FindCostModel(aCall.pool) != nullptr;
-  return stop->LeavesTimeFor(answer, aNow);
-}
-
-AnswerDurations::Kind RequestHandler::KindOf(const Call& aCall)
-{
-  return { aCall.pool, aCall.facts.model, aCall.facts.mostAnswerTokens };
-}
-
 PoolId RequestHandler::PickPool(const ServingRoute& aRoute)
 {
   if (aRoute.pools.size() == 1) {
@@ -185,8 +166,13 @@
 void RequestHandler::RecordResult(const Call& aCall, const CallResult& aResult)
 {
   const auto took = BootClock::now() - aCall.arrivedAt;
-  if (aResult.outcome == CallOutcome::Answered) {
-    this->state.answerDurations.OnAnswered(KindOf(aCall), took);
+  const bool isSuccess = aResult.outcome == CallOutcome::Answered &&
+                         aResult.status >= 200 && aResult.status < 300;
+  if (isSuccess) {
+    this->state.OnAnswered(aCall, took, BootClock::now());
+  }
+  if (aResult.outcome == CallOutcome::Unknown && aCall.exchange.IsFinalAnswerDue()) {
+    ++this->state.requestsEndedByStop;
   }
   const auto& stop = this->state.stopSchedule;
   const std::int64_t timeBeforeStop =
--- a/programs/toucanstand-server/RequestHandler.h
+++ b/programs/toucanstand-server/RequestHandler.h
@@ -31,9 +31,6 @@
   [[nodiscard]] Result<Call, Rejection> Admit(HttpExchange& aExchange,
                                               CallFacts aFacts,
                                               TimePoint aNow);
-  /// True if the answer ends before final answers are due in a planned stop.
-  [[nodiscard]] bool CanEndBeforeStop(const Call& aCall, TimePoint aNow) const;
-  [[nodiscard]] static AnswerDurations::Kind KindOf(const Call& aCall);
   [[nodiscard]] PoolId PickPool(const ServingRoute& aRoute);
   Task<CallResult> Forward(Call& aCall);
   Task<> SendRejection(HttpExchange& aExchange,
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -1,5 +1,6 @@
 #include "ServerProcess.h"
 
+#include <algorithm>
 #include <csignal>
 #include <iterator>
 #include <ranges>
@@ -8,6 +9,7 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include "ErrorResponder.h"
 #include "text/Hexadecimal.h"
 
 namespace toucanstand {
@@ -21,15 +23,22 @@
 /// The load balancer checks readiness once a second and removes a VM after two failures;
 /// it ends no earlier than that.
 constexpr Duration kBalancerRemovalTime = std::chrono::milliseconds(2500);
-/// Fraction of the stop period for requests in flight; the rest is left for the process
-/// itself to exit.
-constexpr double kDrainFraction = 0.9;
+/// Part of the stop period, and the most of it, that is left for the process itself to
+/// exit.
+constexpr double kExitFraction = 0.1;
+constexpr Duration kMaxExitTime = std::chrono::seconds(1);
+/// Minimum Retry-After of requests that a stop rejects: other VMs are ready, or the load
+/// balancer needs a moment to notice.
+constexpr Duration kRetryAfterAtPeers = std::chrono::milliseconds(50);
+/// The same for the last VM; a restart takes some seconds.
+constexpr Duration kRetryAfterRestart = std::chrono::seconds(2);
 /// Timeout of a direct connection on trial while this VM is cut off.
 constexpr Duration kTrialTimeout = std::chrono::milliseconds(200);
 
 Duration DrainPeriod(const ServerSettings& aSettings)
 {
-  return FromSeconds(ToSeconds(aSettings.stopPeriod) * kDrainFraction);
+  const auto exitTime = FromSeconds(ToSeconds(aSettings.stopPeriod) * kExitFraction);
+  return aSettings.stopPeriod - std::min(exitTime, kMaxExitTime);
 }
 
 HttpServerLimits MakeHttpLimits(const ServerSettings& aSettings)
@@ -106,7 +115,11 @@
     [this] { this->BeginStop(); },
     [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
     [this] { return this->IsBusy(); },
-    [this] { return this->WorkInProgress(); } });
+    [this] { return this->UnansweredRequests(); } });
+  this->callerServer.SetStopRejection([this] {
+    return ErrorResponder::MakeNotRunResponse(
+      this->state, RequestId(), "stopping", this->state.stopRetryAfter);
+  });
   this->storeSynchronizer.SetSystemKeyListener([this](const StoreChange& aChange) {
     this->storeSession.OnSystemKeyChanged(aChange);
     this->peers.OnSystemKeyChanged(aChange);
@@ -263,17 +276,20 @@
 
 bool ServerProcess::IsBusy() const
 {
-  return this->callerServer.IsBusy(BootClock::now()) || this->tunnels.TunnelCount() > 0;
+  return this->callerServer.IsBusy() || this->tunnels.TunnelCount() > 0;
 }
 
-std::size_t ServerProcess::WorkInProgress() const
+std::size_t ServerProcess::UnansweredRequests() const
 {
-  return this->callerServer.ActiveExchanges() + this->tunnels.TunnelCount();
+  return this->callerServer.UnfinishedConnections() + this->tunnels.TunnelCount() +
+         this->state.requestsEndedByStop;
 }
 
 void ServerProcess::BeginStop()
 {
   this->state.stopSchedule = this->shutdown.Schedule();
+  this->state.stopRetryAfter =
+    this->peers.PeerCount() > 0 ? kRetryAfterAtPeers : kRetryAfterRestart;
   this->LogConnections("stop_begins", StopPhase::LeavingRotation);
   this->tunnels.Drain();
   asio::co_spawn(this->loop, this->storeSession.RevokeLeases(), asio::detached);
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -38,8 +38,9 @@
   bool Listen();
   void BeginStop();
   void AdvanceStop(StopPhase aPhase, TimePoint aNow);
-  /// Requests of callers and tunnels of peers that are in progress.
-  [[nodiscard]] std::size_t WorkInProgress() const;
+  /// Requests of callers, and tunnels of peers, that a stop leaves without a whole
+  /// answer.
+  [[nodiscard]] std::size_t UnansweredRequests() const;
   /// Logs an event of the stop with the number of connections in each state.
   void LogConnections(std::string_view aEvent, StopPhase aPhase);
   void WaitForReload();
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -1,6 +1,8 @@
 #include "ServingState.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 #include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +11,7 @@
 
 #include "Call.h"
 #include "formation/GroupRecord.h"
+#include "placement/GroupPrediction.h"
 
 namespace toucanstand {
 
@@ -270,6 +273,55 @@
   }
 }
 
+void ServingState::OnAnswered(const Call& aCall, Duration aDuration, TimePoint aNow)
+{
+  this->answerDurations.OnAnswered(this->KindOf(aCall), aDuration, aNow);
+}
+
+bool ServingState::LeavesTimeFor(const Call& aCall, TimePoint aNow) const
+{
+  if (!this->stopSchedule) {
+    return true;
+  }
+  const ExpectedAnswer answer{ aCall.deadline, this->LongestAnswer(aCall, aNow) };
+  return this->stopSchedule->LeavesTimeFor(answer, aNow);
+}
+
+AnswerDurations::Kind ServingState::KindOf(const Call& aCall) const
+{
+  if (this->FindCostModel(aCall.pool) == nullptr) {
+    return { aCall.pool, "", 0 };
+  }
+  const double tokens = aCall.facts.mostAnswerTokens;
+  return { aCall.pool,
+           aCall.facts.model,
+           tokens > 0 ? tokens : std::numeric_limits<double>::infinity() };
+}
+
+std::optional<Duration> ServingState::LongestAnswer(const Call& aCall,
+                                                    TimePoint aNow) const
+{
+  const auto kind = this->KindOf(aCall);
+  if (const auto longest = this->answerDurations.Longest(kind, aNow)) {
+    return longest;
+  }
+  const auto* cost = this->FindCostModel(aCall.pool);
+  if (cost == nullptr) {
+    return aCall.route->targetLatency > Duration::zero()
+             ? std::optional(aCall.route->targetLatency)
+             : std::nullopt;
+  }
+  const auto* model = cost->FindModel(aCall.facts.model);
+  if (model == nullptr || !std::isfinite(kind.maxAnswerTokens)) {
+    return std::nullopt;
+  }
+  const auto step = cost->StepTime(static_cast<double>(cost->slots));
+  const auto firstEvent =
+    PredictFirstEvent(*cost, GroupBacklog(), aCall.facts.promptTokens, 1.0);
+  return FromSeconds((ToSeconds(firstEvent) + kind.maxAnswerTokens * ToSeconds(step)) *
+                     model->paceFactor);
+}
+
 GroupPlacement* ServingState::FindPlacement(const PoolId& aPool)
 {
   const auto found = this->placements.find(aPool);
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -78,6 +78,12 @@
   /// its rate limit; zero if no limit prevents that.
   [[nodiscard]] Duration RateLimitDelay(const Call& aCall, TimePoint aNow) const;
 
+  /// Records that a call was answered.
+  void OnAnswered(const Call& aCall, Duration aDuration, TimePoint aNow);
+
+  /// True unless a planned stop ends before the answer to a call that begins now would.
+  [[nodiscard]] bool LeavesTimeFor(const Call& aCall, TimePoint aNow) const;
+
   /// A backend server and its address.
   struct Destination
   {
@@ -117,6 +123,10 @@
   AnswerDurations answerDurations;
   /// Times of the planned stop, once it has begun.
   std::optional<StopSchedule> stopSchedule;
+  /// Minimum Retry-After of a request that is rejected because of the stop.
+  Duration stopRetryAfter{ 0 };
+  /// Requests that may have run and whose answer the stop did not wait for.
+  std::size_t requestsEndedByStop = 0;
   /// True once all registrations of backend servers have been read.
   bool hasReadServers = false;
   /// Groups that this process, as the leader, is about to close.
@@ -126,6 +136,10 @@
 private:
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
+  [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
+  /// Longest duration of an answer that is usual; nothing if unknown.
+  [[nodiscard]] std::optional<Duration> LongestAnswer(const Call& aCall,
+                                                      TimePoint aNow) const;
   void RefreshGroups(const ServingPool& aPool);
   void RefreshServices(TimePoint aNow);
 
--- a/tests/platform/TestPlannedStop.cpp
+++ b/tests/platform/TestPlannedStop.cpp
@@ -54,7 +54,12 @@
     }));
   }
   for (std::size_t number = 0; number < answers.size(); ++number) {
-    stop.CheckWhole(answers[number].get(), "body-" + std::to_string(number));
+    const auto answer = answers[number].get();
+    const auto name = "body-" + std::to_string(number);
+    stop.CheckWhole(answer, name);
+    // The stream takes half of the stop period, which the drain leaves until then.
+    const bool mustBeServed = kLastBytes.at(number) <= 0.30;
+    CHECK((answer.status == 200 || !mustBeServed));
   }
   CHECK(stop.server.process->Wait() == 0);
 }
@@ -95,6 +100,9 @@
     stop.CheckWhole(first[number], "first-" + name);
     stop.CheckWhole(second[number], "next-" + name);
     CHECK(second[number].ClosesConnection());
+    // The first stream ends while there is time for a second one.
+    const bool mustBeServed = kStarts.at(number) >= 1800ms;
+    CHECK((second[number].status == 200 || !mustBeServed));
   }
   CHECK(stop.server.process->Wait() == 0);
 }
@@ -122,6 +130,11 @@
   CHECK(answer.status == 200);
   CHECK(answer.isComplete);
   CHECK(answer.body == BackendServerStandin::CompleteStream(stop.eventCount, kPadding));
+  if (trailing == "next request") {
+    const auto next = caller.ReadAnswer(PlannedStop::kPatience);
+    CHECK(next.isComplete);
+    CHECK((next.status == 200 || next.status == 503));
+  }
   CHECK(stop.server.process->Wait() == 0);
 }
 
@@ -145,12 +158,16 @@
       return caller.ReadAnswer(PlannedStop::kPatience);
     }));
   }
+  int served = 0;
   for (int number = 0; number < 10; ++number) {
     const auto answer = answers[static_cast<std::size_t>(number)].get();
     if (answer.end != ConnectionEnd::Refused) {
       stop.CheckWhole(answer, "new-" + std::to_string(number));
+      served += answer.status == 200 ? 1 : 0;
     }
   }
+  // Those that connect before the load balancer stops sending connections, at 2.5 s.
+  CHECK(served >= 8);
   CHECK(stop.server.process->Wait() == 0);
 }
 
@@ -161,9 +178,10 @@
   CallerConnection caller(stop.server.listenEndpoint);
   REQUIRE(caller.Send(ChunkedRequestHead("POST", kTarget, Headers("alone"))));
   stop.SendSignal();
-  stop.WaitUntil(2900ms);
+  stop.WaitUntil(2700ms);
   CHECK(caller.Send(ChunkText("prompt") + ChunkText("")));
   const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
+  CHECK(answer.status == 200);
   stop.CheckWhole(answer, "alone");
   CHECK(answer.ClosesConnection());
   CHECK(stop.server.process->Wait() == 0);
@@ -221,5 +239,78 @@
   const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
   CHECK(answer.isComplete);
   CHECK((answer.status == 502 || answer.status == 504));
+  // The request may have run, so its caller lost an answer.
+  CHECK(stop.server.process->Wait() == 1);
+}
+
+TEST_CASE("A VM that has answered nothing yet serves callers in its stop", "[stop]")
+{
+  // Guards against a stop that rejects every request of which no like has been seen.
+  PlannedStop stop(8000ms, 400ms);
+  stop.SendSignal();
+  CallerConnection caller(stop.server.listenEndpoint);
+  REQUIRE(caller.Send(Request("first")));
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
+  CHECK(answer.status == 200);
+  stop.CheckWhole(answer, "first");
+  CHECK(stop.server.process->Wait() == 0);
+}
+
+TEST_CASE("A plain call that ends before the drain does gets its answer", "[stop]")
+{
+  // Guards against calls that are given up although their servers still answer in time.
+  PlannedStop stop(4000ms, 400ms);
+  stop.ForEachService(
+    [](BackendServerStandin& aService) { aService.answerDelay = 3400ms; });
+  CallerConnection caller(stop.server.listenEndpoint);
+  REQUIRE(caller.Send(PlannedStop::ServiceRequest("POST", "/holds/1", "hold")));
+  std::this_thread::sleep_for(100ms);
+  stop.SendSignal();
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
+  CHECK(answer.status == 200);
+  CHECK(answer.isComplete);
   CHECK(stop.server.process->Wait() == 0);
 }
+
+TEST_CASE("Connections without requests do not keep a stopping process", "[stop]")
+{
+  // Guards against a process that waits for callers that only connect.
+  PlannedStop stop(12'000ms, 400ms);
+  stop.SendSignal();
+  std::vector<std::unique_ptr<CallerConnection>> connections;
+  auto stopped = std::async(std::launch::async, [&stop] {
+    const int code = stop.server.process->Wait();
+    return std::pair(code, stop.SinceSignal());
+  });
+  while (stopped.wait_for(400ms) != std::future_status::ready) {
+    connections.push_back(std::make_unique<CallerConnection>(stop.server.listenEndpoint));
+  }
+  const auto [code, took] = stopped.get();
+  CHECK(code == 0);
+  // The load balancer's 2.5 s, a connection's last second, and as much again for the
+  // rest.
+  CHECK(took < 4500ms);
+}
+
+TEST_CASE("A process that is suspended beyond its drain still answers its callers",
+          "[stop]")
+{
+  // Guards against a deadline that has passed meanwhile and ends the process at once.
+  PlannedStop stop(2000ms, 6000ms);
+  stop.ForEachEngine([](BackendServerStandin& aEngine) { aEngine.eventInterval = 5s; });
+  CallerConnection waiting(stop.server.listenEndpoint);
+  REQUIRE(waiting.Send(Request("waiting")));
+  CallerConnection arriving(stop.server.listenEndpoint);
+  REQUIRE(arriving.Send(ChunkedRequestHead("POST", kTarget, Headers("arriving"))));
+  std::this_thread::sleep_for(200ms);
+  stop.SendSignal();
+  std::this_thread::sleep_for(100ms);
+  stop.server.process->Signal(SIGSTOP);
+  stop.WaitUntil(2500ms);
+  stop.server.process->Signal(SIGCONT);
+  const auto unknown = waiting.ReadAnswer(PlannedStop::kPatience);
+  CHECK(unknown.isComplete);
+  CHECK((unknown.status == 502 || unknown.status == 504));
+  stop.CheckNotRun(arriving.ReadAnswer(PlannedStop::kPatience), "arriving");
+  CHECK(stop.server.process->Wait() == 1);
+}
--- a/tests/platform/support/PlannedStop.cpp
+++ b/tests/platform/support/PlannedStop.cpp
@@ -31,7 +31,14 @@
   for (auto& route : configuration["Routes"]) {
     route["TimeoutMs"] = aOptions.routeTimeout.count();
   }
-  this->platform.WriteConfiguration(2, { { "Routes", configuration["Routes"] } });
+  // The cost model predicts the streams of this test, so that the VM knows how long an
+  // answer takes before it has seen one.
+  auto& services = configuration["Services"];
+  services[0]["Engine"]["step_ms"] =
+    static_cast<double>(aStreamDuration.count()) / kAnswerTokens;
+  services[0]["Engine"]["per_seq_ms"] = 0.0;
+  this->platform.WriteConfiguration(
+    2, { { "Routes", configuration["Routes"] }, { "Services", services } });
   this->server.WaitForGroups(aOptions.groups);
   // A group may be open before the configuration of this test is in force.
   this->server.caller.WaitFor(
@@ -100,15 +107,21 @@
 
 milliseconds PlannedStop::DrainEnd() const
 {
-  return this->stopPeriod * 9 / 10;
+  return this->stopPeriod -
+         std::min<milliseconds>(this->stopPeriod / 10, std::chrono::seconds(1));
 }
 
-milliseconds PlannedStop::FinalAnswers() const
+milliseconds PlannedStop::Closing() const
 {
   const auto share = this->DrainEnd() / 8;
   return this->DrainEnd() - std::min<milliseconds>(share, std::chrono::seconds(1));
 }
 
+milliseconds PlannedStop::FinalAnswers() const
+{
+  return this->DrainEnd() - (this->DrainEnd() - this->Closing()) / 5;
+}
+
 milliseconds PlannedStop::SinceSignal() const
 {
   return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
--- a/tests/platform/support/PlannedStop.h
+++ b/tests/platform/support/PlannedStop.h
@@ -20,6 +20,9 @@
   /// Time between two events of a stream.
   static constexpr auto kInterval = std::chrono::milliseconds(200);
 
+  /// Most tokens that the answer to each request may have.
+  static constexpr int kAnswerTokens = 60;
+
   /// The platform around the VM.
   struct Options
   {
@@ -51,6 +54,8 @@
 
   /// Time from the signal until what is left is cut off.
   [[nodiscard]] std::chrono::milliseconds DrainEnd() const;
+  /// Time from the signal from which no request begins.
+  [[nodiscard]] std::chrono::milliseconds Closing() const;
   /// Time from the signal until final answers are due.
   [[nodiscard]] std::chrono::milliseconds FinalAnswers() const;
   [[nodiscard]] std::chrono::milliseconds SinceSignal() const;
--- a/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
+++ b/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
@@ -7,16 +7,18 @@
 
 namespace {
 
+const TimePoint kNow = TimePoint{} + 1000s;
 const AnswerDurations::Kind kShort{ PoolId("engines"), "large", 60 };
 const AnswerDurations::Kind kLong{ PoolId("engines"), "large", 500 };
 
 void Answer(AnswerDurations& aDurations,
             const AnswerDurations::Kind& aKind,
             std::size_t aCount,
-            Duration aDuration)
+            Duration aDuration,
+            TimePoint aNow = kNow)
 {
   for (std::size_t number = 0; number < aCount; ++number) {
-    aDurations.OnAnswered(aKind, aDuration);
+    aDurations.OnAnswered(aKind, aDuration, aNow);
   }
 }
 
@@ -26,11 +28,11 @@
 {
   // Guards against a request that is taken on in a stop after one quick answer.
   AnswerDurations durations;
-  CHECK_FALSE(durations.Longest(kShort));
+  CHECK_FALSE(durations.Longest(kShort, kNow));
   Answer(durations, kShort, AnswerDurations::kMinSamples - 1, 1s);
-  CHECK_FALSE(durations.Longest(kShort));
+  CHECK_FALSE(durations.Longest(kShort, kNow));
   Answer(durations, kShort, 1, 1s);
-  CHECK(durations.Longest(kShort) == Duration(1s));
+  CHECK(durations.Longest(kShort, kNow) == Duration(1s));
 }
 
 TEST_CASE("The longest of the latest answers counts until others replace it", "[answers]")
@@ -39,9 +41,9 @@
   AnswerDurations durations;
   Answer(durations, kShort, 1, 9s);
   Answer(durations, kShort, AnswerDurations::kMaxSamples - 1, 1s);
-  CHECK(durations.Longest(kShort) == Duration(9s));
+  CHECK(durations.Longest(kShort, kNow) == Duration(9s));
   Answer(durations, kShort, 1, 1s);
-  CHECK(durations.Longest(kShort) == Duration(1s));
+  CHECK(durations.Longest(kShort, kNow) == Duration(1s));
 }
 
 TEST_CASE("Answers of other sizes, models and pools are told apart", "[answers]")
@@ -49,12 +51,12 @@
   // Guards against long requests that are taken on because short ones are quick.
   AnswerDurations durations;
   Answer(durations, kShort, AnswerDurations::kMinSamples, 1s);
-  CHECK_FALSE(durations.Longest(kLong));
-  CHECK_FALSE(durations.Longest({ PoolId("engines"), "small", 60 }));
-  CHECK_FALSE(durations.Longest({ PoolId("others"), "large", 60 }));
+  CHECK_FALSE(durations.Longest(kLong, kNow));
+  CHECK_FALSE(durations.Longest({ PoolId("engines"), "small", 60 }, kNow));
+  CHECK_FALSE(durations.Longest({ PoolId("others"), "large", 60 }, kNow));
   Answer(durations, kLong, AnswerDurations::kMinSamples, 4s);
-  CHECK(durations.Longest(kLong) == Duration(4s));
-  CHECK(durations.Longest(kShort) == Duration(1s));
+  CHECK(durations.Longest(kLong, kNow) == Duration(4s));
+  CHECK(durations.Longest(kShort, kNow) == Duration(1s));
 }
 
 TEST_CASE("A size without answers takes the duration of the next larger one", "[answers]")
@@ -62,9 +64,19 @@
   // Guards against an estimate that is too short because it comes from smaller answers.
   AnswerDurations durations;
   Answer(durations, kLong, AnswerDurations::kMinSamples, 4s);
-  CHECK(durations.Longest(kShort) == Duration(4s));
+  CHECK(durations.Longest(kShort, kNow) == Duration(4s));
   const AnswerDurations::Kind beyondAll{ PoolId("engines"), "large", 1e30 };
-  CHECK_FALSE(durations.Longest(beyondAll));
+  CHECK_FALSE(durations.Longest(beyondAll, kNow));
   Answer(durations, beyondAll, AnswerDurations::kMinSamples, 8s);
-  CHECK(durations.Longest(beyondAll) == Duration(8s));
+  CHECK(durations.Longest(beyondAll, kNow) == Duration(8s));
+}
+
+TEST_CASE("Old answers say nothing about the present speed of servers", "[answers]")
+{
+  // Guards against one slow minute that counts until enough later answers replace it.
+  AnswerDurations durations;
+  Answer(durations, kShort, AnswerDurations::kMinSamples, 9s, kNow - 61s);
+  CHECK_FALSE(durations.Longest(kShort, kNow));
+  Answer(durations, kShort, AnswerDurations::kMinSamples, 1s);
+  CHECK(durations.Longest(kShort, kNow) == Duration(1s));
 }
--- a/tests/unit/toucanstand_transport/TestConnectionStopTable.cpp
+++ b/tests/unit/toucanstand_transport/TestConnectionStopTable.cpp
@@ -9,11 +9,9 @@
 
 namespace {
 
-constexpr std::array kPhases = { StopPhase::Serving,
-                                 StopPhase::LeavingRotation,
-                                 StopPhase::Draining,
-                                 StopPhase::FinalAnswers,
-                                 StopPhase::Over };
+constexpr std::array kPhases = { StopPhase::Serving,      StopPhase::LeavingRotation,
+                                 StopPhase::Draining,     StopPhase::Closing,
+                                 StopPhase::FinalAnswers, StopPhase::Over };
 
 } // namespace
 
@@ -33,18 +31,21 @@
   // Guards against requests that end with their connection instead of with an answer.
   using enum ConnectionState;
   CHECK(ActionDuringStop(StopPhase::Draining, AwaitingAnswer, 0s) == StopAction::None);
+  CHECK(ActionDuringStop(StopPhase::Closing, AwaitingAnswer, 0s) == StopAction::None);
   CHECK(ActionDuringStop(StopPhase::FinalAnswers, AwaitingAnswer, 0s) ==
         StopAction::AskForFinalAnswer);
   CHECK(ActionDuringStop(StopPhase::Over, AwaitingAnswer, 0s) == StopAction::BreakOff);
 }
 
-TEST_CASE("A request that is arriving is received until final answers are due", "[stop]")
+TEST_CASE("A request that is arriving is received until no request begins", "[stop]")
 {
   // Guards against requests that are lost because their body arrives slowly.
   using enum ConnectionState;
   CHECK(ActionDuringStop(StopPhase::LeavingRotation, ReceivingRequest, 5s) ==
         StopAction::None);
   CHECK(ActionDuringStop(StopPhase::Draining, ReceivingRequest, 5s) == StopAction::None);
+  CHECK(ActionDuringStop(StopPhase::Closing, ReceivingRequest, 5s) ==
+        StopAction::RejectRequest);
   CHECK(ActionDuringStop(StopPhase::FinalAnswers, ReceivingRequest, 5s) ==
         StopAction::RejectRequest);
 }
@@ -58,7 +59,8 @@
   CHECK(ActionDuringStop(StopPhase::Draining, state, 0s) == StopAction::None);
   CHECK(ActionDuringStop(StopPhase::Draining, state, kQuietTime) ==
         StopAction::CloseIfQuiet);
-  CHECK(ActionDuringStop(StopPhase::FinalAnswers, state, 0s) == StopAction::CloseIfQuiet);
+  CHECK(ActionDuringStop(StopPhase::FinalAnswers, state, 0s) == StopAction::None);
+  CHECK(ActionDuringStop(StopPhase::Over, state, 0s) == StopAction::CloseIfQuiet);
 }
 
 TEST_CASE("An answer that was written is left to its caller in all phases", "[stop]")
--- a/tests/unit/toucanstand_transport/TestStopSchedule.cpp
+++ b/tests/unit/toucanstand_transport/TestStopSchedule.cpp
@@ -19,9 +19,10 @@
   INFO(ToMilliseconds(drain).count());
   CHECK(schedule.PhaseAt(kBegin) == StopPhase::LeavingRotation);
   CHECK(schedule.End() == kBegin + drain);
-  CHECK(schedule.FinalAnswersAt() > kBegin + drain / 2);
+  CHECK(schedule.ClosingAt() > kBegin + drain / 2);
+  CHECK(schedule.ClosingAt() < schedule.FinalAnswersAt());
   CHECK(schedule.FinalAnswersAt() < schedule.End());
-  CHECK(schedule.End() - schedule.FinalAnswersAt() <= 1s);
+  CHECK(schedule.End() - schedule.ClosingAt() <= 1s);
   auto phase = StopPhase::LeavingRotation;
   for (auto now = kBegin; now <= schedule.End(); now += 10ms) {
     CHECK(schedule.PhaseAt(now) >= phase);
@@ -37,15 +38,18 @@
   CHECK(schedule.PhaseAt(kBegin) == StopPhase::Draining);
 }
 
-TEST_CASE("A stop that is shortened needs its final answers at once", "[stop]")
+TEST_CASE("A stop that is shortened lets no request begin and gives final answers",
+          "[stop]")
 {
-  // Guards against a second signal that leaves no phase in which answers are given.
+  // Guards against a second signal after which requests end without an answer.
   StopSchedule schedule(kBegin, 10s, 0s);
-  schedule.Shorten(kBegin + 2s);
-  CHECK(schedule.PhaseAt(kBegin + 1s) == StopPhase::Draining);
-  CHECK(schedule.PhaseAt(kBegin + 2s) == StopPhase::Over);
-  schedule.Shorten(kBegin + 5s);
-  CHECK(schedule.End() == kBegin + 2s);
+  schedule.Shorten(kBegin + 1s, 250ms);
+  CHECK(schedule.PhaseAt(kBegin + 1s) == StopPhase::Closing);
+  CHECK(schedule.End() == kBegin + 1250ms);
+  CHECK(schedule.FinalAnswersAt() > kBegin + 1s);
+  CHECK(schedule.FinalAnswersAt() < schedule.End());
+  schedule.Shorten(kBegin + 1100ms, 250ms);
+  CHECK(schedule.End() == kBegin + 1250ms);
 }
 
 TEST_CASE("A request begins in a stop only if its answer ends in time", "[stop]")
@@ -55,13 +59,13 @@
   const StopSchedule schedule(kBegin, 7200ms, 2500ms);
   const auto mayBegin = [&schedule](Duration aAfterSignal,
                                     std::optional<Duration> aLongest) {
-    const ExpectedAnswer answer{ kBegin + 60s, aLongest, true };
+    const ExpectedAnswer answer{ kBegin + 60s, aLongest };
     return schedule.LeavesTimeFor(answer, kBegin + aAfterSignal);
   };
   CHECK_FALSE(mayBegin(0s, std::nullopt));
   CHECK(mayBegin(2400ms, 4s));
   CHECK_FALSE(mayBegin(2600ms, 4s));
-  CHECK(mayBegin(2600ms, 3s));
+  CHECK(mayBegin(2600ms, 2900ms));
   CHECK_FALSE(mayBegin(2800ms, 3s));
   CHECK_FALSE(mayBegin(7200ms, 1ms));
   CHECK_FALSE(mayBegin(0s, 8s));
@@ -71,7 +75,6 @@
 {
   // Guards against a plain call that has no time left for its final answer.
   const StopSchedule schedule(kBegin, 8s, 2500ms);
-  CHECK(schedule.LeavesTimeFor({ kBegin + 8s, std::nullopt, true }, kBegin));
-  CHECK_FALSE(schedule.LeavesTimeFor({ kBegin + 8s, std::nullopt, false }, kBegin));
-  CHECK(schedule.LeavesTimeFor({ kBegin + 7s, std::nullopt, false }, kBegin));
+  CHECK(schedule.LeavesTimeFor({ kBegin + 7s, std::nullopt }, kBegin));
+  CHECK_FALSE(schedule.LeavesTimeFor({ kBegin + 8s, std::nullopt }, kBegin));
 }
