Bound the length of answers that a stopping VM takes on by their size

The longest of the latest 64 answers, 1.5 times, did not bound it: a few answers are many times as long as the others.

An answer is now expected to be as long as the largest size that its request allows takes in a full group, by the cost model, and at least as long as the latest ones took.

--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -1,8 +1,6 @@
 #include "ServingState.h"
 
 #include <algorithm>
-#include <cmath>
-#include <limits>
 #include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
@@ -289,36 +287,40 @@
 
 AnswerDurations::Kind ServingState::KindOf(const Call& aCall) const
 {
-  if (this->FindCostModel(aCall.pool) == nullptr) {
-    return { aCall.pool, "", 0 };
-  }
-  const double tokens = aCall.facts.mostAnswerTokens;
+  const auto* cost = this->FindCostModel(aCall.pool);
+  const bool isKnownModel =
+    cost != nullptr && cost->FindModel(aCall.facts.model) != nullptr;
   return { aCall.pool,
-           aCall.facts.model,
-           tokens > 0 ? tokens : std::numeric_limits<double>::infinity() };
+           isKnownModel ? aCall.facts.model : std::string(),
+           cost != nullptr ? aCall.facts.mostAnswerTokens : 0 };
 }
 
 std::optional<Duration> ServingState::LongestAnswer(const Call& aCall,
                                                     TimePoint aNow) const
 {
-  const auto kind = this->KindOf(aCall);
-  if (const auto longest = this->answerDurations.Longest(kind, aNow)) {
-    return longest;
-  }
+  // The latest answers show how slow the servers are, but not how long a rare one takes.
+  const auto expected = this->ExpectedDuration(aCall);
+  const auto latest = this->answerDurations.Longest(this->KindOf(aCall), aNow);
+  return expected ? std::optional(std::max(*expected, latest.value_or(*expected)))
+                  : std::nullopt;
+}
+
+std::optional<Duration> ServingState::ExpectedDuration(const Call& aCall) const
+{
   const auto* cost = this->FindCostModel(aCall.pool);
   if (cost == nullptr) {
-    return aCall.route->targetLatency > Duration::zero()
-             ? std::optional(aCall.route->targetLatency)
-             : std::nullopt;
+    const auto target = aCall.route->targetLatency;
+    return target > Duration::zero() ? std::optional(target) : std::nullopt;
   }
   const auto* model = cost->FindModel(aCall.facts.model);
-  if (model == nullptr || !std::isfinite(kind.maxAnswerTokens)) {
+  const double tokens = aCall.facts.mostAnswerTokens;
+  if (model == nullptr || tokens <= 0) {
     return std::nullopt;
   }
   const auto step = cost->StepTime(static_cast<double>(cost->slots));
   const auto firstEvent =
     PredictFirstEvent(*cost, GroupBacklog(), aCall.facts.promptTokens, 1.0);
-  return FromSeconds((ToSeconds(firstEvent) + kind.maxAnswerTokens * ToSeconds(step)) *
+  return FromSeconds((ToSeconds(firstEvent) + tokens * ToSeconds(step)) *
                      model->paceFactor);
 }
 
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -137,9 +137,13 @@
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
   [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
-  /// Longest duration of an answer that is usual; nothing if unknown.
+  /// How long the answer may take: as expected for its size, or as long as the latest
+  /// ones; nothing if its size is unknown.
   [[nodiscard]] std::optional<Duration> LongestAnswer(const Call& aCall,
                                                       TimePoint aNow) const;
+  /// Duration of an answer of the largest size that the request allows, in a full group;
+  /// of a plain call, its latency objective.
+  [[nodiscard]] std::optional<Duration> ExpectedDuration(const Call& aCall) const;
   void RefreshGroups(const ServingPool& aPool);
   void RefreshServices(TimePoint aNow);
 
