Let tests of a planned stop share their fixture and their stand-ins

Four more test programs need a VM that is stopped at a known time, so the fixture of TestPlannedStop moves to tests/platform/support. It also waits now until the configuration of the test is in force; a group can be open before. CallerConnection knows nothing of the platform and moves to tests/integration/support for tests of toucanstand-entry.

New in the stand-ins: ConnectionFront, which accepts connections in place of a server, leaves out the framing of its answers and lets attempts to connect go without a reply; a pause in the middle of each stream; a delay of a plain service's answer.

--- a/tests/platform/support/CallerConnection.cpp
+++ b/tests/integration/support/CallerConnection.cpp
@@ -103,6 +103,18 @@
   return true;
 }
 
+void CallerConnection::EndSending()
+{
+  ::shutdown(this->descriptor, SHUT_WR);
+}
+
+bool CallerConnection::WaitForInput(std::chrono::milliseconds aTimeout) const
+{
+  pollfd ready{ this->descriptor, POLLIN, 0 };
+  return !this->received.empty() ||
+         ::poll(&ready, 1, static_cast<int>(aTimeout.count())) > 0;
+}
+
 bool CallerConnection::ReceiveMore(steady_clock::time_point aDeadline,
                                    ConnectionEnd& aEnd)
 {
--- a/tests/platform/support/CallerConnection.h
+++ b/tests/integration/support/CallerConnection.h
@@ -62,6 +62,12 @@
   bool Send(std::string_view aBytes);
   bool Send(std::string_view aBytes, Pace aPace);
 
+  /// Ends the caller's own bytes; answers still arrive.
+  void EndSending();
+
+  /// Waits for bytes or the end of the connection without reading them.
+  [[nodiscard]] bool WaitForInput(std::chrono::milliseconds aTimeout) const;
+
   /// Reads the next answer until its end, the end of the connection or the timeout.
   /// @param aPause waited before each read, as a caller that reads slowly does
   [[nodiscard]] ReceivedAnswer ReadAnswer(
--- a/tests/platform/TestPlannedStop.cpp
+++ b/tests/platform/TestPlannedStop.cpp
@@ -6,105 +6,24 @@
 
 #include <catch2/catch.hpp>
 
-#include "support/CallerConnection.h"
-#include "support/PlatformStandin.h"
+#include "support/PlannedStop.h"
 
 using namespace toucanstand;
 using namespace std::chrono_literals;
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 namespace {
 
-/// Longer than any wait for an answer in these tests.
-constexpr milliseconds kPatience = 20s;
-constexpr auto kTarget = "/chat/1";
-
-/// One VM that is stopped while callers send requests, and the platform around it.
-class PlannedStop
-{
-public:
-  /// @param aStreamDuration time from the first to the last event of each stream
-  PlannedStop(milliseconds aStopPeriod, milliseconds aStreamDuration)
-    : platform(4)
-    , server(this->platform, "vm-1", this->platform.Store().Address(), aStopPeriod)
-    , stopPeriod(aStopPeriod)
-  {
-    static constexpr milliseconds kInterval = 200ms;
-    this->eventCount = static_cast<int>(aStreamDuration / kInterval);
-    this->ForEachEngine([this](BackendServerStandin& aEngine) {
-      aEngine.eventInterval = kInterval;
-      aEngine.eventCount = this->eventCount;
-    });
-    auto configuration = PlatformStandin::DefaultConfiguration(2);
-    for (auto& route : configuration["Routes"]) {
-      route["TimeoutMs"] = 20'000;
-    }
-    this->platform.WriteConfiguration(2, { { "Routes", configuration["Routes"] } });
-    this->server.WaitForGroups(2);
-  }
-
-  void ForEachEngine(const std::function<void(BackendServerStandin&)>& aChange)
-  {
-    this->platform.RunOnLoop([&] {
-      for (int number = 0; number < 4; ++number) {
-        aChange(this->platform.BackendServer("engine-" + std::to_string(number)));
-      }
-    });
-  }
-
-  void SendSignal()
-  {
-    this->signalledAt = std::chrono::steady_clock::now();
-    this->server.process->Signal(SIGTERM);
-  }
-
-  void WaitUntil(milliseconds aAfterSignal) const
-  {
-    std::this_thread::sleep_until(this->signalledAt + aAfterSignal);
-  }
-
-  [[nodiscard]] std::string WholeStream() const
-  {
-    return BackendServerStandin::CompleteStream(this->eventCount);
-  }
-
-  /// Checks that the caller got a whole answer: the stream, or a refusal that is true.
-  void CheckWhole(const ReceivedAnswer& aAnswer, const std::string& aAttemptId)
-  {
-    INFO(aAttemptId << " status " << aAnswer.status << " bytes " << aAnswer.body.size());
-    CHECK(aAnswer.isComplete);
-    CHECK((aAnswer.status == 200 || aAnswer.status == 503));
-    if (aAnswer.status == 200) {
-      CHECK(aAnswer.body == this->WholeStream());
-    } else {
-      const auto runs = this->platform.Runs();
-      CHECK(std::ranges::none_of(runs, [&aAttemptId](const RecordedRun& aRun) {
-        return aRun.attemptId == aAttemptId;
-      }));
-    }
-  }
-
-  PlatformStandin platform;
-  ServerUnderTest server;
-  milliseconds stopPeriod;
-  int eventCount = 0;
-  std::chrono::steady_clock::time_point signalledAt;
-};
+constexpr auto kTarget = PlannedStop::kStreamTarget;
 
 HttpHeaders Headers(const std::string& aAttemptId)
 {
-  const auto usual = ServerUnderTest::GenerationHeaders(aAttemptId);
-  HttpHeaders headers;
-  for (const auto& [name, value] : usual.Fields()) {
-    headers.Add(name, name == "X-Deadline-Ms" ? "20000" : value);
-  }
-  return headers;
+  return PlannedStop::RequestHeaders(aAttemptId);
 }
 
 std::string Request(const std::string& aAttemptId)
 {
-  return RequestText("POST", kTarget, Headers(aAttemptId), "prompt " + aAttemptId);
+  return PlannedStop::StreamRequest(aAttemptId);
 }
 
 } // namespace
@@ -131,7 +50,7 @@
       stop.WaitUntil(
         std::chrono::duration_cast<milliseconds>(kLastBytes.at(number) * stopPeriod));
       connections[number]->Send(ChunkText("end") + ChunkText(""));
-      return connections[number]->ReadAnswer(kPatience);
+      return connections[number]->ReadAnswer(PlannedStop::kPatience);
     }));
   }
   for (std::size_t number = 0; number < answers.size(); ++number) {
@@ -161,9 +80,9 @@
       std::this_thread::sleep_until(begin + kStarts.front() - kStarts.at(number));
       auto& connection = *connections[number];
       connection.Send(Request("first-" + name));
-      first[number] = connection.ReadAnswer(kPatience);
+      first[number] = connection.ReadAnswer(PlannedStop::kPatience);
       connection.Send(Request("next-" + name));
-      second[number] = connection.ReadAnswer(kPatience);
+      second[number] = connection.ReadAnswer(PlannedStop::kPatience);
     }));
   }
   std::this_thread::sleep_until(begin + kStarts.front());
@@ -199,7 +118,7 @@
   stop.SendSignal();
   caller.Send(trailing == "next request" ? Request("pipelined") : trailing);
   std::this_thread::sleep_for(2000ms);
-  const auto answer = caller.ReadAnswer(kPatience);
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
   CHECK(answer.status == 200);
   CHECK(answer.isComplete);
   CHECK(answer.body == BackendServerStandin::CompleteStream(stop.eventCount, kPadding));
@@ -223,7 +142,7 @@
         refused.end = ConnectionEnd::Refused;
         return refused;
       }
-      return caller.ReadAnswer(kPatience);
+      return caller.ReadAnswer(PlannedStop::kPatience);
     }));
   }
   for (int number = 0; number < 10; ++number) {
@@ -244,7 +163,7 @@
   stop.SendSignal();
   stop.WaitUntil(2900ms);
   CHECK(caller.Send(ChunkText("prompt") + ChunkText("")));
-  const auto answer = caller.ReadAnswer(kPatience);
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
   stop.CheckWhole(answer, "alone");
   CHECK(answer.ClosesConnection());
   CHECK(stop.server.process->Wait() == 0);
@@ -263,7 +182,7 @@
     CallerConnection caller(stop.server.listenEndpoint);
     const auto name = "during-" + std::to_string(wait.count());
     REQUIRE(caller.Send(Request(name)));
-    const auto answer = caller.ReadAnswer(kPatience);
+    const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
     CHECK(answer.status == 200);
     stop.CheckWhole(answer, name);
   }
@@ -278,7 +197,7 @@
   REQUIRE(caller.Send(Request("too-long")));
   std::this_thread::sleep_for(500ms);
   stop.SendSignal();
-  const auto answer = caller.ReadAnswer(kPatience);
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
   CHECK(answer.status == 200);
   CHECK_FALSE(answer.isComplete);
   CHECK(stop.server.process->Wait() == 1);
@@ -299,7 +218,7 @@
   REQUIRE(caller.Send(Request("silent")));
   std::this_thread::sleep_for(200ms);
   stop.SendSignal();
-  const auto answer = caller.ReadAnswer(kPatience);
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
   CHECK(answer.isComplete);
   CHECK((answer.status == 502 || answer.status == 504));
   CHECK(stop.server.process->Wait() == 0);
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -81,10 +81,17 @@
   this->server->Abort();
 }
 
+void BackendServerStandin::PutBehindFront()
+{
+  this->front = std::make_unique<ConnectionFront>(this->loop, this->endpoint);
+  this->onRegistrationChanged(this->RegistrationText());
+}
+
 std::string BackendServerStandin::RegistrationText() const
 {
+  const auto address = this->front ? this->front->Address() : this->endpoint;
   json entry = { { "Service", this->service },
-                 { "Address", this->endpoint.Text() },
+                 { "Address", address.Text() },
                  { "Zone", "zone-a" },
                  { "Version", "v1" },
                  { "Slots", 8 },
@@ -265,6 +272,9 @@
     aExchange.BreakOff();
     co_return;
   }
+  if (this->answerDelay.count() > 0) {
+    co_await this->Sleep(this->answerDelay);
+  }
   HttpResponse response;
   response.headers = this->ResponseHeaders(aExchange.Request());
   response.body = "answer of " + this->id;
@@ -293,6 +303,9 @@
   int eventsSent = 0;
   while (number < this->eventCount) {
     co_await this->Sleep(this->eventInterval);
+    if (eventsSent == this->eventCount / 2 && this->pauseInStream.count() > 0) {
+      co_await this->Sleep(this->pauseInStream);
+    }
     if (!this->alive || aExchange.CallerGone()) {
       aExchange.BreakOff();
       co_return;
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "http/HttpServer.h"
+#include "support/ConnectionFront.h"
 
 namespace toucanstand {
 
@@ -87,6 +88,9 @@
   void RefuseConnections();
   /// Closes the listener and all connections without changing the registration.
   void Crash();
+  /// Registers a front that passes connections on to this server. Call it before any VM
+  /// has read the registration.
+  void PutBehindFront();
 
   /// The server's registration as JSON text, as it is written to the store.
   [[nodiscard]] std::string RegistrationText() const;
@@ -102,6 +106,12 @@
   BackendServerFaults faults;
   std::chrono::milliseconds eventInterval = kEventInterval;
   int eventCount = kEventCount;
+  /// Time without any byte in the middle of each stream.
+  std::chrono::milliseconds pauseInStream{ 0 };
+  /// Time until a plain service answers.
+  std::chrono::milliseconds answerDelay{ 0 };
+  /// Null until PutBehindFront() is called.
+  std::unique_ptr<ConnectionFront> front;
   /// Bytes that each event has beyond the usual ones.
   std::size_t eventPadding = 0;
   /// Kind and group of each order that was received, oldest first: `join m-1`.
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <csignal>
 #include <future>
+#include <iterator>
+#include <ranges>
 #include <stdexcept>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -169,6 +171,13 @@
   });
 }
 
+std::vector<std::string> PlatformStandin::ServerIds() const
+{
+  std::vector<std::string> ids;
+  std::ranges::copy(this->servers | std::views::keys, std::back_inserter(ids));
+  return ids;
+}
+
 std::vector<RecordedRun> PlatformStandin::Runs()
 {
   std::vector<RecordedRun> copy;
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -54,6 +54,7 @@
   {
     return *this->servers.at(aId);
   }
+  [[nodiscard]] std::vector<std::string> ServerIds() const;
   [[nodiscard]] StoreStandin& Store() { return *this->store; }
   [[nodiscard]] std::vector<RecordedRun> Runs();
   /// The head of each open group: server ids by group name.
