Reset a tunnel that ends for another reason than the server's end

Seen by callers: a stream that is cut in the middle and looks complete, with status 200 and the last chunk. A VM that reaches an engine through a peer takes an answer without length or chunks for complete when its connection ends in order. The kernel ends the connections of a peer that is killed, or whose drain ends with the tunnel in use, in exactly this way.

Evidence: TestPlannedStopTunnels with engines whose answers have no framing. Before the change 3 of 5 cases failed: peer killed in the middle of the stream; drain of the peer, 1.8 s, shorter than the stream (396 of 902 bytes as a complete answer); peer killed during the VM's own stop (105 of 442 bytes). The same cases with chunks passed, so the end of the connection is the cause. A write to the server that fails also ended the caller's side in order; this follows from the code and was not tested.

Change: the caller's side of a tunnel is reset by any close, from its start until the server has ended in order; from then on the kernel delivers what is left, also after the process. The option is set on the descriptor, as Asio turns its own one off when a socket is destroyed.

After: 5 of 5 passed (42 assertions); the VM resumes the stream at another engine. Answers of 3 MB through a stopping peer are whole.

--- a/modules/toucanstand_transport/http/ByteRelay.cpp
+++ b/modules/toucanstand_transport/http/ByteRelay.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
+#include "http/SocketOptions.h"
+
 namespace toucanstand {
 
 namespace asio = boost::asio;
@@ -47,10 +49,10 @@
   boost::system::error_code ignored;
   if (end == asio::error::eof) {
     aCaller.shutdown(tcp::socket::shutdown_send, ignored);
+    // The kernel delivers what is left even if the process ends now.
+    SetResetOnClose(aCaller, false);
     co_return;
   }
-  // Without lingering, closing resets the connection.
-  aCaller.set_option(asio::socket_base::linger(true, 0), ignored);
   Close(aCaller);
 }
 
@@ -66,6 +68,10 @@
 Task<> RelayBytes(tcp::socket& aCaller, tcp::socket& aServer)
 {
   using namespace asio::experimental::awaitable_operators;
+  // An answer without length or chunks ends with its connection. Only the server's own
+  // orderly end may look like one; the kernel closes the connections of a process that
+  // ends.
+  SetResetOnClose(aCaller, true);
   co_await (CopyToCaller(aServer, aCaller) && CopyToServer(aCaller, aServer));
 }
 
--- a/modules/toucanstand_transport/http/ByteRelay.h
+++ b/modules/toucanstand_transport/http/ByteRelay.h
@@ -8,7 +8,8 @@
 
 /// Copies bytes between a caller and a server in both directions.
 ///
-/// An orderly end of the server's bytes reaches the caller as one, a reset as a reset.
+/// An orderly end of the server's bytes reaches the caller as one. Any other end, also
+/// that of this process, reaches the caller as a reset.
 /// Any end of the caller's bytes closes both connections, so that the server stops its
 /// work.
 Task<> RelayBytes(boost::asio::ip::tcp::socket& aCaller,
--- a/modules/toucanstand_transport/http/SocketOptions.cpp
+++ b/modules/toucanstand_transport/http/SocketOptions.cpp
@@ -48,6 +48,14 @@
   return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+void SetResetOnClose(boost::asio::ip::tcp::socket& aSocket, bool aReset)
+{
+  // Not by Asio's option: Asio undoes that one when a socket is destroyed.
+  const linger option{ aReset ? 1 : 0, 0 };
+  (void)::setsockopt(
+    aSocket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
 {
   int bytes = 0;
--- a/modules/toucanstand_transport/http/SocketOptions.h
+++ b/modules/toucanstand_transport/http/SocketOptions.h
@@ -13,6 +13,10 @@
 /// True when the other end closed its side, without consuming received bytes.
 [[nodiscard]] bool PeerHasClosed(boost::asio::ip::tcp::socket& aSocket);
 
+/// Decides what the other end sees when the socket is closed, also by the end of the
+/// process: a reset, or an orderly end after all bytes.
+void SetResetOnClose(boost::asio::ip::tcp::socket& aSocket, bool aReset);
+
 /// Bytes that the other end has not acknowledged; 0 when the kernel can't tell.
 [[nodiscard]] std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
 
