Keep a connection for its caller's next request when final answers are due

Seen by callers: a stream that began before SIGTERM ends whole, its head kept the connection, and the next request on it gets a closed connection instead of an answer.

Evidence: TestPlannedStopKept, stop period 8 s, streams of 7 s that end 5.8 to 6.6 s after the signal, the next request 100 ms later. Final answers are due at 6.3 s, the drain ends at 7.2 s. The requests after the streams that ended at 6.25, 6.4 and 6.6 s were lost, 3 of 3; those after 5.8 and 6.1 s were refused as not run. Ruled out: a close by the caller, and the end of the process, which comes 0.5 s later.

Cause: a connection without a request was closed in the moment in which final answers are due or in which its answer ended after it, unless bytes had arrived. The time of 1 s that a caller has during the drain did not count there. The design says both that such a connection is closed and that a head that keeps a connection is a promise.

Change: the second rule holds until the end of the drain; a request that comes after final answers are due gets 503, not run. The process ends by up to 1 s later, never after its drain.

--- a/modules/toucanstand_transport/http/ConnectionStopTable.cpp
+++ b/modules/toucanstand_transport/http/ConnectionStopTable.cpp
@@ -31,7 +31,7 @@
   const auto action =
     kActions.at(static_cast<std::size_t>(aPhase)).at(static_cast<std::size_t>(aState));
   const bool mayStillBeUsed = action == StopAction::CloseIfQuiet &&
-                              aPhase == StopPhase::Draining && aQuiet < kQuietTime;
+                              aPhase != StopPhase::Over && aQuiet < kQuietTime;
   return mayStillBeUsed ? StopAction::None : action;
 }
 
--- a/modules/toucanstand_transport/http/ConnectionStopTable.h
+++ b/modules/toucanstand_transport/http/ConnectionStopTable.h
@@ -19,8 +19,8 @@
 };
 
 /// Time after its last activity for which a connection without a request stays open
-/// during a drain. A caller that has just connected, or that uses the connection again,
-/// sends its request within this time.
+/// during a drain, also when final answers are due. A caller that has just connected, or
+/// that uses the connection again, sends its request within this time.
 constexpr Duration kQuietTime = std::chrono::seconds(1);
 
 /// Returns the action for a connection. docs/design.md explains each row.
