Give calls of a stopping entry process their final answer

Seen by callers: calls that wait for a server at the end of the drain of toucanstand-entry end with their connection, without a status, and the process ends with exit code 1.

Evidence: TestEntryStop, drain 2 s: a chat whose answer is sent whole, a lookup and an order with a key, each at a server that takes longer than the drain. Before: no answer, 3 of 3 (10 assertions).

Change: the call is cancelled when its final answer is due: 503 not run if nothing was sent to a server, also while it waits for admission, else 502. The claim of an order is reported as unknown, as at any other end without an answer. A call that waits for the ledger is answered when the ledger is or after claim_timeout_ms, 1.5 s; that can still be too late.

After: 502 with outcome unknown, 3 of 3, exit code 0. A kept connection and a body that never ends were right before and after.

--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -92,9 +92,7 @@
 {
   auto& quarantine = this->context.quarantine;
   if (aFailure == HttpFailure::Cancelled) {
-    co_return this->state.cancelReason == CancelReason::DeadlinePassed
-      ? AttemptFailure::NoAnswerBeforeDeadline
-      : AttemptFailure::CallerLeft;
+    co_return this->FailureOfCancellation();
   }
   if (NothingWasSent(aFailure)) {
     quarantine.OnServerLost(aCandidate.server, BootClock::now());
@@ -115,6 +113,18 @@
   co_return ToAttemptFailure(aFailure);
 }
 
+AttemptFailure BackendCall::FailureOfCancellation() const
+{
+  switch (this->state.cancelReason) {
+    case CancelReason::DeadlinePassed:
+      return AttemptFailure::NoAnswerBeforeDeadline;
+    case CancelReason::Stopping:
+      return AttemptFailure::Stopping;
+    default:
+      return AttemptFailure::CallerLeft;
+  }
+}
+
 bool BackendCall::StatesNotRun(int aStatus, const HttpHeaders& aHeaders) const
 {
   const auto& statuses = this->state.request.contract.notRunStatuses;
@@ -297,6 +307,9 @@
     return MakeError(
       this->tracker.Outcome(), 504, "deadline_passed", "no answer before the deadline");
   }
+  if (this->state.cancelReason == CancelReason::Stopping) {
+    return MakeStopEnd(this->tracker.Outcome());
+  }
   if (aStep.outcome == CallOutcome::NotRun) {
     return MakeError(CallOutcome::NotRun,
                      503,
--- a/programs/toucanstand-entry/BackendCall.h
+++ b/programs/toucanstand-entry/BackendCall.h
@@ -38,6 +38,8 @@
   /// Finds out what a transport failure says about the server, probing it when needed.
   Task<AttemptFailure> Judge(HttpFailure aFailure, const Candidate& aCandidate);
 
+  [[nodiscard]] AttemptFailure FailureOfCancellation() const;
+
   /// True when the answer states that the request was not run.
   [[nodiscard]] bool StatesNotRun(int aStatus, const HttpHeaders& aHeaders) const;
 
--- a/programs/toucanstand-entry/CallEnd.cpp
+++ b/programs/toucanstand-entry/CallEnd.cpp
@@ -17,6 +17,20 @@
   return end;
 }
 
+CallEnd MakeStopEnd(CallOutcome aOutcome)
+{
+  if (aOutcome == CallOutcome::NotRun) {
+    // Other entry VMs are ready, so the caller need not wait.
+    return MakeError(aOutcome,
+                     503,
+                     "stopping",
+                     "this entry VM is stopping; another one takes the request",
+                     Duration::zero());
+  }
+  return MakeError(
+    aOutcome, 502, "stopping", "this entry VM stops; the request may have run");
+}
+
 HttpResponse ToResponse(const CallEnd& aEnd, const std::string& aRequestId)
 {
   HttpResponse response =
--- a/programs/toucanstand-entry/CallEnd.h
+++ b/programs/toucanstand-entry/CallEnd.h
@@ -30,6 +30,9 @@
                                 std::string aMessage,
                                 std::optional<Duration> aRetryAfter = {});
 
+/// The end of a call that was cancelled by a planned stop.
+[[nodiscard]] CallEnd MakeStopEnd(CallOutcome aOutcome);
+
 /// The response for the caller, with `Toucanstand-Outcome` and `Retry-After`.
 [[nodiscard]] HttpResponse ToResponse(const CallEnd& aEnd, const std::string& aRequestId);
 
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -104,6 +104,15 @@
                    "a call with this key may have run and its answer is not known");
 }
 
+/// The end of a call that was cancelled before it was sent.
+CallEnd EndOfAbandoned(const CallState& aState)
+{
+  if (aState.cancelReason == CancelReason::Stopping) {
+    return MakeStopEnd(CallOutcome::NotRun);
+  }
+  return MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left");
+}
+
 } // namespace
 
 CallHandler::CallHandler(EntryContext& aContext)
@@ -149,6 +158,10 @@
       this->context.gate.Abandon(aState.request.id);
     }
   });
+  aExchange.OnFinalAnswerDue([this, &aState] {
+    aState.Cancel(CancelReason::Stopping);
+    this->context.gate.Abandon(aState.request.id);
+  });
   boost::asio::steady_timer deadline(this->context.loop);
   deadline.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
     request.deadline - request.arrivedAt));
@@ -209,8 +222,7 @@
     if (aState.cancelReason == CancelReason::None) {
       co_return std::nullopt;
     }
-    CallEnd given = MakeError(
-      CallOutcome::NotRun, 499, "caller_left", "the caller left before the call");
+    CallEnd given = EndOfAbandoned(aState);
     this->ReportOutcome(request, aNonce, given);
     co_return given;
   }
@@ -225,7 +237,7 @@
 {
   const auto& request = aState.request;
   if (aState.cancelReason != CancelReason::None) {
-    co_return MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left");
+    co_return EndOfAbandoned(aState);
   }
   Arrival arrival;
   arrival.id = request.id;
@@ -240,7 +252,7 @@
     case AdmissionGate::Verdict::Admitted:
       co_return std::nullopt;
     case AdmissionGate::Verdict::Abandoned:
-      co_return MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left");
+      co_return EndOfAbandoned(aState);
     case AdmissionGate::Verdict::Refused:
       break;
   }
--- a/programs/toucanstand-entry/CallState.h
+++ b/programs/toucanstand-entry/CallState.h
@@ -11,6 +11,8 @@
   None,
   CallerLeft,
   DeadlinePassed,
+  /// A planned stop needs the answer now.
+  Stopping,
 };
 
 /// A call in progress.
