Refuse calls of a stopping entry process that cannot end before it does

Seen by callers: chats that reach toucanstand-entry between SIGTERM and the end of listener_wait_ms get status 200 and are cut off in the middle when the drain ends.

Evidence: TestEntryStop, drain 2 s, listener wait 1 s, chats of 1 s whose usual duration the process knows, with and without chunked bodies. Before: those whose last byte came 0.7 s after SIGTERM and later were cut, exit code 1. Nothing looked at the time that is left, as in toucanstand-server before.

Change: the rule of toucanstand-server, that an answer ends in time by its deadline or by 1.5 times the longest of the latest ones, moves to AnswerDurations and holds for the entry too. toucanstand-server decides as before.

--- a/modules/toucanstand_delivery/answers/AnswerDurations.cpp
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.cpp
@@ -6,6 +6,14 @@
 
 namespace toucanstand {
 
+namespace {
+
+/// An answer may take this many times the longest of the latest ones, for example because
+/// its server has slowed down.
+constexpr double kTimeMargin = 1.5;
+
+} // namespace
+
 void AnswerDurations::OnAnswered(const Kind& aKind, Duration aDuration)
 {
   auto& bySize = this->samples[{ aKind.pool, aKind.model }];
@@ -35,6 +43,18 @@
            : std::optional(*std::ranges::max_element(known->durations));
 }
 
+bool AnswerDurations::CanEndBy(TimePoint aEnd,
+                               const Kind& aKind,
+                               TimePoint aDeadline,
+                               TimePoint aNow) const
+{
+  if (aDeadline <= aEnd) {
+    return true;
+  }
+  const auto longest = this->Longest(aKind);
+  return longest && aNow + FromSeconds(ToSeconds(*longest) * kTimeMargin) <= aEnd;
+}
+
 std::size_t AnswerDurations::SizeClass(double aTokens)
 {
   constexpr double kMaxTokens = 1U << (kSizeClasses - 1);
--- a/modules/toucanstand_delivery/answers/AnswerDurations.h
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.h
@@ -38,6 +38,13 @@
   /// enough answers; nothing if there is none.
   [[nodiscard]] std::optional<Duration> Longest(const Kind& aKind) const;
 
+  /// True when an answer that begins now ends by this time, as far as its deadline or
+  /// the latest answers tell.
+  [[nodiscard]] bool CanEndBy(TimePoint aEnd,
+                              const Kind& aKind,
+                              TimePoint aDeadline,
+                              TimePoint aNow) const;
+
 private:
   /// Powers of two of the number of tokens.
   static constexpr std::size_t kSizeClasses = 24;
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -104,6 +104,12 @@
                    "a call with this key may have run and its answer is not known");
 }
 
+/// Calls whose answers take about equally long.
+AnswerDurations::Kind KindOf(const CallRequest& aRequest)
+{
+  return { aRequest.contract.pool, "", aRequest.isChat ? aRequest.cost : 0 };
+}
+
 /// The end of a call that was cancelled before it was sent.
 CallEnd EndOfAbandoned(const CallState& aState)
 {
@@ -140,6 +146,12 @@
     co_await aExchange.Respond(std::move(response));
     co_return;
   }
+  if (!this->CanEndBeforeStop(*read)) {
+    this->context.metrics.Count("calls_rejected_total{type=\"stopping\"}");
+    HttpResponse response = ToResponse(MakeStopEnd(CallOutcome::NotRun), "");
+    co_await aExchange.Respond(std::move(response));
+    co_return;
+  }
   const InFlightScope scope(this->inFlight);
   CallState state;
   state.request = std::move(*read);
@@ -295,8 +307,10 @@
     metrics.Count("calls_abandoned_total");
   }
   if (aEnd.outcome == CallOutcome::Answered) {
+    const auto took = BootClock::now() - request.arrivedAt;
     metrics.Record(std::string("call_seconds{class=\"") + Name(request.workClass) + "\"}",
-                   BootClock::now() - request.arrivedAt);
+                   took);
+    this->context.answerDurations.OnAnswered(KindOf(request), took);
     // Worth is a fraction, counters are whole numbers.
     metrics.Count(
       "worth_answered_milli_total",
@@ -304,6 +318,15 @@
   }
 }
 
+bool CallHandler::CanEndBeforeStop(const CallRequest& aRequest) const
+{
+  const auto& stop = this->context.stopSchedule;
+  return !stop || this->context.answerDurations.CanEndBy(stop->FinalAnswersAt(),
+                                                         KindOf(aRequest),
+                                                         aRequest.deadline,
+                                                         aRequest.arrivedAt);
+}
+
 std::optional<CallEnd> CallHandler::RefuseNewWork()
 {
   if (this->context.draining) {
--- a/programs/toucanstand-entry/CallHandler.h
+++ b/programs/toucanstand-entry/CallHandler.h
@@ -33,6 +33,7 @@
                      const CallEnd& aEnd);
   void NoteEnd(const CallState& aState, const CallEnd& aEnd);
   std::optional<CallEnd> RefuseNewWork();
+  [[nodiscard]] bool CanEndBeforeStop(const CallRequest& aRequest) const;
 
   EntryContext& context;
   CallReader reader;
--- a/programs/toucanstand-entry/EntryContext.h
+++ b/programs/toucanstand-entry/EntryContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include <boost/asio/io_context.hpp>
 
@@ -8,10 +9,12 @@
 #include "ClaimLink.h"
 #include "EntrySettings.h"
 #include "SuspectLink.h"
+#include "answers/AnswerDurations.h"
 #include "attempts/RetryBudget.h"
 #include "crashes/CrashQuarantine.h"
 #include "document/EffectiveConfiguration.h"
 #include "http/HttpClient.h"
+#include "lifecycle/StopSchedule.h"
 #include "messages/MessagePort.h"
 #include "metrics/MetricsRegistry.h"
 #include "observation/WorldView.h"
@@ -62,6 +65,9 @@
   EffectiveConfiguration configuration;
   WorldView view;
   std::map<PoolId, Router> routers;
+  AnswerDurations answerDurations;
+  /// Times of the planned stop, once it has begun.
+  std::optional<StopSchedule> stopSchedule;
   bool draining = false;
 
 private:
--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -43,7 +43,7 @@
     return ExitCode::Failure;
   }
   this->shutdown.SetHooks(ShutdownHooks{
-    nullptr,
+    [this] { this->context.stopSchedule = this->shutdown.Schedule(); },
     [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
     [this] { return this->server.IsBusy(BootClock::now()); },
     [this] { return this->server.ActiveExchanges(); } });
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/// An answer may take this many times the longest of the latest ones, for example because
-/// its server has slowed down.
-constexpr double kAnswerTimeMargin = 1.5;
-
 /// Returns which latency objective the response missed; null if it met all of them or
 /// there was no response.
 const char* MissedObjective(const ServingRoute& aRoute, const CallResult& aResult)
@@ -116,12 +112,8 @@
 bool RequestHandler::CanEndBeforeStop(const Call& aCall, TimePoint aNow) const
 {
   const auto& stop = this->state.stopSchedule;
-  if (!stop || aCall.deadline <= stop->FinalAnswersAt()) {
-    return true;
-  }
-  const auto longest = this->state.answerDurations.Longest(KindOf(aCall));
-  return longest && aNow + FromSeconds(ToSeconds(*longest) * kAnswerTimeMargin) <=
-                      stop->FinalAnswersAt();
+  return !stop || this->state.answerDurations.CanEndBy(
+                    stop->FinalAnswersAt(), KindOf(aCall), aCall.deadline, aNow);
 }
 
 AnswerDurations::Kind RequestHandler::KindOf(const Call& aCall)
--- a/tests/integration/TestEntryStop.cpp
+++ b/tests/integration/TestEntryStop.cpp
@@ -1,5 +1,7 @@
 #include <csignal>
+#include <future>
 #include <thread>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
@@ -19,6 +21,8 @@
 constexpr milliseconds kDrain = 2000ms;
 constexpr milliseconds kListenerWait = 1000ms;
 constexpr int kTokensPerSecond = 50;
+/// Of chats whose usual duration the process knows.
+constexpr milliseconds kDuration = 1000ms;
 constexpr int kCandidates = 2 + 3;
 
 TestSystemOptions Options()
@@ -100,6 +104,58 @@
   CHECK(vm.processes["toucanstand-entry"]->Wait() == 0);
 }
 
+TEST_CASE("Chats that begin while an entry process leaves the rotation end whole",
+          "[stop][entry]")
+{
+  // Guards against streams that begin so late that the end of the drain cuts them off.
+  TestSystem system(Options());
+  system.WaitForCandidates(kCandidates);
+  auto& vm = system.vms.front();
+  auto& entry = *vm.processes["toucanstand-entry"];
+  // The process learns how long its answers take.
+  std::vector<std::future<ReceivedAnswer>> usual;
+  for (int number = 0; number < 8; ++number) {
+    usual.push_back(std::async(std::launch::async, [&vm, number] {
+      CallerConnection caller(vm.callers);
+      caller.Send(ChatRequest("usual-" + std::to_string(number), kDuration, true));
+      return caller.ReadAnswer(kPatience);
+    }));
+  }
+  for (auto& answer : usual) {
+    CHECK(answer.get().isComplete);
+  }
+  const auto signalAt = std::chrono::steady_clock::now() + 500ms;
+  std::vector<std::future<ReceivedAnswer>> callers;
+  constexpr int kCallers = 12;
+  for (int number = 0; number < kCallers; ++number) {
+    callers.push_back(std::async(std::launch::async, [&vm, signalAt, number] {
+      const auto name = "chat-" + std::to_string(number);
+      const auto lastByteAt = signalAt + number * 150ms - 200ms;
+      if (number % 2 == 0) {
+        std::this_thread::sleep_until(lastByteAt);
+      }
+      CallerConnection caller(vm.callers);
+      if (number % 2 == 0) {
+        caller.Send(ChatRequest(name, kDuration, true));
+      } else {
+        caller.Send(ChunkedRequestHead("POST", "/v1/chat/completions", Headers()));
+        std::this_thread::sleep_until(lastByteAt);
+        caller.Send(ChunkText(ChatBody(name, kDuration, true)) + ChunkText(""));
+      }
+      return caller.ReadAnswer(kPatience);
+    }));
+  }
+  std::this_thread::sleep_until(signalAt);
+  entry.Signal(SIGTERM);
+  for (std::size_t number = 0; number < kCallers; ++number) {
+    const auto answer = callers[number].get();
+    if (answer.end != ConnectionEnd::Refused) {
+      CheckWhole(answer, "chat-" + std::to_string(number));
+    }
+  }
+  CHECK(entry.Wait() == 0);
+}
+
 TEST_CASE("A connection that an entry process kept serves the next request in its stop",
           "[stop][entry]")
 {
--- a/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
+++ b/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
@@ -57,6 +57,19 @@
   CHECK(durations.Longest(kShort) == Duration(1s));
 }
 
+TEST_CASE("An answer ends in time if its deadline or the latest ones say so", "[answers]")
+{
+  // Guards against answers that are begun too late, and against refusals of those that
+  // have time.
+  AnswerDurations durations;
+  const TimePoint now(100s);
+  CHECK(durations.CanEndBy(now + 2s, kShort, now + 2s, now));
+  CHECK_FALSE(durations.CanEndBy(now + 2s, kShort, now + 3s, now));
+  Answer(durations, kShort, AnswerDurations::kMinSamples, 1s);
+  CHECK(durations.CanEndBy(now + 1500ms, kShort, now + 3s, now));
+  CHECK_FALSE(durations.CanEndBy(now + 1499ms, kShort, now + 3s, now));
+}
+
 TEST_CASE("A size without answers takes the duration of the next larger one", "[answers]")
 {
   // Guards against an estimate that is too short because it comes from smaller answers.
