Count answers in progress for what a stopping VM can still end

Seen by callers: streams that begin during a planned stop and are cut off at the end of the drain, when the engines have become five times slower at the moment of the signal.

Evidence: TestPlannedStopPace, stop period 8 s, eight streams of 0.8 s before the signal, then streams of 2.4, 3.2 and 4.0 s. At 4.0 s the requests of 3.3, 3.6 and 3.9 s after the signal were accepted and cut after 8 or 9 of 10 events, in each of two runs; at 2.4 and 3.2 s all were whole.

Cause: the expectation, 1.5 times the longest of the latest answers, knows finished answers only, and none of the slow ones had ended. Those in progress had run for 3.2 s by then.

Change: the time that answers in progress have taken counts too. Server and entry alike. Requests in the first moments after a slow-down are still judged by the usual pace.

--- a/modules/toucanstand_delivery/answers/AnswerDurations.cpp
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.cpp
@@ -14,6 +14,21 @@
 
 } // namespace
 
+AnswerDurations::InProgress::InProgress(AnswerDurations& aDurations,
+                                        const Kind& aKind,
+                                        TimePoint aBegin)
+  : begins(aDurations.samples[{ aKind.pool, aKind.model }]
+             .at(SizeClass(aKind.maxAnswerTokens))
+             .begins)
+  , position(this->begins->insert(aBegin))
+{
+}
+
+AnswerDurations::InProgress::~InProgress()
+{
+  this->begins->erase(this->position);
+}
+
 void AnswerDurations::OnAnswered(const Kind& aKind, Duration aDuration)
 {
   auto& bySize = this->samples[{ aKind.pool, aKind.model }];
@@ -52,7 +67,22 @@
     return true;
   }
   const auto longest = this->Longest(aKind);
-  return longest && aNow + FromSeconds(ToSeconds(*longest) * kTimeMargin) <= aEnd;
+  if (!longest) {
+    return false;
+  }
+  // Servers that have just slowed down show it in the answers in progress first.
+  const auto expected = std::max(*longest, this->LongestInProgress(aKind, aNow));
+  return aNow + FromSeconds(ToSeconds(expected) * kTimeMargin) <= aEnd;
+}
+
+Duration AnswerDurations::LongestInProgress(const Kind& aKind, TimePoint aNow) const
+{
+  const auto found = this->samples.find({ aKind.pool, aKind.model });
+  if (found == this->samples.end()) {
+    return Duration::zero();
+  }
+  const auto& begins = found->second.at(SizeClass(aKind.maxAnswerTokens)).begins;
+  return begins->empty() ? Duration::zero() : Duration(aNow - *begins->begin());
 }
 
 std::size_t AnswerDurations::SizeClass(double aTokens)
--- a/modules/toucanstand_delivery/answers/AnswerDurations.h
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.h
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,14 +34,28 @@
     double maxAnswerTokens = 0;
   };
 
+  /// An answer in progress, as long as the object exists; it may outlive the durations.
+  class InProgress
+  {
+  public:
+    InProgress(AnswerDurations& aDurations, const Kind& aKind, TimePoint aBegin);
+    ~InProgress();
+    InProgress(const InProgress&) = delete;
+    InProgress& operator=(const InProgress&) = delete;
+
+  private:
+    std::shared_ptr<std::multiset<TimePoint>> begins;
+    std::multiset<TimePoint>::iterator position;
+  };
+
   void OnAnswered(const Kind& aKind, Duration aDuration);
 
   /// Longest of the latest answers of this size, or of the next larger size that has
   /// enough answers; nothing if there is none.
   [[nodiscard]] std::optional<Duration> Longest(const Kind& aKind) const;
 
-  /// True when an answer that begins now ends by this time, as far as its deadline or
-  /// the latest answers tell.
+  /// True when an answer that begins now ends by this time, as far as its deadline, or
+  /// the latest answers and those in progress tell.
   [[nodiscard]] bool CanEndBy(TimePoint aEnd,
                               const Kind& aKind,
                               TimePoint aDeadline,
@@ -53,10 +69,14 @@
   {
     std::vector<Duration> durations;
     std::size_t oldest = 0;
+    /// Times at which the answers in progress began.
+    std::shared_ptr<std::multiset<TimePoint>> begins =
+      std::make_shared<std::multiset<TimePoint>>();
   };
   using SamplesBySize = std::array<Samples, kSizeClasses>;
 
   [[nodiscard]] static std::size_t SizeClass(double aTokens);
+  [[nodiscard]] Duration LongestInProgress(const Kind& aKind, TimePoint aNow) const;
 
   std::map<std::pair<PoolId, std::string>, SamplesBySize> samples;
 };
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -153,6 +153,8 @@
     co_return;
   }
   const InFlightScope scope(this->inFlight);
+  const AnswerDurations::InProgress inProgress(
+    this->context.answerDurations, KindOf(*read), read->arrivedAt);
   CallState state;
   state.request = std::move(*read);
   co_await this->RunCall(aExchange, state);
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -50,6 +50,8 @@
     co_await this->SendRejection(aExchange, id, call.LastReason());
     co_return;
   }
+  const AnswerDurations::InProgress inProgress(
+    this->state.answerDurations, KindOf(*call), call->arrivedAt);
   const auto result = co_await this->Forward(*call);
   this->RecordResult(*call, result);
 }
--- a/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
+++ b/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
@@ -70,6 +70,27 @@
   CHECK_FALSE(durations.CanEndBy(now + 1499ms, kShort, now + 3s, now));
 }
 
+TEST_CASE("An answer in progress that takes longer than the others counts", "[answers]")
+{
+  // Guards against answers that are begun too late because servers have just slowed down.
+  AnswerDurations durations;
+  Answer(durations, kShort, AnswerDurations::kMinSamples, 1s);
+  const TimePoint begin(100s);
+  const auto now = begin + 2s;
+  const auto canEndBy = [&](Duration aLeft) {
+    return durations.CanEndBy(now + aLeft, kShort, now + 20s, now);
+  };
+  {
+    const AnswerDurations::InProgress recent(durations, kShort, begin + 1900ms);
+    const AnswerDurations::InProgress longer(durations, kLong, begin - 5s);
+    CHECK(canEndBy(1500ms));
+    const AnswerDurations::InProgress slow(durations, kShort, begin);
+    CHECK_FALSE(canEndBy(2999ms));
+    CHECK(canEndBy(3s));
+  }
+  CHECK(canEndBy(1500ms));
+}
+
 TEST_CASE("A size without answers takes the duration of the next larger one", "[answers]")
 {
   // Guards against an estimate that is too short because it comes from smaller answers.
