List as known red: a stream whose silent engine nobody examines while the leader stops

A stream whose engine is silent for 1 s is resumed at another group after 0.7 s. When that group has been silent before, it is used again only after the leader examined it. The leader gives its leadership up at SIGTERM, and the streams that it still serves are cut off with "no_group" although the group replies. Ways that were not tried: a resumed stream may use a group that waits for its examination when there is no other one; the stopping VM asks the group itself.

--- a/tests/integration/TestEntryStop.cpp
+++ b/tests/integration/TestEntryStop.cpp
@@ -113,8 +113,10 @@
   auto& vm = system.vms.front();
   auto& entry = *vm.processes["toucanstand-entry"];
   // The process learns how long its answers take.
+  constexpr int kUsual = 8;
   std::vector<std::future<ReceivedAnswer>> usual;
-  for (int number = 0; number < 8; ++number) {
+  usual.reserve(kUsual);
+  for (int number = 0; number < kUsual; ++number) {
     usual.push_back(std::async(std::launch::async, [&vm, number] {
       CallerConnection caller(vm.callers);
       caller.Send(ChatRequest("usual-" + std::to_string(number), kDuration, true));
@@ -127,6 +129,7 @@
   const auto signalAt = std::chrono::steady_clock::now() + 500ms;
   std::vector<std::future<ReceivedAnswer>> callers;
   constexpr int kCallers = 12;
+  callers.reserve(kCallers);
   for (int number = 0; number < kCallers; ++number) {
     callers.push_back(std::async(std::launch::async, [&vm, signalAt, number] {
       const auto name = "chat-" + std::to_string(number);
--- a/tests/platform/TestPlannedStopLeader.cpp
+++ b/tests/platform/TestPlannedStopLeader.cpp
@@ -26,8 +26,10 @@
     return aState.at("state").at("configuration_version") == 1;
   });
   std::this_thread::sleep_for(wait);
+  constexpr int kCallers = 4;
   std::vector<std::future<ReceivedAnswer>> callers;
-  for (int number = 0; number < 4; ++number) {
+  callers.reserve(kCallers);
+  for (int number = 0; number < kCallers; ++number) {
     callers.push_back(std::async(std::launch::async, [&server, number] {
       CallerConnection caller(server.listenEndpoint);
       caller.Send(PlannedStop::StreamRequest("forming-" + std::to_string(number)));
--- a/tests/platform/TestPlannedStopPace.cpp
+++ b/tests/platform/TestPlannedStopPace.cpp
@@ -116,6 +116,25 @@
   CHECK(stop.server.process->Wait() == 0);
 }
 
+TEST_CASE("A stream whose engine was silent continues although its leader stops",
+          "[stop][known-red]")
+{
+  // Guards against groups that nobody examines while the leadership changes hands: both
+  // are silent for 1 s, one after the other, and reply when they are asked.
+  PlannedStop stop(8000ms, 1200ms);
+  ServerUnderTest other(stop.platform, "vm-2");
+  other.WaitForGroups(2);
+  stop.ForEachEngine([](BackendServerStandin& aEngine) { aEngine.pauseInStream = 1s; });
+  stop.PlanSignal(700ms);
+  Callers callers;
+  for (int number = 0; number < 2; ++number) {
+    callers.push_back(SendAt(stop, number * 400ms - 600ms, std::to_string(number)));
+  }
+  stop.SendPlannedSignal();
+  CheckAll(stop, callers, "");
+  CHECK(stop.server.process->Wait() == 0);
+}
+
 TEST_CASE("Answers that end with their connection are whole in a planned stop", "[stop]")
 {
   // Guards against a stop that ends connections to servers and takes that for the end of
