--- a/modules/toucanstand_delivery/answers/AnswerDurations.cpp
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.cpp
@@ -7,6 +7,21 @@
 
 namespace toucanstand {
 
+AnswerDurations::InProgress::InProgress(AnswerDurations& aDurations,
+                                        const Kind& aKind,
+                                        TimePoint aBegin)
+  : begins(aDurations.latest[{ aKind.pool, aKind.model }]
+             .at(SizeClass(aKind.maxAnswerTokens))
+             .begins)
+  , position(this->begins->insert(aBegin))
+{
+}
+
+AnswerDurations::InProgress::~InProgress()
+{
+  this->begins->erase(this->position);
+}
+
 void AnswerDurations::OnAnswered(const Kind& aKind, Duration aDuration, TimePoint aNow)
 {
   auto& bySize = this->latest[{ aKind.pool, aKind.model }];
@@ -35,6 +50,16 @@
   return std::nullopt;
 }
 
+Duration AnswerDurations::LongestInProgress(const Kind& aKind, TimePoint aNow) const
+{
+  const auto found = this->latest.find({ aKind.pool, aKind.model });
+  if (found == this->latest.end()) {
+    return Duration::zero();
+  }
+  const auto& begins = found->second.at(SizeClass(aKind.maxAnswerTokens)).begins;
+  return begins->empty() ? Duration::zero() : Duration(aNow - *begins->begin());
+}
+
 std::optional<Duration> AnswerDurations::LongestOf(const Latest& aLatest, TimePoint aNow)
 {
   auto recent = aLatest.samples | std::views::filter([aNow](const Sample& aSample) {
--- a/modules/toucanstand_delivery/answers/AnswerDurations.h
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.h
@@ -2,7 +2,9 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -34,12 +36,30 @@
     double maxAnswerTokens = 0;
   };
 
+  /// An answer in progress, as long as the object exists; it may outlive the durations.
+  class InProgress
+  {
+  public:
+    InProgress(AnswerDurations& aDurations, const Kind& aKind, TimePoint aBegin);
+    ~InProgress();
+    InProgress(const InProgress&) = delete;
+    InProgress& operator=(const InProgress&) = delete;
+
+  private:
+    std::shared_ptr<std::multiset<TimePoint>> begins;
+    std::multiset<TimePoint>::iterator position;
+  };
+
   void OnAnswered(const Kind& aKind, Duration aDuration, TimePoint aNow);
 
   /// Longest of the latest answers of this size, or of the next larger size that has
   /// enough answers; nothing if there is none.
   [[nodiscard]] std::optional<Duration> Longest(const Kind& aKind, TimePoint aNow) const;
 
+  /// Longest time that an answer in progress has taken; zero if there is none. Servers
+  /// that have just slowed down show it here first.
+  [[nodiscard]] Duration LongestInProgress(const Kind& aKind, TimePoint aNow) const;
+
 private:
   /// Powers of two of the number of tokens.
   static constexpr std::size_t kSizeClasses = 24;
@@ -53,6 +73,9 @@
   {
     std::vector<Sample> samples;
     std::size_t oldest = 0;
+    /// Times at which the answers in progress began.
+    std::shared_ptr<std::multiset<TimePoint>> begins =
+      std::make_shared<std::multiset<TimePoint>>();
   };
   using LatestBySize = std::array<Latest, kSizeClasses>;
 
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -131,6 +131,7 @@
 }
 
 std::vector<PlacementChoice> GroupPlacement::EligibleGroups(const PlacementQuery& aQuery,
+                                                            AvoidedGroups aAvoided,
                                                             TimePoint aNow) const
 {
   const auto tokens = this->RemainingPrefillTokens(aNow);
@@ -143,10 +144,12 @@
     model == this->models.end() ? Duration::zero() : model->second.overhead.time;
   std::vector<PlacementChoice> choices;
   for (const auto& [id, state] : this->groups) {
-    const bool excluded =
-      state.group.model != aQuery.model || aNow < state.avoidedUntil ||
-      aNow < state.suspectedUntil || this->AreStreamsSilent(state, aNow) ||
-      Contains(aQuery.excluded, id) || Contains(aQuery.excludedServers, state.group.head);
+    const bool isAvoided = aNow < state.avoidedUntil || aNow < state.suspectedUntil ||
+                           this->AreStreamsSilent(state, aNow);
+    const bool excluded = state.group.model != aQuery.model ||
+                          (isAvoided && aAvoided == AvoidedGroups::LeaveOut) ||
+                          Contains(aQuery.excluded, id) ||
+                          Contains(aQuery.excludedServers, state.group.head);
     if (excluded) {
       continue;
     }
@@ -191,7 +194,10 @@
   const PlacementQuery& aQuery,
   TimePoint aNow)
 {
-  auto choices = this->EligibleGroups(aQuery, aNow);
+  auto choices = this->EligibleGroups(aQuery, AvoidedGroups::LeaveOut, aNow);
+  if (choices.empty() && aQuery.isResumed) {
+    choices = this->EligibleGroups(aQuery, AvoidedGroups::Include, aNow);
+  }
   if (choices.empty()) {
     return RefusedPlacement{
       PlacementRefusalReason::NoGroup, kNoGroupRetryDelay, 0, {}, {}
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -45,6 +45,9 @@
   /// Place the request even if no group is predicted to meet the target, for example
   /// because its stream has already begun.
   bool mustPlace = false;
+  /// The caller has a part of the stream. It is rather continued on a suspected group
+  /// than broken off.
+  bool isResumed = false;
 };
 
 /// The group chosen for a request, with the prediction behind the choice.
@@ -280,8 +283,15 @@
                             const RequestInProgress& aRequest,
                             Duration aObserved) const;
   void OnFirstEvents(RequestInProgress& aRequest, GroupState& aState, TimePoint aNow);
+  /// Whether groups can be chosen that are avoided for now.
+  enum class AvoidedGroups
+  {
+    LeaveOut,
+    Include,
+  };
   /// Groups that can be chosen for the request, with their predictions.
   [[nodiscard]] std::vector<PlacementChoice> EligibleGroups(const PlacementQuery& aQuery,
+                                                            AvoidedGroups aAvoided,
                                                             TimePoint aNow) const;
   [[nodiscard]] ArrivalDistribution DistributeUnreportedRequests(
     const std::vector<PlacementChoice>& aChoices,
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -104,6 +104,21 @@
                    "a call with this key may have run and its answer is not known");
 }
 
+/// Calls whose answers take about equally long.
+AnswerDurations::Kind KindOf(const CallRequest& aRequest)
+{
+  return { aRequest.contract.pool, "", aRequest.isChat ? aRequest.cost : 0 };
+}
+
+/// The end of a call that was cancelled before it was sent.
+CallEnd EndOfAbandoned(const CallState& aState)
+{
+  if (aState.cancelReason == CancelReason::Stopping) {
+    return MakeStopEnd(CallOutcome::NotRun);
+  }
+  return MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left");
+}
+
 } // namespace
 
 CallHandler::CallHandler(EntryContext& aContext)
@@ -131,7 +146,15 @@
     co_await aExchange.Respond(std::move(response));
     co_return;
   }
+  if (!this->CanEndBeforeStop(*read)) {
+    this->context.metrics.Count("calls_rejected_total{type=\"stopping\"}");
+    HttpResponse response = ToResponse(MakeStopEnd(CallOutcome::NotRun), "");
+    co_await aExchange.Respond(std::move(response));
+    co_return;
+  }
   const InFlightScope scope(this->inFlight);
+  const AnswerDurations::InProgress inProgress(
+    this->context.answerDurations, KindOf(*read), read->arrivedAt);
   CallState state;
   state.request = std::move(*read);
   co_await this->RunCall(aExchange, state);
@@ -149,8 +172,10 @@
       this->context.gate.Abandon(aState.request.id);
     }
   });
-  // A planned stop ends the call like its deadline does.
-  aExchange.OnFinalAnswerDue([&aState] { aState.Cancel(CancelReason::DeadlinePassed); });
+  aExchange.OnFinalAnswerDue([this, &aState] {
+    aState.Cancel(CancelReason::Stopping);
+    this->context.gate.Abandon(aState.request.id);
+  });
   boost::asio::steady_timer deadline(this->context.loop);
   deadline.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
     request.deadline - request.arrivedAt));
@@ -211,8 +236,7 @@
     if (aState.cancelReason == CancelReason::None) {
       co_return std::nullopt;
     }
-    CallEnd given = MakeError(
-      CallOutcome::NotRun, 499, "caller_left", "the caller left before the call");
+    CallEnd given = EndOfAbandoned(aState);
     this->ReportOutcome(request, aNonce, given);
     co_return given;
   }
@@ -227,7 +251,7 @@
 {
   const auto& request = aState.request;
   if (aState.cancelReason != CancelReason::None) {
-    co_return MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left");
+    co_return EndOfAbandoned(aState);
   }
   Arrival arrival;
   arrival.id = request.id;
@@ -242,7 +266,7 @@
     case AdmissionGate::Verdict::Admitted:
       co_return std::nullopt;
     case AdmissionGate::Verdict::Abandoned:
-      co_return MakeError(CallOutcome::NotRun, 499, "caller_left", "the caller left");
+      co_return EndOfAbandoned(aState);
     case AdmissionGate::Verdict::Refused:
       break;
   }
@@ -285,8 +309,10 @@
     metrics.Count("calls_abandoned_total");
   }
   if (aEnd.outcome == CallOutcome::Answered) {
+    const auto took = BootClock::now() - request.arrivedAt;
     metrics.Record(std::string("call_seconds{class=\"") + Name(request.workClass) + "\"}",
-                   BootClock::now() - request.arrivedAt);
+                   took);
+    this->context.answerDurations.OnAnswered(KindOf(request), took, BootClock::now());
     // Worth is a fraction, counters are whole numbers.
     metrics.Count(
       "worth_answered_milli_total",
@@ -294,6 +320,21 @@
   }
 }
 
+bool CallHandler::CanEndBeforeStop(const CallRequest& aRequest) const
+{
+  const auto& stop = this->context.stopSchedule;
+  if (!stop) {
+    return true;
+  }
+  const auto now = aRequest.arrivedAt;
+  const auto kind = KindOf(aRequest);
+  const auto& durations = this->context.answerDurations;
+  // A call of which no like has been answered is taken until the listener closes.
+  const auto longest = std::max(durations.Longest(kind, now).value_or(Duration::zero()),
+                                durations.LongestInProgress(kind, now));
+  return stop->LeavesTimeFor({ aRequest.deadline, longest }, now);
+}
+
 std::optional<CallEnd> CallHandler::RefuseNewWork()
 {
   if (this->context.draining) {
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -104,6 +104,7 @@
   // A retried call takes precedence over a new one: its stream may have started, or it
   // has already waited for a group that failed.
   query.mustPlace = !this->triedGroups.empty();
+  query.isResumed = this->progress.responseStarted;
   return query;
 }
 
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -300,9 +300,13 @@
 {
   // The latest answers show how slow the servers are, but not how long a rare one takes.
   const auto expected = this->ExpectedDuration(aCall);
-  const auto latest = this->answerDurations.Longest(this->KindOf(aCall), aNow);
-  return expected ? std::optional(std::max(*expected, latest.value_or(*expected)))
-                  : std::nullopt;
+  if (!expected) {
+    return std::nullopt;
+  }
+  const auto kind = this->KindOf(aCall);
+  return std::max({ *expected,
+                    this->answerDurations.Longest(kind, aNow).value_or(*expected),
+                    this->answerDurations.LongestInProgress(kind, aNow) });
 }
 
 std::optional<Duration> ServingState::ExpectedDuration(const Call& aCall) const
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -78,6 +78,9 @@
   /// its rate limit; zero if no limit prevents that.
   [[nodiscard]] Duration RateLimitDelay(const Call& aCall, TimePoint aNow) const;
 
+  /// The calls whose answers take about as long as that of this call.
+  [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
+
   /// Records that a call was answered.
   void OnAnswered(const Call& aCall, Duration aDuration, TimePoint aNow);
 
@@ -136,9 +139,8 @@
 private:
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
-  [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
   /// How long the answer may take: as expected for its size, or as long as the latest
-  /// ones; nothing if its size is unknown.
+  /// ones and those in progress; nothing if its size is unknown.
   [[nodiscard]] std::optional<Duration> LongestAnswer(const Call& aCall,
                                                       TimePoint aNow) const;
   /// Duration of an answer of the largest size that the request allows, in a full group;
--- a/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
+++ b/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
@@ -59,6 +59,21 @@
   CHECK(durations.Longest(kShort, kNow) == Duration(1s));
 }
 
+TEST_CASE("An answer in progress counts as long as it has taken", "[answers]")
+{
+  // Guards against answers that are begun too late because servers have just slowed down.
+  AnswerDurations durations;
+  CHECK(durations.LongestInProgress(kShort, kNow) == Duration::zero());
+  {
+    const AnswerDurations::InProgress recent(durations, kShort, kNow - 100ms);
+    const AnswerDurations::InProgress larger(durations, kLong, kNow - 5s);
+    CHECK(durations.LongestInProgress(kShort, kNow) == Duration(100ms));
+    const AnswerDurations::InProgress slow(durations, kShort, kNow - 2s);
+    CHECK(durations.LongestInProgress(kShort, kNow) == Duration(2s));
+  }
+  CHECK(durations.LongestInProgress(kShort, kNow) == Duration::zero());
+}
+
 TEST_CASE("A size without answers takes the duration of the next larger one", "[answers]")
 {
   // Guards against an estimate that is too short because it comes from smaller answers.
