--- a/tests/integration/support/CallerConnection.cpp
+++ b/tests/integration/support/CallerConnection.cpp
@@ -33,7 +33,7 @@
 {
   std::string text = aMethod + " " + aTarget + " HTTP/1.1\r\n";
   for (const auto& [name, value] : aHeaders.Fields()) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   return text;
 }
--- a/tests/platform/TestPlannedStop.cpp
+++ b/tests/platform/TestPlannedStop.cpp
@@ -132,6 +132,7 @@
   PlannedStop stop(8000ms, 1000ms);
   stop.SendSignal();
   std::vector<std::future<ReceivedAnswer>> answers;
+  answers.reserve(10);
   for (int number = 0; number < 10; ++number) {
     answers.push_back(std::async(std::launch::async, [&stop, number] {
       stop.WaitUntil(2300ms + number * 20ms);
