Keep the port of a mapping while the fault proxy refuses connections

Each mapping now keeps a second socket that is bound to its port and does not listen. The kernel then gives the port to no other program that asks for a free one and to no outgoing connection, while connections are still refused visibly.

"A mapping keeps its port while it refuses connections" failed before (the bind of another socket succeeded).

--- a/standins/fault-proxy/TcpProxy.cpp
+++ b/standins/fault-proxy/TcpProxy.cpp
@@ -29,10 +29,15 @@
   : context(aContext)
   , listen(std::move(aListen))
   , target(std::move(aTarget))
+  , reservedPort(aContext)
   , acceptor(aContext)
 {
+  const auto endpoint = ToAsio(this->listen);
+  this->reservedPort.open(endpoint.protocol());
+  this->reservedPort.set_option(tcp::socket::reuse_address(true));
+  this->reservedPort.bind(endpoint);
+  this->listen.port = this->reservedPort.local_endpoint().port();
   this->Open();
-  this->listen.port = this->acceptor.local_endpoint().port();
 }
 
 void TcpProxy::SetFaults(const ProxyFaults& aFaults)
--- a/standins/fault-proxy/TcpProxy.h
+++ b/standins/fault-proxy/TcpProxy.h
@@ -39,6 +39,8 @@
   Endpoint listen;
   Endpoint target;
   std::shared_ptr<ProxyFaults> faults = std::make_shared<ProxyFaults>();
+  /// Bound without listening, so that the port stays taken while connections are refused.
+  boost::asio::ip::tcp::socket reservedPort;
   boost::asio::ip::tcp::acceptor acceptor;
   std::list<std::weak_ptr<ProxyConnection>> connections;
   std::uint64_t accepted = 0;
--- a/tests/integration/TestFaultProxy.cpp
+++ b/tests/integration/TestFaultProxy.cpp
@@ -1,3 +1,5 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -96,3 +98,22 @@
   CHECK(proxied.Order("delayed"));
   CHECK(BootClock::now() - start >= 120ms);
 }
+
+TEST_CASE("A mapping keeps its port while it refuses connections", "[proxy]")
+{
+  // Guards against another process that takes the port of a refused link, so that the
+  // link can't be restored.
+  ProxiedService proxied;
+  proxied.Fault(R"({"mapping":0,"refuse":true})");
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::socket other(loop, boost::asio::ip::tcp::v4());
+  boost::system::error_code error;
+  other.bind({ boost::asio::ip::address_v4::loopback(), proxied.proxy.port }, error);
+  CHECK(error == boost::asio::error::address_in_use);
+  other.close();
+  const auto refused = proxied.Order("refused");
+  REQUIRE_FALSE(refused);
+  CHECK(refused.LastReason() == HttpFailure::ConnectRefused);
+  proxied.Fault(R"({"pass":true})");
+  CHECK(proxied.Order("link restored"));
+}
