Ignore line ends before a request

A caller that closes its body with a line end that the length does not count, and then uses the connection again, got "400 malformed_request" for its next request, which the parser read from the line end on.

RFC 9112, section 2.2, asks a server to ignore empty lines before a request line. The session now discards line ends while it waits for a request; they do not count as its first byte, so a connection with nothing else stays quiet in a planned stop and ends with the idle timeout.

"Line ends before a request are ignored" and "Line ends alone do not keep a connection open" failed before.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpSession.h"
 
+#include <algorithm>
 #include <array>
 #include <tuple>
 
@@ -237,18 +238,27 @@
 Task<bool> HttpSession::AwaitFirstByte()
 {
   this->EnterState(ConnectionState::AwaitingRequest);
-  if (this->buffer.size() > 0) {
-    this->OnFirstByte();
-    co_return true;
-  }
   this->stream.expires_after(this->context->limits.idleTimeout);
-  auto [error, bytes] =
-    co_await this->stream.async_read_some(this->buffer.prepare(kFirstRead), kAwait);
-  this->buffer.commit(bytes);
-  if (!error) {
-    this->OnFirstByte();
+  this->DiscardLineEnds();
+  while (this->buffer.size() == 0) {
+    auto [error, bytes] =
+      co_await this->stream.async_read_some(this->buffer.prepare(kFirstRead), kAwait);
+    if (error) {
+      co_return false;
+    }
+    this->buffer.commit(bytes);
+    this->DiscardLineEnds();
   }
-  co_return !error;
+  this->OnFirstByte();
+  co_return true;
+}
+
+void HttpSession::DiscardLineEnds()
+{
+  // Some callers end a body with a line end that its length does not count. RFC 9112,
+  // section 2.2: it is no part of the next request.
+  const auto bytes = beast::buffers_to_string(this->buffer.data());
+  this->buffer.consume(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
 }
 
 Task<> HttpSession::RejectUnread(beast::error_code aError)
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -67,6 +67,8 @@
   /// Waits for the first byte of a request. @returns false when the caller closed or the
   /// connection was idle for too long.
   Task<bool> AwaitFirstByte();
+  /// Discards the line ends before a request.
+  void DiscardLineEnds();
   Task<> Reject(HttpResponse aResponse, const char* aType);
   Task<> RejectMalformed(int aStatus, const char* aType, const std::string& aMessage);
   /// Answers a request that could not be read, where an answer can still reach the
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -206,6 +206,30 @@
           .starts_with("HTTP/1.1 400"));
 }
 
+TEST_CASE("Line ends before a request are ignored", "[http]")
+{
+  // Guards against rejecting the request after one that a caller closed with a line end,
+  // RFC 9112, section 2.2.
+  Fixture fixture;
+  const auto reply = fixture.Raw("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n"
+                                 "{}\r\n\r\n"
+                                 "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+                                 "Connection: close\r\n\r\nlast");
+  CHECK(reply.find("HTTP/1.1 400") == std::string::npos);
+  CHECK(reply.ends_with("last"));
+}
+
+TEST_CASE("Line ends alone do not keep a connection open", "[http]")
+{
+  // Guards against a caller that holds a connection with line ends.
+  Fixture fixture;
+  fixture.limits.idleTimeout = 100ms;
+  fixture.limits.headerTimeout = 10s;
+  const auto start = std::chrono::steady_clock::now();
+  CHECK(fixture.Raw("\r\n").empty());
+  CHECK(std::chrono::steady_clock::now() - start < 5s);
+}
+
 TEST_CASE("A target whose path may name another resource is rejected", "[http]")
 {
   // Guards against a path that evades the contract of the route that it belongs to.
