Soak: slow, early and lasting callers, series of signals, and guarantees of planned stops

SoakCaller draws from the seed how each connection is used: pieces, chunks up to 3.5 s apart from the head, line ends and next requests sent early, slow reading with a small receive buffer, and up to 50 requests on a connection until a VM closes it. The seed also draws the stop period (2, 4 or 8 s) and streams up to its length. New faults: SIGTERM between two SIGHUP and again, two VMs at once, SIGSTOP and SIGCONT in a drain, a new configuration in a drain; at the end all VMs get SIGTERM under load. Generation requests have bodies of their own, as real callers send them.

SoakVerdict checks: a request gets a whole answer unless its VM was killed or paused, its engine failed, or docs/design.md, section 9, allows the end (counted and printed); a process that got only SIGTERM ends within its stop period, with code 0 unless it logged that it cut something. The VMs write their logs to files, and the kernel state of the threads is kept when a process ends late.

No check of the earlier soak is dropped; FindViolation moved into SoakVerdict.

--- a/tests/integration/support/ProcessLauncher.cpp
+++ b/tests/integration/support/ProcessLauncher.cpp
@@ -1,6 +1,10 @@
 #include "ProcessLauncher.h"
 
+#include <cerrno>
 #include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <iterator>
 #include <stdexcept>
 
@@ -36,14 +40,28 @@
 } // namespace
 
 ProcessLauncher::ProcessLauncher(const std::string& aName,
-                                 const std::vector<std::string>& aArguments)
+                                 const std::vector<std::string>& aArguments,
+                                 const std::string& aLogFile)
   : child(std::make_unique<Child>())
 {
-  this->child->process = process::child(
-    TOUCANSTAND_PROGRAM_DIRECTORY "/" + aName,
-    process::args(aArguments),
-    process::std_out > this->child->output,
-    process::extend::on_exec_setup = [](auto&) { KeepStandardFiles(); });
+  const auto program = TOUCANSTAND_PROGRAM_DIRECTORY "/" + aName;
+  const auto setUp = [](auto&) { KeepStandardFiles(); };
+  if (aLogFile.empty()) {
+    this->child->process = process::child(program,
+                                          process::args(aArguments),
+                                          process::std_out > this->child->output,
+                                          process::extend::on_exec_setup = setUp);
+    return;
+  }
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> log(
+    std::fopen(aLogFile.c_str(), "ae"), &std::fclose);
+  if (!log) {
+    throw std::runtime_error("cannot write " + aLogFile);
+  }
+  this->child->process = process::child(program,
+                                        process::args(aArguments),
+                                        (process::std_out & process::std_err) > log.get(),
+                                        process::extend::on_exec_setup = setUp);
 }
 
 ProcessLauncher::~ProcessLauncher()
@@ -78,6 +96,33 @@
   ::kill(this->child->process.id(), aSignal);
 }
 
+std::future<std::chrono::steady_clock::time_point> ProcessLauncher::ObserveEnd() const
+{
+  const auto id = static_cast<id_t>(this->child->process.id());
+  return std::async(std::launch::async, [id] {
+    siginfo_t info{};
+    while (::waitid(P_PID, id, &info, WEXITED | WNOWAIT) != 0 && errno == EINTR) {
+    }
+    return std::chrono::steady_clock::now();
+  });
+}
+
+std::string ProcessLauncher::DescribeThreads() const
+{
+  const auto tasks = "/proc/" + std::to_string(this->child->process.id()) + "/task";
+  std::error_code error;
+  std::string text;
+  for (const auto& task : std::filesystem::directory_iterator(tasks, error)) {
+    for (const auto* file : { "stat", "wchan" }) {
+      std::ifstream input(task.path() / file);
+      std::string line;
+      std::getline(input, line);
+      text += line + " ";
+    }
+  }
+  return text;
+}
+
 int ProcessLauncher::Wait()
 {
   this->child->process.wait();
--- a/tests/integration/support/ProcessLauncher.h
+++ b/tests/integration/support/ProcessLauncher.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
@@ -14,7 +16,11 @@
 {
 public:
   /// Starts a program. @param aName for example `standin-store`
-  ProcessLauncher(const std::string& aName, const std::vector<std::string>& aArguments);
+  /// @param aLogFile receives standard output and error at its end; if empty, this
+  /// object reads standard output
+  ProcessLauncher(const std::string& aName,
+                  const std::vector<std::string>& aArguments,
+                  const std::string& aLogFile = {});
   ~ProcessLauncher();
   ProcessLauncher(const ProcessLauncher&) = delete;
   ProcessLauncher& operator=(const ProcessLauncher&) = delete;
@@ -29,6 +35,12 @@
   /// Sends a signal, for example SIGTERM or SIGSTOP.
   void Signal(int aSignal);
 
+  /// Time at which the program ends. Does not replace Wait().
+  [[nodiscard]] std::future<std::chrono::steady_clock::time_point> ObserveEnd() const;
+
+  /// What the kernel says of each thread of the program: its state and where it waits.
+  [[nodiscard]] std::string DescribeThreads() const;
+
   /// Waits for the end of the program. @returns its exit code; 128 plus the signal when
   /// a signal ended it
   int Wait();
--- a/tests/platform/TestSoak.cpp
+++ b/tests/platform/TestSoak.cpp
@@ -1,5 +1,7 @@
 #include <cstdlib>
+#include <filesystem>
 #include <iostream>
+#include <map>
 
 #include <catch2/catch.hpp>
 
@@ -9,13 +11,42 @@
 
 namespace {
 
+std::uint64_t EnvironmentNumber(const char* aVariable, std::uint64_t aDefault)
+{
+  const char* const text = std::getenv(aVariable);
+  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
+}
+
+SoakTest::Scale ReadScale()
+{
+  SoakTest::Scale scale;
+  const auto read = [](const char* aVariable, int& aNumber) {
+    aNumber =
+      static_cast<int>(EnvironmentNumber(aVariable, static_cast<std::uint64_t>(aNumber)));
+  };
+  read("SOAK_VMS", scale.vms);
+  read("SOAK_ENGINES", scale.engines);
+  read("SOAK_CALLERS", scale.callers);
+  return scale;
+}
+
+void PrintCounts(const std::map<std::string, std::size_t>& aCounts)
+{
+  for (const auto& [name, count] : aCounts) {
+    std::cout << "  " << count << " " << name << "\n";
+  }
+}
+
 void RunSeed(std::uint64_t aSeed, int aFaults)
 {
   INFO("seed " << aSeed);
-  SoakTest soak(aSeed);
+  const char* const program = std::getenv("SOAK_SERVER");
+  SoakTest soak(aSeed, ReadScale(), program == nullptr ? "toucanstand-server" : program);
   soak.Run(aFaults);
-  CHECK(soak.Recover());
-  for (const auto& violation : soak.FindViolations()) {
+  const bool hasRecovered = soak.Recover();
+  CHECK(hasRecovered);
+  const auto verdict = soak.Judge();
+  for (const auto& violation : verdict.violations) {
     FAIL_CHECK(violation);
   }
   // A run with few successful requests would not test the guarantees. The bound is a
@@ -24,13 +55,17 @@
   constexpr std::size_t kMinSuccesses = 50;
   CHECK(soak.SuccessCount() >= kMinSuccesses);
   std::cout << "seed " << aSeed << ": " << soak.SuccessCount() << " of "
-            << soak.RequestCount() << " requests answered" << std::endl;
-}
-
-std::uint64_t EnvironmentNumber(const char* aVariable, std::uint64_t aDefault)
-{
-  const char* const text = std::getenv(aVariable);
-  return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
+            << soak.RequestCount() << " requests answered, " << verdict.violations.size()
+            << " violations\n";
+  PrintCounts(verdict.excused);
+  PrintCounts(soak.Refusals());
+  const bool isFailed = !hasRecovered || !verdict.violations.empty();
+  if (isFailed) {
+    std::cout << "  logs of the VMs: " << soak.Logs() << "\n";
+  } else {
+    std::filesystem::remove_all(soak.Logs());
+  }
+  std::cout << std::flush;
 }
 
 } // namespace
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -201,11 +201,14 @@
 HttpHeaders BackendServerStandin::ResponseHeaders(const HttpRequest& aRequest)
 {
   const bool isMismatched = ConsumeFault(this->faults.mismatchedResponses);
+  const bool isUnsigned = ConsumeFault(this->faults.unsignedResponses);
+  const std::string attemptId(aRequest.headers.Find("X-Attempt-Id"));
+  if (isMismatched || isUnsigned) {
+    this->onRunFailed(attemptId);
+  }
   HttpHeaders headers;
-  headers.Add("X-Attempt-Id",
-              isMismatched ? "another"
-                           : std::string(aRequest.headers.Find("X-Attempt-Id")));
-  if (!ConsumeFault(this->faults.unsignedResponses)) {
+  headers.Add("X-Attempt-Id", isMismatched ? "another" : attemptId);
+  if (!isUnsigned) {
     headers.Add("X-Engine-Stamp", "stamp-" + this->id);
   }
   headers.Add("X-Engine-Load", "1,0,8");
@@ -215,6 +218,11 @@
   return headers;
 }
 
+void BackendServerStandin::NoteRunFailed(const HttpExchange& aExchange)
+{
+  this->onRunFailed(std::string(aExchange.Request().headers.Find("X-Attempt-Id")));
+}
+
 Task<> BackendServerStandin::HandleRequest(HttpExchange& aExchange)
 {
   const auto& request = aExchange.Request();
@@ -262,6 +270,7 @@
     co_return;
   }
   if (ConsumeFault(this->faults.dropResponses)) {
+    this->NoteRunFailed(aExchange);
     aExchange.BreakOff();
     co_return;
   }
@@ -294,12 +303,16 @@
   while (number < this->eventCount) {
     co_await this->Sleep(this->eventInterval);
     if (!this->alive || aExchange.CallerGone()) {
+      if (!this->alive) {
+        this->NoteRunFailed(aExchange);
+      }
       aExchange.BreakOff();
       co_return;
     }
     if (!this->isGroupComplete(this->group)) {
       // A head that has lost a group member stalls: it keeps the connection open and
       // sends no more events.
+      this->NoteRunFailed(aExchange);
       continue;
     }
     if (isFlooded && eventsSent > 0) {
@@ -316,6 +329,7 @@
     std::string event = EventText(++number, this->eventPadding);
     ++eventsSent;
     if (isAborted && eventsSent > eventsBeforeAbort) {
+      this->NoteRunFailed(aExchange);
       co_await aExchange.WriteChunk(event.substr(0, event.size() / 2));
       aExchange.BreakOff();
       co_return;
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -98,6 +98,8 @@
 
   RegistrationChangedHandler onRegistrationChanged;
   RunStartedHandler onRunStarted;
+  /// A run breaks off or stalls, or its answer has a falsified head.
+  std::function<void(const std::string& aAttemptId)> onRunFailed;
   GroupCompletenessCheck isGroupComplete;
   BackendServerFaults faults;
   std::chrono::milliseconds eventInterval = kEventInterval;
@@ -120,6 +122,7 @@
   /// @returns the HTTP status of the reply
   [[nodiscard]] int ApplyOrder(const nlohmann::json& aOrder);
   [[nodiscard]] HttpHeaders ResponseHeaders(const HttpRequest& aRequest);
+  void NoteRunFailed(const HttpExchange& aExchange);
   void SetGroupState(const std::string& aState);
 
   boost::asio::io_context& loop;
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -101,6 +101,9 @@
     this->store->Put("servers/" + aId, aEntry);
   };
   server->onRunStarted = [this](const RecordedRun& aRun) { this->runs.push_back(aRun); };
+  server->onRunFailed = [this](const std::string& aAttemptId) {
+    this->failedRuns.insert(aAttemptId);
+  };
   server->isGroupComplete = [this](const std::string& aGroup) {
     return this->IsGroupComplete(aGroup);
   };
@@ -176,6 +179,13 @@
   return copy;
 }
 
+std::set<std::string> PlatformStandin::FailedRuns()
+{
+  std::set<std::string> copy;
+  this->RunOnLoop([&] { copy = this->failedRuns; });
+  return copy;
+}
+
 std::map<std::string, std::string> PlatformStandin::OpenGroupHeads()
 {
   std::map<std::string, std::string> heads;
@@ -210,12 +220,22 @@
                                  const std::string& aId,
                                  const Endpoint& aStore,
                                  std::chrono::milliseconds aStopPeriod)
+  : ServerUnderTest(aPlatform, aId, aStore, aStopPeriod, Program{})
+{
+}
+
+ServerUnderTest::ServerUnderTest(PlatformStandin& aPlatform,
+                                 const std::string& aId,
+                                 const Endpoint& aStore,
+                                 std::chrono::milliseconds aStopPeriod,
+                                 Program aProgram)
   : platform(aPlatform)
   , caller(std::chrono::seconds(6))
   , listenEndpoint(this->ports.Reserve())
   , readinessEndpoint(this->ports.Reserve())
   , operatorEndpoint(this->ports.Reserve())
   , peerEndpoint(this->ports.Reserve())
+  , program(std::move(aProgram))
 {
   const json document = { { "id", aId },
                           { "zone", "zone-a" },
@@ -232,19 +252,21 @@
   this->Start();
 }
 
-void ServerUnderTest::Restart(int aSignal)
+int ServerUnderTest::Restart(int aSignal)
 {
   this->process->Signal(SIGCONT);
   this->process->Signal(aSignal);
-  this->process->Wait();
+  const int exitCode = this->process->Wait();
   this->Start();
+  return exitCode;
 }
 
 void ServerUnderTest::Start()
 {
   this->process = std::make_unique<ProcessLauncher>(
-    "toucanstand-server",
-    std::vector<std::string>{ this->settings->Option(), "--log-level=warn" });
+    this->program.name,
+    std::vector<std::string>{ this->settings->Option(), "--log-level=warn" },
+    this->program.logFile);
 }
 
 void ServerUnderTest::WaitForGroups(std::size_t aCount)
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -56,6 +57,9 @@
   }
   [[nodiscard]] StoreStandin& Store() { return *this->store; }
   [[nodiscard]] std::vector<RecordedRun> Runs();
+  /// Attempt ids of the runs that a server did not answer as it should: it broke off,
+  /// stalled or falsified the head of its answer.
+  [[nodiscard]] std::set<std::string> FailedRuns();
   /// The head of each open group: server ids by group name.
   [[nodiscard]] std::map<std::string, std::string> OpenGroupHeads();
 
@@ -75,6 +79,7 @@
   std::map<std::string, std::unique_ptr<BackendServerStandin>> servers;
   std::string currentConfiguration;
   std::vector<RecordedRun> runs;
+  std::set<std::string> failedRuns;
   std::thread thread;
 };
 
@@ -86,15 +91,29 @@
 public:
   static constexpr std::chrono::milliseconds kStopPeriod = std::chrono::seconds(8);
 
+  /// The program of the process.
+  struct Program
+  {
+    std::string name = "toucanstand-server";
+    /// Receives its output; the test reads it if empty.
+    std::string logFile;
+  };
+
   ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
   /// @param aStore address of the platform's store, or of a proxy in front of it
   ServerUnderTest(PlatformStandin& aPlatform,
                   const std::string& aId,
                   const Endpoint& aStore,
                   std::chrono::milliseconds aStopPeriod = kStopPeriod);
+  ServerUnderTest(PlatformStandin& aPlatform,
+                  const std::string& aId,
+                  const Endpoint& aStore,
+                  std::chrono::milliseconds aStopPeriod,
+                  Program aProgram);
 
   /// Sends the signal to the process, waits until it has exited and starts it again.
-  void Restart(int aSignal);
+  /// @returns the exit code as of ProcessLauncher::Wait()
+  int Restart(int aSignal);
 
   /// Waits until the process knows this many groups and as many group heads are open.
   /// Throws after 15 s.
@@ -127,6 +146,7 @@
 private:
   void Start();
 
+  Program program;
   std::unique_ptr<SettingsFile> settings;
 };
 
--- a/tests/platform/support/SoakTest.cpp
+++ b/tests/platform/support/SoakTest.cpp
@@ -3,53 +3,105 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
-#include <map>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <utility>
 
+#include <unistd.h>
+
 namespace toucanstand {
 
 using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
 
 namespace {
 
-/// Number of requests that finish between two faults: at least 8, at most 47. With 6
+/// Number of requests that finish between two faults: at least 8, at most 47. With 12
 /// callers these are few for each, so that most faults overlap with the effects of the
 /// one before.
 constexpr std::size_t kMinRequestsBetweenFaults = 8;
 constexpr std::size_t kExtraRequestsBetweenFaults = 40;
+/// Number of requests that finish between the steps of one fault.
+constexpr std::size_t kMaxRequestsBetweenSteps = 10;
+
+constexpr int kEventCount = 40;
+constexpr milliseconds kShortestEventInterval{ 10 };
+/// Pause of a caller whose request failed, as real callers have it.
+constexpr milliseconds kPauseAfterFailure{ 20 };
+/// Time after which a process that does not end is killed. Longer than any stop period.
+constexpr milliseconds kMaxWaitForEnd{ 20'000 };
+
+constexpr std::array kStopPeriods = { milliseconds(2000),
+                                      milliseconds(4000),
+                                      milliseconds(8000) };
+/// Shares of the stop period that the longest streams take.
+constexpr std::array kLongestStreams = { 0.125, 0.5, 1.0 };
+/// Shares of the longest stream.
+constexpr std::array kStreams = { 0.0625, 0.25, 1.0 };
+constexpr std::array<std::size_t, 2> kEventPaddings = { 0, 2000 };
+
+template<typename Values>
+auto Draw(Random& aRandom, const Values& aValues)
+{
+  return aValues.at(aRandom.Below(aValues.size()));
+}
 
-/// Statuses with which the server guarantees that the request did not run.
-bool StatusMeansNotRun(int aStatus)
+/// Directory of the VMs' logs.
+std::string LogDirectory(std::uint64_t aSeed)
 {
-  constexpr std::array kStatuses = { 408, 421, 429, 503 };
-  return std::ranges::find(kStatuses, aStatus) != kStatuses.end();
+  const char* const directory = std::getenv("SOAK_LOGS");
+  const auto parent = directory == nullptr ? std::filesystem::temp_directory_path()
+                                           : std::filesystem::path(directory);
+  const auto path =
+    parent / ("soak-" + std::to_string(::getpid()) + "-seed-" + std::to_string(aSeed));
+  std::filesystem::create_directories(path);
+  return path.string();
 }
 
 } // namespace
 
-SoakTest::SoakTest(std::uint64_t aSeed)
+SoakTest::SoakTest(std::uint64_t aSeed, Scale aScale, const std::string& aServerProgram)
   : random(aSeed)
-  , platform(kEngineCount)
+  , scale(aScale)
+  , stopPeriod(Draw(this->random, kStopPeriods))
+  , longestStream(std::chrono::duration_cast<milliseconds>(
+      Draw(this->random, kLongestStreams) * this->stopPeriod))
+  , eventPadding(Draw(this->random, kEventPaddings))
+  , platform(aScale.engines)
   , proxyCaller(std::chrono::seconds(2))
+  , logDirectory(LogDirectory(aSeed))
   , seed(aSeed)
 {
+  this->SetStreamDurations(this->longestStream);
+  this->platform.WriteConfiguration(++this->version, ConfigurationChange());
   std::vector<std::string> arguments = { "--control=127.0.0.1:0", "--log-level=warn" };
-  for (int vm = 0; vm < kVmCount; ++vm) {
+  for (int vm = 0; vm < this->scale.vms; ++vm) {
     arguments.push_back("--map=127.0.0.1:0=" + this->platform.Store().Address().Text());
   }
   this->proxyProcess = std::make_unique<ProcessLauncher>("fault-proxy", arguments);
-  for (int number = 0; number < kVmCount; ++number) {
+  for (int number = 0; number < this->scale.vms; ++number) {
+    const auto name = "vm-" + std::to_string(number);
     Vm vm;
     vm.proxyMapping = static_cast<std::size_t>(number);
+    vm.logFile = this->logDirectory + "/" + name;
+    vm.life.startedAt = steady_clock::now();
     vm.server = std::make_unique<ServerUnderTest>(
-      this->platform, "vm-" + std::to_string(number), this->proxyProcess->ReadEndpoint());
+      this->platform,
+      name,
+      this->proxyProcess->ReadEndpoint(),
+      this->stopPeriod,
+      ServerUnderTest::Program{ aServerProgram, vm.logFile });
+    BeginLife(vm);
     this->vms.push_back(std::move(vm));
   }
   this->proxyControlEndpoint = this->proxyProcess->ReadEndpoint("control");
   for (const auto& vm : this->vms) {
-    vm.server->WaitForGroups(kEngineCount / 2);
+    vm.server->WaitForGroups(static_cast<std::size_t>(this->scale.engines) / 2);
   }
-  for (int caller = 0; caller < kCallerCount; ++caller) {
+  for (int caller = 0; caller < this->scale.callers; ++caller) {
     this->callers.emplace_back([this, caller] { this->RunCaller(caller); });
   }
 }
@@ -59,6 +111,33 @@
   this->StopCallers();
 }
 
+void SoakTest::SetStreamDurations(milliseconds aLongest)
+{
+  std::vector<milliseconds> intervals;
+  for (int engine = 0; engine < this->scale.engines; ++engine) {
+    const auto duration =
+      std::chrono::duration_cast<milliseconds>(Draw(this->random, kStreams) * aLongest);
+    intervals.push_back(std::max(duration / kEventCount, kShortestEventInterval));
+  }
+  this->platform.RunOnLoop([this, &intervals] {
+    for (std::size_t number = 0; number < intervals.size(); ++number) {
+      auto& engine = this->platform.BackendServer("engine-" + std::to_string(number));
+      engine.eventInterval = intervals[number];
+      engine.eventCount = kEventCount;
+      engine.eventPadding = this->eventPadding;
+    }
+  });
+}
+
+json SoakTest::ConfigurationChange()
+{
+  auto routes = PlatformStandin::DefaultConfiguration(1)["Routes"];
+  for (auto& route : routes) {
+    route["TimeoutMs"] = milliseconds(SoakCaller::kDeadline).count();
+  }
+  return { { "Routes", std::move(routes) } };
+}
+
 void SoakTest::StopCallers()
 {
   this->callersMustStop = true;
@@ -69,47 +148,28 @@
 
 void SoakTest::RunCaller(int aCaller)
 {
-  Random choice(this->seed * 1000 + static_cast<std::uint64_t>(aCaller));
-  HttpCaller caller(std::chrono::seconds(2));
-  constexpr std::array kKinds = { RequestKind::Generation,
-                                  RequestKind::NonIdempotent,
-                                  RequestKind::Idempotent };
-  for (int number = 0; !this->callersMustStop; ++number) {
-    auto& vm = this->vms.at(choice.Below(this->vms.size()));
-    auto request =
-      this->PerformRequest(caller,
-                           vm,
-                           kKinds.at(choice.Below(kKinds.size())),
-                           "c" + std::to_string(aCaller) + "-" + std::to_string(number));
-    const std::scoped_lock lock(this->mutex);
-    this->requests.push_back(std::move(request));
-    this->requestRecorded.notify_all();
+  std::vector<Endpoint> endpoints;
+  std::ranges::transform(this->vms, std::back_inserter(endpoints), [](const Vm& aVm) {
+    return aVm.server->listenEndpoint;
+  });
+  SoakCaller caller(this->seed * 1000 + static_cast<std::uint64_t>(aCaller),
+                    "c" + std::to_string(aCaller),
+                    std::move(endpoints));
+  while (!this->callersMustStop) {
+    const bool isSuccess = caller.UseConnection(
+      [this](SoakRequest aRequest) { return this->Record(std::move(aRequest)); });
+    if (!isSuccess) {
+      std::this_thread::sleep_for(kPauseAfterFailure);
+    }
   }
 }
 
-SoakTest::RequestRecord SoakTest::PerformRequest(HttpCaller& aCaller,
-                                                 Vm& aVm,
-                                                 RequestKind aKind,
-                                                 std::string aName)
-{
-  RequestRecord request;
-  request.attemptId = std::move(aName);
-  request.kind = aKind;
-  HttpHeaders headers = ServerUnderTest::GenerationHeaders(request.attemptId);
-  const bool isIdempotent = aKind == RequestKind::Idempotent;
-  const char* path = isIdempotent ? "/looks/1" : "/holds/1";
-  auto answer = aCaller.Call(aVm.server->listenEndpoint,
-                             isIdempotent ? "GET" : "POST",
-                             aKind == RequestKind::Generation ? "/chat/1" : path,
-                             isIdempotent ? "" : "body",
-                             headers);
-  if (answer) {
-    request.status = answer->status;
-    request.isSigned = answer->headers.Has("X-Engine-Stamp");
-    request.answeredAttemptId = std::string(answer->headers.Find("X-Attempt-Id"));
-    request.body = std::move(answer->body);
-  }
-  return request;
+bool SoakTest::Record(SoakRequest aRequest)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->requests.push_back(std::move(aRequest));
+  this->requestRecorded.notify_all();
+  return !this->callersMustStop;
 }
 
 void SoakTest::WaitForRequests(std::size_t aCount)
@@ -121,11 +181,15 @@
 
 void SoakTest::Run(int aFaults)
 {
-  constexpr std::array<FaultInjector, 16> kFaults = {
+  constexpr std::array<FaultInjector, 20> kFaults = {
     &SoakTest::PauseVm,
     &SoakTest::ResumeVms,
     &SoakTest::KillVm,
     &SoakTest::TerminateVm,
+    &SoakTest::TerminateTwoVms,
+    &SoakTest::TerminateDuringReload,
+    &SoakTest::PauseDuringDrain,
+    &SoakTest::ChangeConfigurationDuringDrain,
     &SoakTest::RestartTerminatingVms,
     &SoakTest::RejectStoreCalls,
     &SoakTest::DropStoreResponses,
@@ -146,48 +210,150 @@
   }
 }
 
+std::string SoakTest::ReadLog(const Vm& aVm)
+{
+  std::ifstream file(aVm.logFile);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+void SoakTest::BeginLife(Vm& aVm)
+{
+  aVm.life.vm = aVm.proxyMapping;
+  aVm.end = aVm.server->process->ObserveEnd();
+}
+
+void SoakTest::EndLife(Vm& aVm, int aSignal)
+{
+  Resume(aVm);
+  if (aSignal == SIGKILL) {
+    const auto now = steady_clock::now();
+    aVm.life.disturbances.emplace_back(now, now);
+  }
+  aVm.server->process->Signal(aSignal);
+  if (aVm.end.wait_for(this->stopPeriod) != std::future_status::ready) {
+    aVm.life.threadsAtLateEnd = aVm.server->process->DescribeThreads();
+  }
+  if (aVm.end.wait_for(kMaxWaitForEnd) != std::future_status::ready) {
+    aVm.server->process->Signal(SIGKILL);
+    this->failures.push_back("process of vm-" + std::to_string(aVm.proxyMapping) +
+                             " did not end within 20 s after a signal");
+  }
+  aVm.life.endedAt = aVm.end.get();
+  // The log of the life before may end in the same file.
+  aVm.life.log = ReadLog(aVm).substr(aVm.logBytes);
+  aVm.logBytes += aVm.life.log.size();
+  const auto restartedAt = steady_clock::now();
+  aVm.life.exitCode = aVm.server->Restart(aSignal);
+  this->endedLives.push_back(std::exchange(aVm.life, SoakLife{}));
+  aVm.life.startedAt = restartedAt;
+  BeginLife(aVm);
+}
+
+void SoakTest::Terminate(Vm& aVm)
+{
+  // May hit a VM that is already terminating: a second SIGTERM must have no effect.
+  if (!aVm.life.terminatedAt) {
+    aVm.life.terminatedAt = steady_clock::now();
+  }
+  aVm.server->process->Signal(SIGTERM);
+}
+
+void SoakTest::Pause(Vm& aVm)
+{
+  if (std::ranges::none_of(this->vms, &Vm::isPaused)) {
+    aVm.isPaused = true;
+    aVm.pausedAt = steady_clock::now();
+    aVm.server->process->Signal(SIGSTOP);
+  }
+}
+
+void SoakTest::Resume(Vm& aVm)
+{
+  if (std::exchange(aVm.isPaused, false)) {
+    aVm.server->process->Signal(SIGCONT);
+    aVm.life.disturbances.emplace_back(aVm.pausedAt, steady_clock::now());
+  }
+}
+
+bool SoakTest::HasStarted(const Vm& aVm)
+{
+  return ReadLog(aVm).find(R"("event":"start")", aVm.logBytes) != std::string::npos;
+}
+
 void SoakTest::PauseVm()
 {
   auto& vm = this->RandomVm();
-  const bool noVmIsPaused = std::ranges::none_of(this->vms, &Vm::isPaused);
-  if (noVmIsPaused && !vm.isTerminating) {
-    vm.isPaused = true;
-    vm.server->process->Signal(SIGSTOP);
+  if (!vm.life.terminatedAt) {
+    this->Pause(vm);
   }
 }
 
 void SoakTest::ResumeVms()
 {
-  for (auto& vm : this->vms) {
-    if (std::exchange(vm.isPaused, false)) {
-      vm.server->process->Signal(SIGCONT);
+  std::ranges::for_each(this->vms, &SoakTest::Resume);
+}
+
+void SoakTest::KillVm()
+{
+  this->EndLife(this->RandomVm(), SIGKILL);
+}
+
+void SoakTest::TerminateVm()
+{
+  auto& vm = this->RandomVm();
+  if (!vm.isPaused) {
+    Terminate(vm);
+  }
+}
+
+void SoakTest::TerminateTwoVms()
+{
+  const auto first = this->random.Below(this->vms.size());
+  const auto second = (first + 1) % this->vms.size();
+  for (auto* vm : { &this->vms[first], &this->vms[second] }) {
+    if (!vm->isPaused) {
+      Terminate(*vm);
     }
   }
 }
 
-void SoakTest::KillVm()
+void SoakTest::TerminateDuringReload()
 {
   auto& vm = this->RandomVm();
-  vm.isPaused = false;
-  vm.isTerminating = false;
-  vm.server->Restart(SIGKILL);
+  // Until it has started, SIGHUP ends a process.
+  if (!vm.isPaused && HasStarted(vm)) {
+    vm.server->process->Signal(SIGHUP);
+    Terminate(vm);
+    vm.server->process->Signal(SIGHUP);
+    this->WaitForRequests(this->random.Below(kMaxRequestsBetweenSteps));
+    Terminate(vm);
+  }
 }
 
-void SoakTest::TerminateVm()
+void SoakTest::PauseDuringDrain()
 {
   auto& vm = this->RandomVm();
   if (!vm.isPaused) {
-    // May hit a VM that is already terminating: a second SIGTERM must have no effect.
-    vm.server->process->Signal(SIGTERM);
-    vm.isTerminating = true;
+    Terminate(vm);
+    this->WaitForRequests(this->random.Below(kMaxRequestsBetweenSteps));
+    this->Pause(vm);
+    this->WaitForRequests(this->random.Below(kMaxRequestsBetweenSteps));
+    Resume(vm);
   }
 }
 
+void SoakTest::ChangeConfigurationDuringDrain()
+{
+  this->TerminateVm();
+  this->WaitForRequests(this->random.Below(kMaxRequestsBetweenSteps));
+  this->ChangeConfiguration();
+}
+
 void SoakTest::RestartTerminatingVms()
 {
   for (auto& vm : this->vms) {
-    if (std::exchange(vm.isTerminating, false)) {
-      vm.server->Restart(SIGTERM);
+    if (vm.life.terminatedAt) {
+      this->EndLife(vm, SIGTERM);
     }
   }
 }
@@ -233,8 +399,7 @@
 void SoakTest::AbortStreams()
 {
   auto& server = this->RandomServer();
-  const int after =
-    static_cast<int>(this->random.Below(BackendServerStandin::kEventCount));
+  const int after = static_cast<int>(this->random.Below(kEventCount));
   this->platform.RunOnLoop([&server, after] {
     server.faults.abortStreams = 3;
     server.faults.abortAfterEvents = after;
@@ -262,7 +427,7 @@
 
 void SoakTest::ChangeConfiguration()
 {
-  this->platform.WriteConfiguration(++this->version);
+  this->platform.WriteConfiguration(++this->version, ConfigurationChange());
 }
 
 void SoakTest::RemoveEngine()
@@ -278,11 +443,11 @@
 
 BackendServerStandin& SoakTest::RandomServer()
 {
-  const auto number = this->random.Below(kEngineCount + 2);
-  const bool isEngine = number < kEngineCount;
-  return this->platform.BackendServer(isEngine ? "engine-" + std::to_string(number)
-                                               : "stock-" +
-                                                   std::to_string(number - kEngineCount));
+  const auto engines = static_cast<std::uint64_t>(this->scale.engines);
+  const auto number = this->random.Below(engines + 2);
+  return this->platform.BackendServer(number < engines
+                                        ? "engine-" + std::to_string(number)
+                                        : "stock-" + std::to_string(number - engines));
 }
 
 void SoakTest::SetProxyFault(std::size_t aIndex, const std::string& aFault)
@@ -298,19 +463,19 @@
   this->ResumeVms();
   this->RestartTerminatingVms();
   this->ClearStoreFaults();
-  const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-  HttpCaller caller(std::chrono::seconds(6));
+  this->SetStreamDurations(milliseconds(0));
+  const auto deadline = steady_clock::now() + std::chrono::seconds(20);
+  std::vector<Endpoint> endpoints;
+  std::ranges::transform(this->vms, std::back_inserter(endpoints), [](const Vm& aVm) {
+    return aVm.server->listenEndpoint;
+  });
+  SoakCaller caller(this->seed, "last", std::move(endpoints));
   for (std::size_t number = 0; number < this->vms.size(); ++number) {
-    int attemptCount = 0;
     bool isServed = false;
-    while (!isServed && std::chrono::steady_clock::now() < deadline) {
-      const auto name =
-        "last-" + std::to_string(number) + "-" + std::to_string(++attemptCount);
-      auto request =
-        this->PerformRequest(caller, this->vms[number], RequestKind::Generation, name);
-      isServed = request.status == 200;
-      const std::scoped_lock lock(this->mutex);
-      this->requests.push_back(std::move(request));
+    while (!isServed && steady_clock::now() < deadline) {
+      auto request = caller.Generate(number);
+      isServed = request.answer.isComplete && request.answer.status == 200;
+      this->Record(std::move(request));
     }
     if (!isServed) {
       return false;
@@ -319,62 +484,39 @@
   return true;
 }
 
-std::string SoakTest::FindViolation(const RequestRecord& aRequest,
-                                    std::size_t aRuns) const
-{
-  const bool mayRepeat = aRequest.kind != RequestKind::NonIdempotent;
-  if (!mayRepeat && aRuns > 1) {
-    return "a request that must run at most once ran " + std::to_string(aRuns) + " times";
-  }
-  if (StatusMeansNotRun(aRequest.status) && aRuns > 0) {
-    return "status " + std::to_string(aRequest.status) +
-           " says that the request did not run, but it ran";
-  }
-  constexpr std::array kUnexpectedStatuses = { 400, 401, 403, 404 };
-  if (std::ranges::find(kUnexpectedStatuses, aRequest.status) !=
-      kUnexpectedStatuses.end()) {
-    return "an allowed request got status " + std::to_string(aRequest.status);
-  }
-  if (aRequest.status != 200) {
-    return {};
-  }
-  if (aRuns == 0) {
-    return "a successful response to a request that did not run";
-  }
-  if (!aRequest.isSigned || aRequest.answeredAttemptId != aRequest.attemptId) {
-    return "a response without a signature or with the attempt id of another request";
-  }
-  const bool isComplete = aRequest.kind == RequestKind::Generation
-                            ? aRequest.body == BackendServerStandin::CompleteStream()
-                            : aRequest.body.starts_with("answer of stock-");
-  return isComplete ? "" : "an incomplete response: " + aRequest.body;
-}
-
-std::vector<std::string> SoakTest::FindViolations()
+SoakVerdict SoakTest::Judge()
 {
+  this->ResumeVms();
+  std::ranges::for_each(this->vms, &SoakTest::Terminate);
+  this->RestartTerminatingVms();
   // Stop the callers before copying the runs: a request that finishes between the copies
   // of the two lists would otherwise be reported as one that never ran.
   this->StopCallers();
-  std::map<std::string, std::size_t> runs;
+  SoakVerdict::Facts facts;
+  facts.lives = this->endedLives;
+  std::ranges::transform(this->vms, std::back_inserter(facts.lives), &Vm::life);
   for (const auto& run : this->platform.Runs()) {
-    ++runs[run.attemptId];
+    ++facts.runs[run.attemptId];
   }
+  facts.failedRuns = this->platform.FailedRuns();
+  facts.stopPeriod = this->stopPeriod;
+  facts.wholeStream =
+    BackendServerStandin::CompleteStream(kEventCount, this->eventPadding);
+  SoakVerdict verdict(std::move(facts));
   const std::scoped_lock lock(this->mutex);
-  std::vector<std::string> violations;
-  for (const auto& request : this->requests) {
-    if (auto violation = this->FindViolation(request, runs[request.attemptId]);
-        !violation.empty()) {
-      violations.push_back(request.attemptId + ": " + violation);
-    }
-  }
-  return violations;
+  std::ranges::for_each(this->requests,
+                        [&verdict](const auto& aRequest) { verdict.Judge(aRequest); });
+  std::ranges::copy(this->failures, std::back_inserter(verdict.violations));
+  return verdict;
 }
 
 std::size_t SoakTest::SuccessCount()
 {
   const std::scoped_lock lock(this->mutex);
   return static_cast<std::size_t>(
-    std::ranges::count(this->requests, 200, &RequestRecord::status));
+    std::ranges::count_if(this->requests, [](const SoakRequest& aRequest) {
+      return aRequest.answer.isComplete && aRequest.answer.status == 200;
+    }));
 }
 
 std::size_t SoakTest::RequestCount()
@@ -383,4 +525,20 @@
   return this->requests.size();
 }
 
+std::map<std::string, std::size_t> SoakTest::Refusals()
+{
+  const std::scoped_lock lock(this->mutex);
+  std::map<std::string, std::size_t> refusals;
+  for (const auto& request : this->requests) {
+    const auto& answer = request.answer;
+    if (answer.isComplete && answer.status != 200) {
+      const auto body = json::parse(answer.body, nullptr, false);
+      const auto error = body.is_object() ? body.value("error", json::object()) : json();
+      const auto type = error.is_object() ? error.value("type", "") : "";
+      ++refusals[std::to_string(answer.status) + " " + type];
+    }
+  }
+  return refusals;
+}
+
 } // namespace toucanstand
--- a/tests/platform/support/SoakTest.h
+++ b/tests/platform/support/SoakTest.h
@@ -3,13 +3,18 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
+#include <future>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "random/Random.h"
 #include "support/PlatformStandin.h"
+#include "support/SoakCaller.h"
+#include "support/SoakVerdict.h"
 
 namespace toucanstand {
 
@@ -17,16 +22,21 @@
 /// random faults: signals, restarts, network faults of a proxy in front of the store, and
 /// failing backend servers.
 ///
-/// The seed determines the faults. The next fault follows after a number of finished
+/// The seed determines the faults, the length of streams and of the stop period, and how
+/// callers use their connections. The next fault follows after a number of finished
 /// requests instead of after a time.
 class SoakTest
 {
 public:
-  static constexpr int kVmCount = 3;
-  static constexpr int kEngineCount = 6;
-  static constexpr int kCallerCount = 6;
+  struct Scale
+  {
+    int vms = 3;
+    int engines = 6;
+    int callers = 12;
+  };
 
-  explicit SoakTest(std::uint64_t aSeed);
+  /// @param aServerProgram name of the program that the VMs run
+  SoakTest(std::uint64_t aSeed, Scale aScale, const std::string& aServerProgram);
   ~SoakTest();
   SoakTest(const SoakTest&) = delete;
   SoakTest& operator=(const SoakTest&) = delete;
@@ -39,57 +49,62 @@
   /// @returns false when a VM does not serve again within 20 s
   bool Recover();
 
-  /// Stops the callers and compares their responses with the runs that the backend
-  /// servers recorded. @returns a line for each request that violates a guarantee
-  [[nodiscard]] std::vector<std::string> FindViolations();
+  /// Stops all VMs at once and then the callers, and compares what they saw with the runs
+  /// that the backend servers recorded.
+  [[nodiscard]] SoakVerdict Judge();
 
   /// Number of requests that got status 200.
   [[nodiscard]] std::size_t SuccessCount();
   /// Number of all finished requests, including failed ones.
   [[nodiscard]] std::size_t RequestCount();
+  /// Number of whole answers other than 200, by status and reason.
+  [[nodiscard]] std::map<std::string, std::size_t> Refusals();
+  /// Directory of the VMs' logs.
+  [[nodiscard]] const std::string& Logs() const { return this->logDirectory; }
 
 private:
-  enum class RequestKind
-  {
-    Generation,
-    NonIdempotent,
-    Idempotent,
-  };
-
-  /// A caller's request and its response.
-  struct RequestRecord
-  {
-    std::string attemptId;
-    RequestKind kind = RequestKind::Idempotent;
-    /// HTTP status; 0 when no complete response arrived.
-    int status = 0;
-    std::string body;
-    bool isSigned = false;
-    std::string answeredAttemptId;
-  };
-
   struct Vm
   {
-    std::unique_ptr<ServerUnderTest> server;
     std::size_t proxyMapping = 0;
     bool isPaused = false;
-    bool isTerminating = false;
+    SoakTime pausedAt;
+    std::string logFile;
+    /// Bytes of the log that earlier processes wrote.
+    std::size_t logBytes = 0;
+    /// Waits in its destructor for the end of the server's process.
+    std::future<SoakTime> end;
+    std::unique_ptr<ServerUnderTest> server;
+    SoakLife life;
   };
 
   using FaultInjector = void (SoakTest::*)();
 
   void RunCaller(int aCaller);
   void StopCallers();
-  [[nodiscard]] RequestRecord PerformRequest(HttpCaller& aCaller,
-                                             Vm& aVm,
-                                             RequestKind aKind,
-                                             std::string aName);
+  /// @returns false when callers must stop
+  bool Record(SoakRequest aRequest);
   void WaitForRequests(std::size_t aCount);
+  void SetStreamDurations(std::chrono::milliseconds aLongest);
+  [[nodiscard]] static nlohmann::json ConfigurationChange();
+
+  static void BeginLife(Vm& aVm);
+  /// Waits for the end of a process that got the signal, records it and starts the next.
+  void EndLife(Vm& aVm, int aSignal);
+  static void Terminate(Vm& aVm);
+  /// Does nothing while another VM is paused.
+  void Pause(Vm& aVm);
+  static void Resume(Vm& aVm);
+  [[nodiscard]] static bool HasStarted(const Vm& aVm);
+  [[nodiscard]] static std::string ReadLog(const Vm& aVm);
 
   void PauseVm();
   void ResumeVms();
   void KillVm();
   void TerminateVm();
+  void TerminateTwoVms();
+  void TerminateDuringReload();
+  void PauseDuringDrain();
+  void ChangeConfigurationDuringDrain();
   void RestartTerminatingVms();
   void RejectStoreCalls();
   void DropStoreResponses();
@@ -106,22 +121,28 @@
   Vm& RandomVm() { return this->vms.at(this->random.Below(this->vms.size())); }
   BackendServerStandin& RandomServer();
   void SetProxyFault(std::size_t aIndex, const std::string& aFault);
-  /// @returns the violated guarantee, or an empty text
-  [[nodiscard]] std::string FindViolation(const RequestRecord& aRequest,
-                                          std::size_t aRuns) const;
 
   Random random;
+  Scale scale;
+  std::chrono::milliseconds stopPeriod;
+  std::chrono::milliseconds longestStream;
+  std::size_t eventPadding;
   PlatformStandin platform;
   std::unique_ptr<ProcessLauncher> proxyProcess;
   Endpoint proxyControlEndpoint;
   HttpCaller proxyCaller;
   std::vector<Vm> vms;
+  /// Processes that have ended.
+  std::vector<SoakLife> endedLives;
+  /// Violations that were seen while the test ran.
+  std::vector<std::string> failures;
+  std::string logDirectory;
   std::int64_t version = 1;
   int removedEngines = 0;
 
   std::mutex mutex;
   std::condition_variable requestRecorded;
-  std::vector<RequestRecord> requests;
+  std::vector<SoakRequest> requests;
   std::atomic<bool> callersMustStop = false;
   std::vector<std::thread> callers;
   std::uint64_t seed;
--- /dev/null
+++ b/tests/platform/support/SoakVerdict.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "support/SoakRecords.h"
+
+namespace toucanstand {
+
+/// Compares what the callers of the soak saw with the runs that the backend servers
+/// recorded and with what was done to the VMs. docs/design.md, section 9, says what a
+/// planned stop may do.
+class SoakVerdict
+{
+public:
+  /// What happened besides the requests.
+  struct Facts
+  {
+    /// All processes, in the order of their starts.
+    std::vector<SoakLife> lives;
+    /// Number of runs by attempt id.
+    std::map<std::string, std::size_t> runs;
+    /// Attempt ids of the runs that a backend server broke off, stalled or falsified.
+    std::set<std::string> failedRuns;
+    std::chrono::milliseconds stopPeriod{ 0 };
+    std::string wholeStream;
+  };
+
+  explicit SoakVerdict(Facts aFacts);
+
+  void Judge(const SoakRequest& aRequest);
+
+  /// A line for each violated guarantee.
+  std::vector<std::string> violations;
+  /// Numbers of requests and processes that the design excuses, by the reason.
+  std::map<std::string, std::size_t> excused;
+
+private:
+  void JudgeLife(const SoakLife& aLife);
+  void JudgeAnswer(const SoakRequest& aRequest);
+  void JudgeMissingAnswer(const SoakRequest& aRequest, const SoakLife& aLife);
+  void JudgeCutAnswer(const SoakRequest& aRequest, const SoakLife& aLife);
+  void Report(const SoakRequest& aRequest, const std::string& aViolation);
+  [[nodiscard]] std::size_t Runs(const SoakRequest& aRequest) const;
+  [[nodiscard]] const SoakLife& LifeOf(const SoakRequest& aRequest) const;
+  [[nodiscard]] std::string StopTime(const SoakLife& aLife, SoakTime aTime) const;
+
+  Facts facts;
+  std::chrono::milliseconds drain;
+  std::chrono::milliseconds finalAnswersAfter;
+};
+
+} // namespace toucanstand
