Soak: excuse requests from the signal that kills a VM to the end of its process

The excused time was the moment of the signal. The log of the VM ends there without a planned stop, and the next process starts 9 ms later.

--- a/tests/platform/support/SoakRecords.h
+++ b/tests/platform/support/SoakRecords.h
@@ -47,7 +47,7 @@
   /// First SIGTERM.
   std::optional<SoakTime> terminatedAt;
   std::optional<SoakTime> endedAt;
-  /// Times for which it was stopped by SIGSTOP, and the time of a SIGKILL.
+  /// Times for which it was stopped by SIGSTOP, and from a SIGKILL to its end.
   std::vector<std::pair<SoakTime, SoakTime>> disturbances;
   int exitCode = 0;
   std::string log;
