--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -72,6 +72,8 @@
   /// Waits for the first byte of a request. @returns false when the caller closed or the
   /// connection was idle for too long.
   Task<bool> AwaitFirstByte();
+  /// Discards the line ends before a request.
+  void DiscardLineEnds();
   /// @param aSilence see AwaitClose()
   Task<> Reject(HttpResponse aResponse, const char* aType, Duration aSilence);
   Task<> RejectMalformed(int aStatus, const char* aType, const std::string& aMessage);
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -50,6 +50,8 @@
   std::string crashingPromptPart;
   /// An engine crashes when a stream has sent this many events; 0 for never.
   int crashAfterEvents = 0;
+  /// Time that the server takes for a report of its state, as on a busy machine.
+  std::chrono::milliseconds reportDelay{ 0 };
   /// Requests per second that the server says it takes; nothing if empty.
   std::string statedLimit;
   /// Responses without the server's signature header.
@@ -102,6 +104,8 @@
 
   RegistrationChangedHandler onRegistrationChanged;
   RunStartedHandler onRunStarted;
+  /// A run breaks off or stalls, or its answer has a falsified head.
+  std::function<void(const std::string& aAttemptId)> onRunFailed;
   GroupCompletenessCheck isGroupComplete;
   BackendServerFaults faults;
   std::chrono::milliseconds eventInterval = kEventInterval;
@@ -130,6 +134,7 @@
   /// @returns the HTTP status of the reply
   [[nodiscard]] int ApplyOrder(const nlohmann::json& aOrder);
   [[nodiscard]] HttpHeaders ResponseHeaders(const HttpRequest& aRequest);
+  void NoteRunFailed(const HttpExchange& aExchange);
   void SetGroupState(const std::string& aState);
 
   boost::asio::io_context& loop;
