Read nothing from a backend server's answer to another request

What callers saw: a request was answered with 503 "not run, come back", or was run at a second server, although the server that it had been sent to may have been running it. That server had written an earlier refusal once more.

Cause: ReadResponseHead() took "not run" from X-Not-Run or the status 421 alone, and both kinds of calls looked at it before they looked at the attempt id of the answer. An answer with two different attempt ids passed if the first was the right one.

Change: of an answer that names another request, two requests or an empty id, nothing is read: neither "not run", nor a load, a rate limit or a server at fault. The call treats it as a broken connection, so the request may have run. A refusal without an id is believed as before: each request has a connection of its own, names the server that is to take it, and a server that has taken over an address refuses without reading the id. A success that says "not run" contradicts itself and is no answer.

Also: interim responses (1xx) were forwarded to callers as final ones; they are skipped now, up to 8 of them. An idle connection with unread bytes, such as a surplus answer of the store, is not used again. A reply that names a client's request answers no control order and no probe.

Ruled out: leftovers on our own connections to servers, which carry one request each.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -32,6 +32,8 @@
 /// Bytes that were read and not yet parsed. The parser asks for more until the size line
 /// of a chunk or the trailers end, which its own limits do not cover.
 constexpr std::size_t kMostUnparsed = 2UL * kMostHeaderBytes;
+/// Interim responses (1xx) before the final one; a server sends one or two.
+constexpr std::size_t kMaxInterimResponses = 8;
 /// Room for one read of a body; part of the coroutine frame of each open stream.
 constexpr std::size_t kReadBytes = 4096;
 /// Time for a response that the server sent before it refused the rest of a request.
@@ -134,7 +136,9 @@
       auto connection = std::move(connections.back());
       connections.pop_back();
       const bool fresh = BootClock::now() - connection->idleSince < kLongestIdle;
-      if (fresh && !PeerHasClosed(connection->stream.socket())) {
+      auto& socket = connection->stream.socket();
+      // Unread bytes are a surplus answer to an earlier request.
+      if (fresh && !PeerHasClosed(socket) && !HasUnreadBytes(socket)) {
         return connection;
       }
     }
@@ -240,6 +244,22 @@
   GiveBack giveBack;
 };
 
+std::unique_ptr<OpenStream::Parser> MakeParser(bool aIsHeadRequest)
+{
+  auto parser = std::make_unique<OpenStream::Parser>();
+  parser->skip(aIsHeadRequest);
+  parser->header_limit(kMostHeaderBytes);
+  parser->body_limit(boost::none);
+  return parser;
+}
+
+/// True for a response that a final one follows (RFC 9110, 15.2).
+bool IsInterim(const OpenStream::Parser& aParser)
+{
+  return http::to_status_class(aParser.get().result_int()) ==
+         http::status_class::informational;
+}
+
 Task<Result<ConnectionPointer, HttpFailure>> Connect(asio::io_context& aLoop,
                                                      const Endpoint& aEndpoint,
                                                      Duration aTimeout,
@@ -425,10 +445,8 @@
     connection = std::move(*connected);
   }
   const auto message = ToMessage(aEndpoint, std::move(aRequest));
-  auto parser = std::make_unique<OpenStream::Parser>();
-  parser->skip(message.method() == http::verb::head);
-  parser->header_limit(kMostHeaderBytes);
-  parser->body_limit(boost::none);
+  const bool isHeadRequest = message.method() == http::verb::head;
+  std::unique_ptr<OpenStream::Parser> parser;
   bool reusable = aUse != ConnectionUse::Single;
   {
     const CancelScope scope(aCancel, connection->stream);
@@ -443,14 +461,21 @@
       connection->stream.expires_after(kEarlyResponse);
       reusable = false;
     }
-    auto [headError, received] = co_await http::async_read_header(
-      connection->stream, connection->buffer, *parser, kAwait);
-    if (headError || aCancel.IsTripped()) {
-      co_return ReadFailure(
-        headError,
-        aCancel,
-        sendError ? HttpFailure::SendBroken : HttpFailure::HeadTimedOut,
-        sendError ? HttpFailure::SendBroken : HttpFailure::BrokenBeforeHead);
+    std::size_t interimResponses = 0;
+    while (!parser || IsInterim(*parser)) {
+      if (parser && ++interimResponses > kMaxInterimResponses) {
+        co_return HttpFailure::Malformed;
+      }
+      parser = MakeParser(isHeadRequest);
+      auto [headError, received] = co_await http::async_read_header(
+        connection->stream, connection->buffer, *parser, kAwait);
+      if (headError || aCancel.IsTripped()) {
+        co_return ReadFailure(
+          headError,
+          aCancel,
+          sendError ? HttpFailure::SendBroken : HttpFailure::HeadTimedOut,
+          sendError ? HttpFailure::SendBroken : HttpFailure::BrokenBeforeHead);
+      }
     }
   }
   std::weak_ptr<Implementation> weak = shared;
--- a/modules/toucanstand_transport/http/SocketOptions.cpp
+++ b/modules/toucanstand_transport/http/SocketOptions.cpp
@@ -48,6 +48,12 @@
   return received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
 }
 
+bool HasUnreadBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
 {
   int bytes = 0;
--- a/modules/toucanstand_transport/http/SocketOptions.h
+++ b/modules/toucanstand_transport/http/SocketOptions.h
@@ -13,6 +13,9 @@
 /// True when the other end closed its side, without consuming received bytes.
 [[nodiscard]] bool PeerHasClosed(boost::asio::ip::tcp::socket& aSocket);
 
+/// True when bytes have arrived that were not read.
+[[nodiscard]] bool HasUnreadBytes(boost::asio::ip::tcp::socket& aSocket);
+
 /// Bytes that the other end has not acknowledged; 0 when the kernel can't tell.
 [[nodiscard]] std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
 
--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -70,7 +70,8 @@
   bool wrongServer = false;
   /// Signed by the server; a success without it is no answer of the server.
   bool isSigned = false;
-  /// Names the request that it answers, or names none.
+  /// Names the request that it answers, or names none. If false, the answer says nothing
+  /// about this call, and the other members have their defaults.
   bool answersThisCall = true;
   std::optional<StatedLoad> load;
   StatedRateLimit rateLimit;
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -108,12 +108,12 @@
   const auto facts =
     platform::ReadResponseHead(status, aStream.Headers(), this->call.facts.id);
   this->state.OnResponseHead(aServer, facts);
-  if (facts.statesNotRun) {
-    co_return FailedAttempt{ AttemptFailure::RefusedAsNotRun, std::nullopt };
-  }
   if (!facts.answersThisCall || (facts.isSuccess && !facts.isSigned)) {
     co_return FailedAttempt{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
+  if (facts.statesNotRun) {
+    co_return FailedAttempt{ AttemptFailure::RefusedAsNotRun, std::nullopt };
+  }
   auto response = co_await this->sender.ReadWhole(aStream);
   if (!response) {
     co_return FailedAttempt{ this->sender.ClassifyFailure(response.LastReason()),
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -240,11 +240,14 @@
 Task<std::optional<FailedAttempt>> GenerationCall::ReadFailure(HttpClientStream& aStream,
                                                                const ReplyFacts& aFacts)
 {
+  if (!aFacts.answersThisCall) {
+    co_return FailedAttempt{ AttemptFailure::BrokenBeforeHead, std::nullopt };
+  }
   if (aFacts.statesNotRun) {
     this->groupUnusable = aFacts.wrongServer || aFacts.serverAtFault.has_value();
     co_return FailedAttempt{ AttemptFailure::RefusedAsNotRun, std::nullopt };
   }
-  if (!aFacts.answersThisCall || aFacts.isSuccess) {
+  if (aFacts.isSuccess) {
     co_return FailedAttempt{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
   auto response = co_await this->sender.ReadWhole(aStream);
--- /dev/null
+++ b/tests/platform/support/AnswerInjector.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <chrono>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "http/Task.h"
+#include "network/Endpoint.h"
+
+namespace toucanstand {
+
+/// Bytes that a faulty backend server writes in answer to one request.
+struct InjectedAnswer
+{
+  /// Each piece is written on its own, kPieceInterval after the one before. `{ID}` stands
+  /// for the attempt id of the request, `{LAST}` for its last event id.
+  std::vector<std::string> pieces;
+  /// How the connection ends after the last piece.
+  enum class End
+  {
+    Close,
+    Reset,
+    /// The connection stays open until the other side closes it.
+    StayOpen,
+  };
+  End end = End::Close;
+};
+
+/// Answers that the injectors of a platform share.
+struct InjectedAnswers
+{
+  /// Answers to the next requests, at whichever server they arrive.
+  std::deque<InjectedAnswer> due;
+  /// Attempt ids of the answered requests, oldest first.
+  std::vector<std::string> attemptIds;
+};
+
+/// Stands in front of a backend server and writes given bytes in answer to requests, in
+/// forms that an HTTP server can't be made to write. Passes on control orders and probes,
+/// and all requests while no answer is due.
+class AnswerInjector
+{
+public:
+  static constexpr auto kPieceInterval = std::chrono::milliseconds(30);
+
+  /// Listens at a port of its own. @param aAnswers must outlive the injector
+  AnswerInjector(boost::asio::io_context& aLoop,
+                 Endpoint aServer,
+                 InjectedAnswers& aAnswers);
+
+  [[nodiscard]] Endpoint Address() const;
+
+private:
+  Task<> Accept();
+  Task<> Serve(boost::asio::ip::tcp::socket aCaller);
+  Task<> WriteAnswer(boost::asio::ip::tcp::socket& aCaller,
+                     InjectedAnswer aAnswer,
+                     std::string aHead);
+
+  boost::asio::io_context& loop;
+  Endpoint server;
+  InjectedAnswers& answers;
+  boost::asio::ip::tcp::acceptor acceptor;
+};
+
+} // namespace toucanstand
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -84,7 +84,7 @@
 std::string BackendServerStandin::RegistrationText() const
 {
   json entry = { { "Service", this->service },
-                 { "Address", this->endpoint.Text() },
+                 { "Address", this->advertised.value_or(this->endpoint).Text() },
                  { "Zone", "zone-a" },
                  { "Version", "v1" },
                  { "Slots", 8 },
@@ -106,6 +106,12 @@
   return entry.dump();
 }
 
+void BackendServerStandin::Advertise(const Endpoint& aEndpoint)
+{
+  this->advertised = aEndpoint;
+  this->onRegistrationChanged(this->RegistrationText());
+}
+
 void BackendServerStandin::SetDraining()
 {
   this->registrationState = "draining";
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -82,6 +82,10 @@
                        std::string aDomain);
 
   void Listen();
+  /// Address at which the server listens.
+  [[nodiscard]] const Endpoint& Address() const { return this->endpoint; }
+  /// Registers another address than the one at which the server listens.
+  void Advertise(const Endpoint& aEndpoint);
   /// Refuses all connections, as behind a partition, until Listen() is called again.
   /// Keeps its state.
   void RefuseConnections();
@@ -132,6 +136,7 @@
   /// Keeps the port while the server does not listen.
   std::optional<boost::asio::ip::tcp::socket> reservedPort;
   Endpoint endpoint;
+  std::optional<Endpoint> advertised;
   bool alive = true;
   std::string group;
   std::int64_t epoch = 0;
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -191,6 +191,41 @@
   return heads;
 }
 
+void PlatformStandin::AddInjectors()
+{
+  this->RunOnLoop([this] {
+    for (const auto& [id, server] : this->servers) {
+      auto injector = std::make_unique<AnswerInjector>(
+        this->loop, server->Address(), this->injectedAnswers);
+      server->Advertise(injector->Address());
+      this->injectors.emplace(id, std::move(injector));
+    }
+  });
+}
+
+void PlatformStandin::InjectAnswers(const std::vector<InjectedAnswer>& aAnswers)
+{
+  this->RunOnLoop(
+    [&] { this->injectedAnswers.due.assign(aAnswers.begin(), aAnswers.end()); });
+}
+
+std::size_t PlatformStandin::AnswersDue()
+{
+  std::size_t count = 0;
+  this->RunOnLoop([&] { count = this->injectedAnswers.due.size(); });
+  return count;
+}
+
+std::size_t PlatformStandin::InjectedAnswerCount(const std::string& aAttemptId)
+{
+  std::size_t count = 0;
+  this->RunOnLoop([&] {
+    count = static_cast<std::size_t>(
+      std::ranges::count(this->injectedAnswers.attemptIds, aAttemptId));
+  });
+  return count;
+}
+
 void PlatformStandin::DeleteRegistration(const std::string& aId)
 {
   this->RunOnLoop([&] { this->store->Delete("servers/" + aId); });
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "metrics/MetricsRegistry.h"
+#include "support/AnswerInjector.h"
 #include "support/BackendServerStandin.h"
 #include "support/HttpCaller.h"
 #include "support/ProcessLauncher.h"
@@ -54,6 +55,14 @@
   {
     return *this->servers.at(aId);
   }
+  /// Places an AnswerInjector in front of each backend server.
+  void AddInjectors();
+  /// Sets the answers that the injectors give to the next requests.
+  void InjectAnswers(const std::vector<InjectedAnswer>& aAnswers);
+  /// Answers that no request has taken yet.
+  [[nodiscard]] std::size_t AnswersDue();
+  /// Requests with this attempt id that got an injected answer.
+  [[nodiscard]] std::size_t InjectedAnswerCount(const std::string& aAttemptId);
   [[nodiscard]] StoreStandin& Store() { return *this->store; }
   [[nodiscard]] std::vector<RecordedRun> Runs();
   /// The head of each open group: server ids by group name.
@@ -73,6 +82,8 @@
   MetricsRegistry metrics;
   std::unique_ptr<StoreStandin> store;
   std::map<std::string, std::unique_ptr<BackendServerStandin>> servers;
+  InjectedAnswers injectedAnswers;
+  std::map<std::string, std::unique_ptr<AnswerInjector>> injectors;
   std::string currentConfiguration;
   std::vector<RecordedRun> runs;
   std::thread thread;
--- /dev/null
+++ b/tests/unit/toucanstand_platform/TestEngineClient.cpp
@@ -0,0 +1,81 @@
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "http/HttpServer.h"
+#include "platform/EngineClient.h"
+
+using namespace toucanstand;
+
+namespace {
+
+struct EngineAnswers
+{
+  EngineOrderReply order = EngineOrderReply::Unknown;
+  bool probe = false;
+};
+
+/// Sends an order and a probe to an engine that answers both in this way.
+EngineAnswers Ask(int aStatus, const HttpHeaders& aHeaders, const std::string& aBody = "")
+{
+  boost::asio::io_context loop;
+  MetricsRegistry metrics;
+  HttpServer server(
+    loop,
+    HttpServerLimits{},
+    [&](HttpExchange& aExchange) -> Task<> {
+      HttpResponse response;
+      response.status = aStatus;
+      response.headers = aHeaders;
+      response.body = aBody;
+      co_await aExchange.Respond(std::move(response));
+    },
+    metrics);
+  const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
+  platform::EngineClient client(loop, metrics);
+  EngineAnswers answers;
+  boost::asio::co_spawn(
+    loop,
+    [&]() -> Task<> {
+      EngineOrder order;
+      order.kind = OrderKind::Leave;
+      order.server = ServerId("i-1");
+      order.endpoint = endpoint;
+      answers.order = co_await client.SendOrder(order);
+      answers.probe = co_await client.RespondsToProbe(ServerId("i-1"), endpoint);
+    },
+    [&loop](const std::exception_ptr&) { loop.stop(); });
+  loop.run_for(std::chrono::seconds(5));
+  server.Abort();
+  return answers;
+}
+
+} // namespace
+
+TEST_CASE("The answer to a client's request answers neither an order nor a probe",
+          "[platform]")
+{
+  // Guards against an engine that sends an answer of an earlier request once more, which
+  // would say that an order was carried out or refused.
+  for (const int status : { 200, 202, 400, 409, 412, 421 }) {
+    INFO(status);
+    const auto own = Ask(status, {});
+    CHECK(own.order != EngineOrderReply::Unknown);
+    CHECK(own.probe == (status == 200));
+    const auto foreign = Ask(status, { { "X-Attempt-Id", "id-1" } });
+    CHECK(foreign.order == EngineOrderReply::Unknown);
+    CHECK(!foreign.probe);
+  }
+}
+
+TEST_CASE("The text of a reply to an order or a probe is not read", "[platform]")
+{
+  // Guards against an engine whose report or reply can't be parsed and counts as lost.
+  const std::string brackets(60000, '[');
+  for (const auto& text :
+       std::vector{ std::string("{"), std::string("\xff\0\x01", 3), brackets }) {
+    const auto answers = Ask(200, {}, text);
+    CHECK(answers.order == EngineOrderReply::Done);
+    CHECK(answers.probe);
+  }
+}
--- a/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
+++ b/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
@@ -177,6 +177,52 @@
            .load.has_value());
 }
 
+TEST_CASE("Nothing is read from the answer to another request", "[platform]")
+{
+  // Guards against a refusal of another request, which a faulty server sends once more
+  // and which would say that this one was not run.
+  const RequestId attemptId("id-1");
+  const HttpHeaders claims = { { "X-Not-Run", "1" },
+                               { "X-Engine-Stamp", "s" },
+                               { "X-Engine-Load", "3,1,8" },
+                               { "At-Server", "i-2" },
+                               { "Server-Limit", "0" } };
+  const std::vector<std::vector<std::string>> foreignIds = {
+    { "id-2" }, { "" }, { "id-1 " }, { "ID-1" }, { "id-1", "id-2" }, { "id-2", "id-1" }
+  };
+  for (const int status : { 200, 206, 408, 421, 429, 500, 503 }) {
+    for (const auto& ids : foreignIds) {
+      auto headers = claims;
+      for (const auto& id : ids) {
+        headers.Add("X-Attempt-Id", id);
+      }
+      INFO(status << ' ' << ids.front() << ' ' << ids.size());
+      const auto facts = platform::ReadResponseHead(status, headers, attemptId);
+      CHECK(!facts.answersThisCall);
+      CHECK(!facts.statesNotRun);
+      CHECK(!facts.wrongServer);
+      CHECK(!facts.isSuccess);
+      CHECK(!facts.isSigned);
+      CHECK(!facts.load.has_value());
+      CHECK(!facts.serverAtFault.has_value());
+      CHECK(facts.rateLimit.kind == StatedRateLimit::Kind::Unlimited);
+    }
+  }
+  // Twice the own id is not ambiguous, and an answer without an id is that of the only
+  // request of its connection.
+  for (const auto& headers :
+       { HttpHeaders{ { "X-Attempt-Id", "id-1" }, { "X-Attempt-Id", "id-1" } },
+         HttpHeaders() }) {
+    CHECK(platform::ReadResponseHead(421, headers, attemptId).statesNotRun);
+  }
+  // A request without an id can't be named by an answer.
+  CHECK(!platform::ReadResponseHead(421, { { "X-Attempt-Id", "id-2" } }, RequestId())
+           .statesNotRun);
+  CHECK(!platform::ReadResponseHead(
+           200, { { "X-Not-Run", "1" }, { "X-Engine-Stamp", "s" } }, attemptId)
+           .statesNotRun);
+}
+
 TEST_CASE("A rate limit that is no number neither sets nor lifts a limit", "[platform]")
 {
   // Guards against a malformed limit that is read as zero, or as the end of the limit.
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -305,3 +305,72 @@
                   UnframedBody::EndsWithConnection)
            .HasValue());
 }
+
+TEST_CASE("Interim responses are skipped, and a server that sends only these is left",
+          "[http]")
+{
+  // Guards against an interim response that is taken for the final one.
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  const std::string final = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
+  std::string reply = final;
+  for (int count = 0; count < 20; ++count) {
+    INFO(count);
+    const auto response = FetchRaw(reply, UnframedBody::Refuse);
+    if (count <= 8) {
+      REQUIRE(response.HasValue());
+      CHECK(response->status == 200);
+      CHECK(response->body == "whole");
+      CHECK(!response->headers.Has("Link"));
+    } else {
+      REQUIRE(!response.HasValue());
+      CHECK(response.LastReason() == HttpFailure::Malformed);
+    }
+    reply.insert(0, interim);
+  }
+  const auto unfinished = FetchRaw(interim, UnframedBody::EndsWithConnection);
+  REQUIRE(!unfinished.HasValue());
+  CHECK(unfinished.LastReason() == HttpFailure::BrokenBeforeHead);
+}
+
+TEST_CASE("A surplus answer on a kept connection does not answer the next request",
+          "[http]")
+{
+  // Guards against a server that writes an answer twice, of which the second would answer
+  // a later request.
+  const auto answer = [](const std::string& aBody) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(aBody.size()) +
+           "\r\n\r\n" + aBody;
+  };
+  asio::io_context loop;
+  MetricsRegistry metrics;
+  const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+  asio::ip::tcp::acceptor acceptor(loop, any);
+  const Endpoint endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
+  std::vector<asio::ip::tcp::socket> accepted;
+  const auto serve = [&](const std::string& aFirst,
+                         const std::string& aSurplus) -> Task<> {
+    auto socket = co_await acceptor.async_accept(asio::use_awaitable);
+    std::string request(16, '\0');
+    co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(aFirst), asio::use_awaitable);
+    asio::steady_timer timer(loop, 20ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(aSurplus), asio::use_awaitable);
+    accepted.push_back(std::move(socket));
+  };
+  HttpClient client(loop, metrics);
+  std::vector<std::string> bodies;
+  RunUntilDone(loop, [&]() -> Task<> {
+    const HttpDeadlines deadlines;
+    for (const auto* body : { "one", "two" }) {
+      const auto first = answer(body);
+      const auto surplus = answer("surplus");
+      asio::co_spawn(loop, serve(first, surplus), asio::detached);
+      auto response = co_await client.Fetch(endpoint, HttpRequest(), deadlines);
+      bodies.push_back(response ? response->body : "");
+      asio::steady_timer timer(loop, 100ms);
+      co_await timer.async_wait(asio::use_awaitable);
+    }
+  }());
+  CHECK(bodies == std::vector<std::string>{ "one", "two" });
+}
