Continue a broken stream with its own events only

What callers saw: a stream broke off, the next engine answered with an error, and the client found the error's text, the head of another response, wrong events or an orderly end in the middle of its stream.

Causes: any signed 2xx was relayed whatever its status and content type; the framer took any bytes up to an empty line for an event; ids only had to rise, events without an id and ids that are no numbers passed anywhere; a stream without any event ended the client's stream as complete; when an event was rejected, those received in the same piece counted as received although the client never got them, so that the next engine left them out.

Change: only a 200 whose content type is that of an event stream, or absent, starts a stream. An event has known fields, at most one id, and the id that follows the one before where ids are consecutive. On routes that can be resumed, and after an event with an id, data without an id is rejected, except the mark of the end. Events of a rejected piece do not count as received. Comments before the first event of an attempt are left out. A stream that ends without an event is believed only if none can be missing. A stream that was forwarded without ids is not sent to a second engine. An error after the stream has begun is no longer read to its end.

Ruled out: errors with their own status, unsigned answers, answers of another request, streams that start again or repeat the last event, 304, redirects and a head in place of a chunk did not get into a begun stream before either.

--- a/modules/toucanstand_delivery/answers/EventFramer.cpp
+++ b/modules/toucanstand_delivery/answers/EventFramer.cpp
@@ -1,5 +1,6 @@
 #include "answers/EventFramer.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 
@@ -36,69 +37,135 @@
   }
 }
 
-std::string_view EventId(std::string_view aEvent)
+/// The fields of one event that matter here.
+struct EventFields
 {
-  constexpr std::string_view kField = "id:";
+  std::size_t ids = 0;
+  std::string_view id;
+  std::size_t dataLines = 0;
+  std::string_view lastData;
+  bool hasUnknownField = false;
+};
+
+/// Data of the event without an id that ends an answer.
+constexpr std::string_view kEndMark = "[DONE]";
+
+/// Readers of event streams ignore fields that they don't know. Here, such a line is
+/// taken for a part of an error message or of another response's head.
+EventFields ParseEvent(std::string_view aEvent)
+{
+  EventFields fields;
   std::size_t start = 0;
   while (start < aEvent.size()) {
     const auto end = std::min(aEvent.find('\n', start), aEvent.size());
     auto line = aEvent.substr(start, end - start);
     start = end + 1;
-    if (!line.starts_with(kField)) {
-      continue;
-    }
-    line.remove_prefix(kField.size());
-    line.remove_prefix(line.starts_with(' ') ? 1 : 0);
     line.remove_suffix(line.ends_with('\r') ? 1 : 0);
-    return line;
+    const auto colon = std::min(line.find(':'), line.size());
+    const auto name = line.substr(0, colon);
+    line.remove_prefix(std::min(colon + 1, line.size()));
+    line.remove_prefix(line.starts_with(' ') ? 1 : 0);
+    if (name == "id") {
+      ++fields.ids;
+      fields.id = line;
+    } else if (name == "data") {
+      ++fields.dataLines;
+      fields.lastData = line;
+    } else if (!name.empty() && name != "event" && name != "retry") {
+      fields.hasUnknownField = true;
+    }
   }
-  return {};
+  return fields;
 }
 
 } // namespace
 
-EventFramer::EventFramer(std::optional<std::string> aLastEventId)
-  : lastEventId(std::move(aLastEventId))
+EventFramer::EventFramer(std::optional<std::string> aLastEventId, EventIds aIds)
+  : ids(aIds)
+{
+  this->position.lastEventId = std::move(aLastEventId);
+}
+
+void EventFramer::BeginAttempt()
 {
+  this->pending.clear();
+  this->position.hasEndMark = false;
+  this->position.hasAttemptEvents = false;
 }
 
 Result<std::string, EventFailure> EventFramer::Feed(std::string_view aBytes)
 {
   this->pending += aBytes;
+  // The caller gets none of the events of a rejected piece, so the answer has to be
+  // resumed before them.
+  Position reached = this->position;
+  std::string events;
   std::size_t completeBytes = 0;
   const std::string_view bytes = this->pending;
   for (auto end = EndOfEvent(bytes); end != std::string_view::npos;
        end = EndOfEvent(bytes.substr(completeBytes))) {
     const auto event = bytes.substr(completeBytes, end);
-    if (!this->RecordId(event)) {
-      return EventFailure::OutOfOrder;
+    if (const auto failure = reached.Record(event, this->ids)) {
+      return *failure;
+    }
+    if (reached.hasAttemptEvents) {
+      events += event;
     }
     completeBytes += end;
-    // Events without an id, such as keep-alive comments, are not part of the answer.
-    this->eventCount += EventId(event).empty() ? 0 : 1;
   }
   if (this->pending.size() - completeBytes > kMaxEventBytes) {
     return EventFailure::TooLarge;
   }
-  std::string events = this->pending.substr(0, completeBytes);
   this->pending.erase(0, completeBytes);
+  this->position = std::move(reached);
   return events;
 }
 
-bool EventFramer::RecordId(std::string_view aEvent)
+std::optional<EventFailure> EventFramer::Position::Record(std::string_view aEvent,
+                                                          EventIds aIds)
 {
-  const auto id = EventId(aEvent);
-  if (id.empty()) {
-    return true;
+  const auto fields = ParseEvent(aEvent);
+  if (fields.hasUnknownField || fields.ids > 1) {
+    return EventFailure::NotAnEvent;
+  }
+  if (!fields.id.empty()) {
+    return this->RecordId(fields.id);
+  }
+  if (fields.dataLines == 0) {
+    // A comment or a setting, which is not part of the answer.
+    return std::nullopt;
+  }
+  this->hasAttemptEvents = true;
+  if (fields.dataLines == 1 && fields.lastData == kEndMark) {
+    this->hasEndMark = true;
+    return std::nullopt;
+  }
+  if (aIds == EventIds::Required || this->lastEventId) {
+    return EventFailure::WithoutId;
   }
-  const auto number = ParseNumber(id);
+  this->hasEventsWithoutId = true;
+  return std::nullopt;
+}
+
+std::optional<EventFailure> EventFramer::Position::RecordId(std::string_view aId)
+{
+  const auto number = ParseNumber(aId);
   const auto previous =
     this->lastEventId ? ParseNumber(*this->lastEventId) : std::nullopt;
-  if (number && previous && *number <= *previous) {
-    return false;
+  const bool isRepeated = this->lastEventId == aId;
+  if (isRepeated || (previous && (!number || *number <= *previous))) {
+    return EventFailure::OutOfOrder;
+  }
+  if (!previous) {
+    // A server that numbers events in another way need not number them without gaps.
+    this->isConsecutive = number && *number <= 1;
+  } else if (this->isConsecutive && *number - *previous > 1) {
+    return EventFailure::Gap;
   }
-  this->lastEventId = std::string(id);
-  return true;
+  this->lastEventId = std::string(aId);
+  this->hasAttemptEvents = true;
+  ++this->eventCount;
+  return std::nullopt;
 }
 
 } // namespace toucanstand
--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -64,6 +64,9 @@
 {
   /// A status of the 200s.
   bool isSuccess = false;
+  /// A status of 200 with a stream of events, unless it says that its body is something
+  /// else.
+  bool startsStream = false;
   /// The server did not run the request and never will.
   bool statesNotRun = false;
   /// Another server has the address, or the server does not take this request.
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -38,7 +38,8 @@
   , placement(*aState.FindPlacement(aCall.pool))
   , sender(aState, aCall)
   , progress(aState, aCall)
-  , framer(aCall.facts.lastEventId)
+  , framer(aCall.facts.lastEventId,
+           aCall.route->isResumable ? EventIds::Required : EventIds::Optional)
 {
 }
 
@@ -131,7 +132,7 @@
 
 Task<std::optional<FailedAttempt>> GenerationCall::Attempt(const PlacementChoice& aChoice)
 {
-  this->framer.DropPartialEvent();
+  this->framer.BeginAttempt();
   this->eventsBeforeAttempt = this->framer.EventCount();
   this->groupUnusable = false;
   this->statedRateLimit = {};
@@ -151,7 +152,7 @@
     if (facts.load) {
       this->placement.OnStatedLoad(aChoice.group.id, *facts.load, BootClock::now());
     }
-    const bool streamStarts = facts.isSuccess && facts.isSigned && facts.answersThisCall;
+    const bool streamStarts = facts.startsStream && facts.isSigned;
     if (streamStarts) {
       failedAttempt = co_await this->RelayStream(stream);
     } else {
@@ -209,10 +210,10 @@
       nextEventDue = BootClock::now() + this->EffectiveTimeout(kEventGapTimeout);
     }
   }
-  if (this->framer.HasPartialEvent()) {
+  if (!this->IsPlausibleEnd()) {
     co_return FailedAttempt{ AttemptFailure::BrokenInBody, std::nullopt };
   }
-  // A stream without any event is a valid response, so its head still has to be sent.
+  // The head of a stream without any event still has to be sent.
   const bool started = co_await this->ForwardEvents(aStream, std::string());
   if (!started || !co_await this->call.exchange.FinishStream()) {
     co_return FailedAttempt{ AttemptFailure::CallerLeft, std::nullopt };
@@ -220,6 +221,25 @@
   co_return std::nullopt;
 }
 
+bool GenerationCall::IsPlausibleEnd() const
+{
+  if (this->framer.HasPartialEvent()) {
+    return false;
+  }
+  const bool hasEvents = this->framer.EventCount() > this->eventsBeforeAttempt ||
+                         this->framer.HasEventsWithoutId() || this->framer.HasEndMark();
+  if (hasEvents) {
+    return true;
+  }
+  // A server that fails at once may end its stream in order. Without events it is
+  // believed only if none can be missing: the client itself may have asked for what
+  // follows the last event, or the answer has its greatest length.
+  const auto events = static_cast<double>(this->framer.EventCount());
+  return this->eventsBeforeAttempt == 0 ? this->call.facts.lastEventId.has_value()
+                                        : events >= this->call.facts.mostAnswerTokens &&
+                                            this->call.facts.mostAnswerTokens > 0;
+}
+
 Task<bool> GenerationCall::ForwardEvents(const HttpClientStream& aStream,
                                          const std::string& aEvents)
 {
@@ -234,6 +254,9 @@
     co_return !this->call.exchange.CallerGone();
   }
   this->progress.tracker.OnTokensReceived(this->framer.EventCount());
+  if (this->framer.HasEventsWithoutId()) {
+    this->progress.tracker.OnBodyForwarded();
+  }
   co_return co_await this->call.exchange.WriteChunk(aEvents);
 }
 
@@ -250,6 +273,11 @@
   if (aFacts.isSuccess) {
     co_return FailedAttempt{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
+  if (this->progress.responseStarted) {
+    // The client can't be told of the error, so the stream is continued elsewhere at
+    // once.
+    co_return FailedAttempt{ AttemptFailure::ServerError, std::nullopt };
+  }
   auto response = co_await this->sender.ReadWhole(aStream);
   if (!response) {
     co_return FailedAttempt{ this->sender.ClassifyFailure(response.LastReason()),
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -33,6 +33,8 @@
   Task<std::optional<FailedAttempt>> RelayStream(HttpClientStream& aStream);
   Task<std::optional<FailedAttempt>> ReadFailure(HttpClientStream& aStream,
                                                  const ReplyFacts& aFacts);
+  /// True when the stream that has ended in order may be the whole rest of the answer.
+  [[nodiscard]] bool IsPlausibleEnd() const;
   Task<bool> ForwardEvents(const HttpClientStream& aStream, const std::string& aEvents);
   void LogRefusal(const RefusedPlacement& aDelay);
   [[nodiscard]] PlacementQuery MakePlacementQuery() const;
