Read records of other writers whole or not at all

What operators saw elsewhere: one odd entry among the registrations of the servers ended the machines that read the list, or they followed it no more.

Here, no record ended the process. But numbers above 2^63 were read as other numbers, wrong types of some fields counted as missing ones, port 0, 0.0.0.0, addresses with a NUL byte and ids with line ends named servers; several large values in one answer of the change feed stopped the reading for good; and an unreadable value of the leader key kept all VMs from leading.

Change: each field of a registration that is read has a type and a bound, a field named twice is malformed, and ids are visible ASCII; each rejected entry is counted. A whole number in floating-point form is read, as JSON has one kind of numbers. An unreadable answer of the change feed leads to a whole read in pages. An unreadable leader key is deleted under its revision. Numbers and revisions of peers, headers and the configuration are bounded, and so are the durations made from them.

Ruled out: deep nesting, brackets without end, invalid UTF-8 and numbers like 1e400, which were malformed before, too.

--- a/modules/toucanstand_core/network/Endpoint.cpp
+++ b/modules/toucanstand_core/network/Endpoint.cpp
@@ -20,7 +20,9 @@
   Endpoint endpoint;
   endpoint.address = std::string(aText.substr(0, colon));
   in_addr parsed{};
-  if (inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
+  // inet_pton() reads up to the first NUL byte.
+  if (endpoint.address.find('\0') != std::string::npos ||
+      inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
     return std::nullopt;
   }
   const auto digits = aText.substr(colon + 1);
@@ -32,4 +34,15 @@
   return endpoint;
 }
 
+bool Endpoint::IsDestination() const
+{
+  constexpr std::uint32_t kFirstMulticast = 0xE0000000U;
+  in_addr parsed{};
+  const bool isAddress = inet_pton(AF_INET, this->address.c_str(), &parsed) == 1;
+  const auto number = ntohl(parsed.s_addr);
+  // 0.0.0.0 reaches this machine; from the first multicast address on, none is a
+  // machine's.
+  return isAddress && this->port != 0 && number != 0 && number < kFirstMulticast;
+}
+
 } // namespace toucanstand
--- a/modules/toucanstand_core/network/Endpoint.h
+++ b/modules/toucanstand_core/network/Endpoint.h
@@ -20,6 +20,10 @@
   /// Reads `address:port` with a numeric IPv4 address; nothing when malformed.
   [[nodiscard]] static std::optional<Endpoint> Parse(std::string_view aText);
 
+  /// True when a server can be reached at it: it has a port, and its address is that of
+  /// one machine.
+  [[nodiscard]] bool IsDestination() const;
+
   friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
 };
 
--- a/modules/toucanstand_core/serialization/BoundedJson.cpp
+++ b/modules/toucanstand_core/serialization/BoundedJson.cpp
@@ -1,5 +1,9 @@
 #include "serialization/BoundedJson.h"
 
+#include <set>
+#include <string>
+#include <vector>
+
 #include <nlohmann/json.hpp>
 
 namespace toucanstand {
@@ -8,17 +12,17 @@
 
 using nlohmann::json;
 
-/// Stops at the first value that is nested too deep. nlohmann's binary readers and its
-/// serializer recurse, so an unchecked document could exhaust the stack.
-class DepthCheck : public nlohmann::json_sax<json>
+/// Stops at the first value that is nested too deep or named twice. nlohmann's binary
+/// readers and its serializer recurse, so an unchecked document could exhaust the stack.
+class StructureCheck : public nlohmann::json_sax<json>
 {
 public:
-  explicit DepthCheck(std::size_t aLimit)
-    : limit(aLimit)
+  explicit StructureCheck(const DecodeLimits& aLimits)
+    : limits(aLimits)
   {
   }
 
-  [[nodiscard]] bool WasTooDeep() const { return this->tooDeep; }
+  [[nodiscard]] DecodeFailure Failure() const { return this->failure; }
 
   // NOLINTBEGIN(readability-identifier-naming): the library's interface
   bool null() override { return true; }
@@ -32,9 +36,23 @@
   }
   bool string(std::string& /*aText*/) override { return true; }
   bool binary(json::binary_t& /*aBytes*/) override { return true; }
-  bool start_object(std::size_t /*aSize*/) override { return this->Enter(); }
-  bool key(std::string& /*aText*/) override { return true; }
-  bool end_object() override { return this->Leave(); }
+  bool start_object(std::size_t /*aSize*/) override
+  {
+    this->names.emplace_back();
+    return this->Enter();
+  }
+  bool key(std::string& aText) override
+  {
+    const bool isAccepted = this->limits.duplicateNames == DuplicateNames::Accept ||
+                            this->names.back().insert(aText).second;
+    this->failure = isAccepted ? this->failure : DecodeFailure::DuplicateName;
+    return isAccepted;
+  }
+  bool end_object() override
+  {
+    this->names.pop_back();
+    return this->Leave();
+  }
   bool start_array(std::size_t /*aSize*/) override { return this->Enter(); }
   bool end_array() override { return this->Leave(); }
   bool parse_error(std::size_t /*aPosition*/,
@@ -48,8 +66,9 @@
 private:
   bool Enter()
   {
-    this->tooDeep = ++this->depth > this->limit;
-    return !this->tooDeep;
+    const bool isTooDeep = ++this->depth > this->limits.depth;
+    this->failure = isTooDeep ? DecodeFailure::TooDeep : this->failure;
+    return !isTooDeep;
   }
 
   bool Leave()
@@ -58,9 +77,11 @@
     return true;
   }
 
-  std::size_t limit;
+  DecodeLimits limits;
   std::size_t depth = 0;
-  bool tooDeep = false;
+  /// Names of each object that has not ended.
+  std::vector<std::set<std::string>> names;
+  DecodeFailure failure = DecodeFailure::Malformed;
 };
 
 template<typename Bytes>
@@ -71,9 +92,9 @@
   if (aBytes.size() > aLimits.bytes) {
     return DecodeFailure::TooLarge;
   }
-  DepthCheck check(aLimits.depth);
+  StructureCheck check(aLimits);
   if (!json::sax_parse(aBytes.begin(), aBytes.end(), &check, aFormat)) {
-    return check.WasTooDeep() ? DecodeFailure::TooDeep : DecodeFailure::Malformed;
+    return check.Failure();
   }
   json document = aFormat == json::input_format_t::json
                     ? json::parse(aBytes.begin(), aBytes.end(), nullptr, false)
@@ -95,6 +116,8 @@
       return "too_deep";
     case DecodeFailure::Malformed:
       return "malformed";
+    case DecodeFailure::DuplicateName:
+      return "duplicate_name";
   }
   return "malformed";
 }
--- a/modules/toucanstand_core/serialization/BoundedJson.h
+++ b/modules/toucanstand_core/serialization/BoundedJson.h
@@ -18,6 +18,15 @@
   TooLarge,
   TooDeep,
   Malformed,
+  /// An object names a field twice, so that readers may take different values.
+  DuplicateName,
+};
+
+/// Whether an object may name a field twice; the last value is read then.
+enum class DuplicateNames
+{
+  Accept,
+  Reject,
 };
 
 /// Name of a failure for metrics and error bodies.
@@ -28,6 +37,7 @@
 {
   std::size_t bytes = 1U << 20U;
   std::size_t depth = 32;
+  DuplicateNames duplicateNames = DuplicateNames::Accept;
 };
 
 /// Reads JSON text from outside the process.
--- a/modules/toucanstand_core/serialization/Datagram.cpp
+++ b/modules/toucanstand_core/serialization/Datagram.cpp
@@ -1,5 +1,6 @@
 #include "serialization/Datagram.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 
@@ -67,7 +68,7 @@
   const bool good = aValue.is_number() && std::isfinite(aValue.get<double>()) &&
                     aValue.get<double>() >= 0;
   this->failed = this->failed || !good;
-  return good ? aValue.get<double>() : 0;
+  return good ? std::min(aValue.get<double>(), kMaxNumber) : 0;
 }
 
 std::uint64_t FieldReader::Whole(const json& aValue)
@@ -76,6 +77,13 @@
   return aValue.is_number_unsigned() ? aValue.get<std::uint64_t>() : 0;
 }
 
+std::uint64_t FieldReader::Whole(const json& aValue, std::uint64_t aMost)
+{
+  const auto number = this->Whole(aValue);
+  this->failed = this->failed || number > aMost;
+  return number;
+}
+
 std::string FieldReader::Text(const json& aValue)
 {
   this->failed = this->failed || !aValue.is_string();
--- a/modules/toucanstand_core/serialization/Datagram.h
+++ b/modules/toucanstand_core/serialization/Datagram.h
@@ -57,11 +57,16 @@
 class FieldReader
 {
 public:
+  /// Sums and products of such numbers stay finite and fit into 64 bits.
+  static constexpr double kMaxNumber = 1e15;
+
   [[nodiscard]] bool Failed() const { return this->failed; }
 
-  /// A finite number of 0 or more.
+  /// A finite number of 0 or more; one beyond kMaxNumber counts as kMaxNumber.
   double Number(const nlohmann::json& aValue);
   std::uint64_t Whole(const nlohmann::json& aValue);
+  /// Like Whole(), but fails for a larger number.
+  std::uint64_t Whole(const nlohmann::json& aValue, std::uint64_t aMost);
   std::string Text(const nlohmann::json& aValue);
   /// A list of that length, or of any when it is 0; an empty list when it is none.
   const nlohmann::json& List(const nlohmann::json& aValue, std::size_t aLength = 0);
--- a/modules/toucanstand_core/time/BootClock.cpp
+++ b/modules/toucanstand_core/time/BootClock.cpp
@@ -1,5 +1,7 @@
 #include "time/BootClock.h"
 
+#include <algorithm>
+#include <cmath>
 #include <ctime>
 
 namespace toucanstand {
@@ -24,7 +26,12 @@
 
 Duration FromSeconds(double aSeconds)
 {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
+  constexpr double kMaxSeconds = 10.0 * 365 * 24 * 3600;
+  if (std::isnan(aSeconds)) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(std::clamp(aSeconds, -kMaxSeconds, kMaxSeconds)));
 }
 
 } // namespace toucanstand
--- a/modules/toucanstand_core/time/BootClock.h
+++ b/modules/toucanstand_core/time/BootClock.h
@@ -28,7 +28,8 @@
 /// Seconds of a duration as a floating-point number, for rates and reports.
 [[nodiscard]] double ToSeconds(Duration aDuration);
 
-/// Duration of a floating-point number of seconds.
+/// Duration of a floating-point number of seconds. A number beyond 10 years counts as 10
+/// years, so that the duration may be added to a time; no number counts as zero.
 [[nodiscard]] Duration FromSeconds(double aSeconds);
 
 } // namespace toucanstand
--- a/modules/toucanstand_membership/peers/Presence.cpp
+++ b/modules/toucanstand_membership/peers/Presence.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <charconv>
-#include <cmath>
 #include <cstdio>
 
 namespace toucanstand {
@@ -25,8 +24,9 @@
   double share = 0;
   const char* const last = shareText.data() + shareText.size();
   const auto [end, error] = std::from_chars(shareText.data(), last, share);
-  const bool isValid = error == std::errc{} && end == last && std::isfinite(share);
-  if (!endpoint || !isValid || share <= 0) {
+  const bool isValid =
+    error == std::errc{} && end == last && share > 0 && share <= kMaxCpuShare;
+  if (!endpoint || !endpoint->IsDestination() || !isValid) {
     return std::nullopt;
   }
   return Presence{ *endpoint, share };
--- a/modules/toucanstand_membership/peers/Presence.h
+++ b/modules/toucanstand_membership/peers/Presence.h
@@ -11,6 +11,9 @@
 /// Value that an entry VM registers in the store for the other entry VMs.
 struct Presence
 {
+  /// No VM has more cores; larger values are malformed.
+  static constexpr double kMaxCpuShare = 4096;
+
   /// Address for datagrams between entry VMs.
   Endpoint endpoint;
   /// CPU share of the VM in cores.
--- a/modules/toucanstand_transport/store/ChangeFeed.h
+++ b/modules/toucanstand_transport/store/ChangeFeed.h
@@ -35,6 +35,9 @@
   bool hasMore = false;
   /// Revision of the store when the page was read.
   StoreRevision at = 0;
+  /// Key after which the next page begins, also if its item is unreadable and not among
+  /// the items; the key of the last item if empty.
+  std::string lastKey = {};
 };
 
 /// Ordered changes of the keys with a prefix, for a process that keeps a copy of them.
--- a/modules/toucanstand_transport/store/ChangeRelay.cpp
+++ b/modules/toucanstand_transport/store/ChangeRelay.cpp
@@ -13,6 +13,14 @@
 /// Key, revision and the other parts of a change.
 constexpr std::size_t kChangeOverhead = 32;
 
+/// A revision beyond the bound would make this copy ignore all later changes.
+StoreRevision ReadRevision(FieldReader& aReader, const json& aValue)
+{
+  constexpr auto kMaxRevision =
+    static_cast<std::uint64_t>((kMaxStoreHistory + 1) * (kMaxRevisionNumber + 1) - 1);
+  return static_cast<StoreRevision>(aReader.Whole(aValue, kMaxRevision));
+}
+
 std::size_t SizeOf(const StoreChange& aChange)
 {
   return kChangeOverhead + aChange.key.size() +
@@ -101,7 +109,7 @@
   FieldReader reader;
   ChangeQuery query;
   query.number = reader.Whole(aFields[0]);
-  query.after = static_cast<StoreRevision>(reader.Whole(aFields[1]));
+  query.after = ReadRevision(reader, aFields[1]);
   if (reader.Failed()) {
     return DatagramFailure::BadField;
   }
@@ -121,8 +129,8 @@
   ChangeAnswer answer;
   answer.number = reader.Whole(aFields[0]);
   answer.known = aFields[1].get<bool>();
-  answer.after = static_cast<StoreRevision>(reader.Whole(aFields[2]));
-  answer.changes.at = static_cast<StoreRevision>(reader.Whole(aFields[3]));
+  answer.after = ReadRevision(reader, aFields[2]);
+  answer.changes.at = ReadRevision(reader, aFields[3]);
   answer.changes.age =
     std::chrono::milliseconds(std::min(reader.Whole(aFields[4]), kLongestAgeMs));
   answer.changes.hasMore = aFields[5].get<bool>();
@@ -133,7 +141,7 @@
     }
     StoreChange change;
     change.key = reader.Text(items[0]);
-    change.revision = static_cast<StoreRevision>(reader.Whole(items[1]));
+    change.revision = ReadRevision(reader, items[1]);
     const auto& value = reader.List(items[2]);
     if (value.size() > 1 || (value.size() == 1 && !value[0].is_binary())) {
       return DatagramFailure::BadField;
--- a/modules/toucanstand_transport/store/StoreMirror.cpp
+++ b/modules/toucanstand_transport/store/StoreMirror.cpp
@@ -86,8 +86,13 @@
       keys.push_back(item.key);
       this->listener.onChange({ item.key, std::move(item.value), item.modRevision });
     }
-    more = page->hasMore && !page->items.empty();
-    after = keys.empty() ? std::string() : keys.back();
+    std::string lastKey = std::move(page->lastKey);
+    if (lastKey.empty() && !page->items.empty()) {
+      lastKey = keys.back();
+    }
+    // A page that brings no later key would be read again and again.
+    more = page->hasMore && lastKey > after;
+    after = std::max(after, lastKey);
   }
   const auto previous = std::exchange(this->at, firstAt);
   this->needsAll = false;
--- a/programs/toucanstand-server/StoreSession.cpp
+++ b/programs/toucanstand-server/StoreSession.cpp
@@ -1,6 +1,7 @@
 #include "StoreSession.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -8,6 +9,28 @@
 
 namespace toucanstand {
 
+namespace {
+
+/// Run ids are shorter.
+constexpr std::size_t kMaxLeaderValueBytes = 512;
+
+/// True for a run id and the number of a lease, as OwnLeaderValue() writes them.
+bool IsLeaderValue(std::string_view aText)
+{
+  const auto slash = aText.rfind('/');
+  if (slash == std::string_view::npos || slash == 0 ||
+      aText.size() > kMaxLeaderValueBytes) {
+    return false;
+  }
+  const auto digits = aText.substr(slash + 1);
+  StoreLease lease = 0;
+  const char* const last = digits.data() + digits.size();
+  const auto [end, error] = std::from_chars(digits.data(), last, lease);
+  return error == std::errc{} && end == last && lease > 0;
+}
+
+} // namespace
+
 StoreSession::StoreSession(ServingState& aState,
                            PlatformStore& aStore,
                            PeerDirectory& aPeers,
@@ -30,6 +53,13 @@
       co_await this->RenewLeadership();
     } else if (this->leaderValue.starts_with(this->runId + "/")) {
       co_await this->DeleteLapsedLeadership();
+    } else if (this->leaderUnreadable) {
+      if (!this->peers.IsRelay()) {
+        co_await this->Wait(kNonRelayElectionDelay);
+      }
+      if (this->leaderUnreadable) {
+        co_await this->DeleteLapsedLeadership();
+      }
     } else if (this->MayCampaign()) {
       if (!this->peers.IsRelay()) {
         co_await this->Wait(kNonRelayElectionDelay);
@@ -153,7 +183,7 @@
 bool StoreSession::MayCampaign() const
 {
   return this->presenceLease != 0 && this->leaderValue.empty() && !this->ended &&
-         !this->state.paths.IsCutOff();
+         !this->leaderUnreadable && !this->state.paths.IsCutOff();
 }
 
 std::string StoreSession::OwnLeaderValue() const
@@ -173,7 +203,11 @@
   }
   this->leaderValue = aChange.value.value_or("");
   this->leaderRevision = aChange.revision;
-  if (this->leaderValue.empty()) {
+  this->leaderUnreadable = aChange.value && !IsLeaderValue(*aChange.value);
+  if (this->leaderUnreadable) {
+    this->state.metrics.Count("leader_records_unreadable_total");
+  }
+  if (this->leaderValue.empty() || this->leaderUnreadable) {
     // Wakes Run(), so that it campaigns now instead of at the next renewal.
     this->timer.cancel();
   }
--- a/programs/toucanstand-server/StoreSession.h
+++ b/programs/toucanstand-server/StoreSession.h
@@ -78,7 +78,8 @@
   Task<> RenewPresence();
   Task<> RenewLeadership();
   Task<> CampaignForLeadership();
-  /// Deletes a leader key of this process whose lease it does not hold.
+  /// Deletes the leader key if no process can hold it: its value is unreadable, or that
+  /// of this process without its lease.
   Task<> DeleteLapsedLeadership();
   Task<> Wait(Duration aDuration);
 
@@ -104,6 +105,9 @@
   /// Last known value of the leader key; empty if there is no leader.
   std::string leaderValue;
   StoreRevision leaderRevision = 0;
+  /// The leader key has a value that names no process, and keeps all of them from
+  /// leading.
+  bool leaderUnreadable = false;
   /// Until then, the leader of the lost history may still hold its permission.
   TimePoint mayLeadAt{};
   bool ended = false;
--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -26,6 +26,8 @@
 /// Minimum outage of the store that may have caused registrations to expire. They expire
 /// after three missed heartbeats of 1.2 s, so no shorter outage removes any.
 constexpr Duration kMinOutageWithExpiry = std::chrono::milliseconds(2000);
+/// Bytes of an unreadable entry's key that a log line shows.
+constexpr std::size_t kMaxLoggedKeyBytes = 128;
 
 StoreMirrorSettings MirrorSettings()
 {
@@ -61,6 +63,8 @@
     isNew = aChange.value && this->ApplyConfiguration(*aChange.value, aChange.revision);
   } else if (const auto server = platform::ServerIdFromKey(aChange.key)) {
     isNew = this->ApplyServerEntry(*server, aChange);
+  } else if (platform::IsServerKey(aChange.key)) {
+    this->CountUnreadableEntry(aChange, platform::ServerEntryFailure::InvalidId);
   } else if (aChange.key.starts_with(kSystemKeyPrefix)) {
     this->systemKeyListener(aChange);
   } else {
@@ -168,11 +172,7 @@
   auto entry = platform::ReadServerEntry(aServer, *aChange.value);
   if (!entry) {
     // Without a readable registration, the server can't be used.
-    this->state.metrics.Count("registrations_unreadable_total");
-    this->state.log.Write(LogWeight::Notable,
-                          "registration_rejected",
-                          { { "server", aServer.Value() },
-                            { "reason", platform::Name(entry.LastReason()) } });
+    this->CountUnreadableEntry(aChange, entry.LastReason());
     this->state.directory.Remove(aServer, now);
     return true;
   }
@@ -186,6 +186,20 @@
   return this->state.directory.Put(std::move(*entry));
 }
 
+void StoreSynchronizer::CountUnreadableEntry(const StoreChange& aChange,
+                                             platform::ServerEntryFailure aFailure)
+{
+  if (!aChange.value) {
+    return;
+  }
+  this->state.metrics.Count("registrations_unreadable_total");
+  this->state.log.Write(LogWeight::Notable,
+                        "registration_rejected",
+                        { { "key", aChange.key.substr(0, kMaxLoggedKeyBytes) },
+                          { "bytes", static_cast<std::int64_t>(aChange.value->size()) },
+                          { "reason", platform::Name(aFailure) } });
+}
+
 void StoreSynchronizer::OnReadAll(const std::vector<std::string>& aKeys,
                                   StoreRevision aPrevious)
 {
--- a/programs/toucanstand-server/StoreSynchronizer.h
+++ b/programs/toucanstand-server/StoreSynchronizer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "ServingState.h"
+#include "platform/ServerEntryReader.h"
 #include "store/ChangeLog.h"
 #include "store/ChangeRelay.h"
 #include "store/StoreMirror.h"
@@ -76,6 +77,9 @@
   bool ApplyConfiguration(const std::string& aText, StoreRevision aRevision);
   /// @returns false for a heartbeat that changes nothing
   bool ApplyServerEntry(const ServerId& aServer, const StoreChange& aChange);
+  /// Counts and logs a registration that names no server to use.
+  void CountUnreadableEntry(const StoreChange& aChange,
+                            platform::ServerEntryFailure aFailure);
   void ApplySystemKey(const StoreChange& aChange);
   void OnReadAll(const std::vector<std::string>& aKeys, StoreRevision aPrevious);
   void PushChanges();
--- a/tests/platform/support/StoreStandin.cpp
+++ b/tests/platform/support/StoreStandin.cpp
@@ -23,8 +23,20 @@
   return { aPrefix, end };
 }
 
-/// Returns the value of a query field. Keys used by the tests contain no percent-encoded
-/// characters, so the value is not decoded.
+std::string PercentDecode(const std::string& aText)
+{
+  std::string decoded;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    const bool isEncoded = aText[at] == '%' && at + 2 < aText.size();
+    decoded += isEncoded
+                 ? static_cast<char>(std::stoi(aText.substr(at + 1, 2), nullptr, 16))
+                 : aText[at];
+    at += isEncoded ? 2 : 0;
+  }
+  return decoded;
+}
+
+/// Returns the decoded value of a query field.
 std::string QueryField(const std::string& aTarget, const std::string& aName)
 {
   const auto fieldStart = "&" + aName + "=";
@@ -34,7 +46,7 @@
     return "";
   }
   const auto from = start + fieldStart.size();
-  return query.substr(from, query.find('&', from) - from);
+  return PercentDecode(query.substr(from, query.find('&', from) - from));
 }
 
 json ItemJson(const KeyValue& aValue)
--- a/tests/unit/toucanstand_core/TestBoundedJson.cpp
+++ b/tests/unit/toucanstand_core/TestBoundedJson.cpp
@@ -43,3 +43,17 @@
     }
   }
 }
+
+TEST_CASE("An object that names a field twice is rejected where that is asked for",
+          "[serialization]")
+{
+  // Guards against two readers of one record that take different values.
+  DecodeLimits limits;
+  const auto* twice = R"({"a":1,"b":{"a":2},"a":3})";
+  CHECK(DecodeJson(twice, limits).HasValue());
+  limits.duplicateNames = DuplicateNames::Reject;
+  CHECK(DecodeJson(twice, limits).LastReason() == DecodeFailure::DuplicateName);
+  CHECK(DecodeJson(R"({"b":{"a":2,"a":2}})", limits).LastReason() ==
+        DecodeFailure::DuplicateName);
+  CHECK(DecodeJson(R"([{"a":1,"b":{"a":2}},{"a":1}])", limits).HasValue());
+}
--- a/tests/unit/toucanstand_membership/TestPeerDirectory.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerDirectory.cpp
@@ -147,3 +147,25 @@
   CHECK(directory.Peers().size() == 1);
   CHECK(directory.Peers().contains(RunIdOf(1)));
 }
+
+TEST_CASE("A registration that no VM can have is malformed", "[peers]")
+{
+  // Guards against datagrams to this machine or to nowhere, and against a VM that counts
+  // as larger than all others together.
+  for (const auto* text : { "",
+                            "10.0.0.1:80",
+                            "10.0.0.1:0 1.0",
+                            "0.0.0.0:80 1.0",
+                            "10.0.0.1:65536 1.0",
+                            "10.0.0.1:80 0",
+                            "10.0.0.1:80 -1",
+                            "10.0.0.1:80 nan",
+                            "10.0.0.1:80 inf",
+                            "10.0.0.1:80 1e400",
+                            "10.0.0.1:80 1e300",
+                            "10.0.0.1:80 1.0 " }) {
+    INFO(text);
+    CHECK(!Presence::Parse(text).has_value());
+  }
+  CHECK(Presence::Parse("10.0.0.1:80 0.250").has_value());
+}
--- a/tests/unit/toucanstand_platform/TestServerEntryReader.cpp
+++ b/tests/unit/toucanstand_platform/TestServerEntryReader.cpp
@@ -72,8 +72,59 @@
   CHECK(IsRejected(entry));
 }
 
+TEST_CASE("A number beyond its bound makes a registration malformed", "[platform]")
+{
+  // Guards against a large number that is read as a negative or a wrong one.
+  const auto isRead = [](const char* aField, const std::string& aNumber) {
+    auto text = ValidEntry().dump();
+    const auto name = '"' + std::string(aField) + "\":";
+    const auto start = text.find(name) + name.size();
+    text.replace(start, text.find_first_of(",}", start) - start, aNumber);
+    return platform::ReadServerEntry(ServerId("i-1"), text).HasValue();
+  };
+  for (const auto* field : { "Slots", "Seq", "born", "epoch", "rank" }) {
+    INFO(field);
+    CHECK(isRead(field, "8"));
+    CHECK(isRead(field, "8.0"));
+    CHECK(isRead(field, "1e3"));
+    for (const auto* number : { "-1",
+                                "0.5",
+                                "9007199254740992",
+                                "9223372036854775807",
+                                "9223372036854775808",
+                                "18446744073709551615",
+                                "18446744073709551616",
+                                "1e19",
+                                "1e308",
+                                "1e400",
+                                "1e999999999",
+                                "\"8\"",
+                                "[8]" }) {
+      INFO(number);
+      CHECK(!isRead(field, number));
+    }
+  }
+  CHECK(isRead("Seq", "-0"));
+  CHECK(isRead("Seq", "null"));
+  CHECK(isRead("Seq", "9007199254740991"));
+}
+
+TEST_CASE("A registration that names a field twice is malformed", "[platform]")
+{
+  // Guards against an address that other readers of the entry don't use.
+  auto text = ValidEntry().dump();
+  text.insert(1, R"("Address":"10.128.0.8:80",)");
+  CHECK(!platform::ReadServerEntry(ServerId("i-1"), text).HasValue());
+}
+
 TEST_CASE("A server id is read only from keys of registrations", "[platform]")
 {
+  for (const std::string& id : std::vector<std::string>{
+         "a b", "a\r\nb", std::string("a\0b", 3), "\xc3\xa9", std::string(257, 'i') }) {
+    CHECK(platform::IsServerKey("servers/" + id));
+    CHECK(!platform::ServerIdFromKey("servers/" + id).has_value());
+  }
+  CHECK(platform::ServerIdFromKey("servers/" + std::string(256, 'i')).has_value());
   CHECK(platform::ServerIdFromKey("servers/i-7f") == ServerId("i-7f"));
   CHECK(!platform::ServerIdFromKey("servers/").has_value());
   CHECK(!platform::ServerIdFromKey("toucanstand/leader").has_value());
--- a/tests/unit/toucanstand_transport/TestChangeRelay.cpp
+++ b/tests/unit/toucanstand_transport/TestChangeRelay.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "random/Random.h"
 #include "store/ChangeLog.h"
@@ -157,3 +158,20 @@
   CHECK_FALSE(log.After(130).has_value());
   CHECK(log.After(150)->empty());
 }
+
+TEST_CASE("A revision that no store gives is refused", "[relay]")
+{
+  // Guards against a copy that ignores all later changes after one odd answer of a peer.
+  using nlohmann::json;
+  const std::uint64_t last =
+    (std::uint64_t{ 1 } << 62U) - 1; // 22 bits of the history and 40 of the number.
+  for (const std::uint64_t revision :
+       { last + 1, std::uint64_t{ 1 } << 63U, ~std::uint64_t{ 0 } }) {
+    INFO(revision);
+    CHECK(!DecodeChangeQuery(json::array({ 1U, revision })).HasValue());
+    CHECK(!DecodeChangeAnswer(
+             json::array({ 1U, true, 0U, revision, 0U, false, json::array() }))
+             .HasValue());
+  }
+  CHECK(DecodeChangeQuery(json::array({ 1U, last })).HasValue());
+}
