--- a/modules/toucanstand_transport/http/SocketOptions.cpp
+++ b/modules/toucanstand_transport/http/SocketOptions.cpp
@@ -56,6 +56,12 @@
     aSocket.native_handle(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+bool HasUnreadBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  char byte = 0;
+  return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
 {
   int bytes = 0;
--- a/modules/toucanstand_transport/http/SocketOptions.h
+++ b/modules/toucanstand_transport/http/SocketOptions.h
@@ -17,6 +17,9 @@
 /// process: a reset, or an orderly end after all bytes.
 void SetResetOnClose(boost::asio::ip::tcp::socket& aSocket, bool aReset);
 
+/// True when bytes have arrived that were not read.
+[[nodiscard]] bool HasUnreadBytes(boost::asio::ip::tcp::socket& aSocket);
+
 /// Bytes that the other end has not acknowledged; 0 when the kernel can't tell.
 [[nodiscard]] std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
 
--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -64,13 +64,17 @@
 {
   /// A status of the 200s.
   bool isSuccess = false;
+  /// A status of 200 with a stream of events, unless it says that its body is something
+  /// else.
+  bool startsStream = false;
   /// The server did not run the request and never will.
   bool statesNotRun = false;
   /// Another server has the address, or the server does not take this request.
   bool wrongServer = false;
   /// Signed by the server; a success without it is no answer of the server.
   bool isSigned = false;
-  /// Names the request that it answers, or names none.
+  /// Names the request that it answers, or names none. If false, the answer says nothing
+  /// about this call, and the other members have their defaults.
   bool answersThisCall = true;
   std::optional<StatedLoad> load;
   StatedRateLimit rateLimit;
