--- a/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
+++ b/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
@@ -161,6 +161,24 @@
   CHECK(placement.TakeSuspicions(kStart) == std::vector<GroupId>{ GroupId("m-0") });
 }
 
+TEST_CASE("A stream that has begun continues on a suspected group if there is no other",
+          "[placement]")
+{
+  // Guards against streams that are broken off although a group may answer.
+  auto placement = Placement(2);
+  placement.OnPeerSuspicion(GroupId("m-1"), kStart);
+  auto query = Query();
+  query.excluded = { GroupId("m-0") };
+  query.mustPlace = true;
+  CHECK_FALSE(placement.Choose(query, kStart).HasValue());
+  query.isResumed = true;
+  const auto choice = placement.Choose(query, kStart);
+  REQUIRE(choice.HasValue());
+  CHECK(choice->group.id == GroupId("m-1"));
+  query.excluded = { GroupId("m-0"), GroupId("m-1") };
+  CHECK_FALSE(placement.Choose(query, kStart).HasValue());
+}
+
 TEST_CASE("A VM without requests of its own predicts with its peers' learned overhead",
           "[placement]")
 {
