Expect answers of a stopping VM to take as long as the rare long ones at the present pace

The longest of the latest 64 answers did not contain one of their size, and the cost model does not know the prompts that are read beside them.

While callers still reach this VM only, an answer is now expected to take as long as the longest of the latest ones, or as the most events so far at their mean pace. Later, the largest size by the cost model counts as well, with the margin of 1.5, as before.

--- a/modules/toucanstand_delivery/answers/AnswerDurations.cpp
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <bit>
 #include <cstdint>
-#include <ranges>
 
 namespace toucanstand {
 
@@ -22,11 +21,12 @@
   this->begins->erase(this->position);
 }
 
-void AnswerDurations::OnAnswered(const Kind& aKind, Duration aDuration, TimePoint aNow)
+void AnswerDurations::OnAnswered(const Kind& aKind, const Answer& aAnswer, TimePoint aNow)
 {
   auto& bySize = this->latest[{ aKind.pool, aKind.model }];
   auto& ofSize = bySize.at(SizeClass(aKind.maxAnswerTokens));
-  const Sample sample{ aDuration, aNow };
+  ofSize.mostEvents = std::max(ofSize.mostEvents, aAnswer.events);
+  const Sample sample{ aAnswer, aNow };
   if (ofSize.samples.size() < kMaxSamples) {
     ofSize.samples.push_back(sample);
     return;
@@ -62,13 +62,34 @@
 
 std::optional<Duration> AnswerDurations::LongestOf(const Latest& aLatest, TimePoint aNow)
 {
-  auto recent = aLatest.samples | std::views::filter([aNow](const Sample& aSample) {
-                  return aNow - aSample.at <= kMaxAge;
-                });
-  if (static_cast<std::size_t>(std::ranges::distance(recent)) < kMinSamples) {
+  std::size_t count = 0;
+  Duration longest{ 0 };
+  Duration untilFirstEvent{ 0 };
+  Duration betweenEvents{ 0 };
+  std::size_t gaps = 0;
+  for (const auto& [answer, at] : aLatest.samples) {
+    if (aNow - at > kMaxAge) {
+      continue;
+    }
+    ++count;
+    longest = std::max(longest, answer.duration);
+    untilFirstEvent = std::max(untilFirstEvent, answer.untilFirstEvent);
+    if (answer.events > 1) {
+      betweenEvents += answer.duration - answer.untilFirstEvent;
+      gaps += answer.events - 1;
+    }
+  }
+  if (count < kMinSamples) {
     return std::nullopt;
   }
-  return std::ranges::max(recent | std::views::transform(&Sample::duration));
+  if (gaps == 0) {
+    return longest;
+  }
+  // An answer with many events is rare, so the latest ones may contain none.
+  const Duration largest =
+    untilFirstEvent + betweenEvents / static_cast<std::int64_t>(gaps) *
+                        static_cast<std::int64_t>(aLatest.mostEvents);
+  return std::max(longest, largest);
 }
 
 std::size_t AnswerDurations::SizeClass(double aTokens)
--- a/modules/toucanstand_delivery/answers/AnswerDurations.h
+++ b/modules/toucanstand_delivery/answers/AnswerDurations.h
@@ -50,10 +50,20 @@
     std::multiset<TimePoint>::iterator position;
   };
 
-  void OnAnswered(const Kind& aKind, Duration aDuration, TimePoint aNow);
+  /// An answer that has ended.
+  struct Answer
+  {
+    Duration duration{ 0 };
+    /// A part of the duration.
+    Duration untilFirstEvent{ 0 };
+    /// 0 for an answer that is no stream.
+    std::size_t events = 0;
+  };
+  void OnAnswered(const Kind& aKind, const Answer& aAnswer, TimePoint aNow);
 
-  /// Longest of the latest answers of this size, or of the next larger size that has
-  /// enough answers; nothing if there is none.
+  /// How long an answer of this size may take: as long as the longest of the latest ones,
+  /// or as one with the most events so far takes at their mean pace. Of the next larger
+  /// size if this one has too few answers; nothing if there is none.
   [[nodiscard]] std::optional<Duration> Longest(const Kind& aKind, TimePoint aNow) const;
 
   /// Longest time that an answer in progress has taken; zero if there is none. Servers
@@ -66,13 +76,15 @@
 
   struct Sample
   {
-    Duration duration{ 0 };
+    Answer answer;
     TimePoint at{};
   };
   struct Latest
   {
     std::vector<Sample> samples;
     std::size_t oldest = 0;
+    /// Of all answers of this size, also earlier ones.
+    std::size_t mostEvents = 0;
     /// Times at which the answers in progress began.
     std::shared_ptr<std::multiset<TimePoint>> begins =
       std::make_shared<std::multiset<TimePoint>>();
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
@@ -38,10 +38,18 @@
   if (aAnswer.deadline <= this->finalAnswersAt) {
     return true;
   }
-  const bool isLeavingRotation = this->PhaseAt(aNow) == StopPhase::LeavingRotation;
-  const double margin = isLeavingRotation ? 1.0 : kAnswerTimeMargin;
-  return aAnswer.longest &&
-         aNow + FromSeconds(ToSeconds(*aAnswer.longest) * margin) <= this->finalAnswersAt;
+  const auto& latest = aAnswer.byLatest;
+  const auto& largest = aAnswer.byLargestSize;
+  if (!latest && !largest) {
+    return false;
+  }
+  const auto left = this->finalAnswersAt - aNow;
+  if (this->PhaseAt(aNow) == StopPhase::LeavingRotation) {
+    return latest.value_or(largest.value_or(Duration::zero())) <= left;
+  }
+  const auto longest =
+    std::max(latest.value_or(Duration::zero()), largest.value_or(Duration::zero()));
+  return FromSeconds(ToSeconds(longest) * kAnswerTimeMargin) <= left;
 }
 
 StopPhase StopSchedule::PhaseAt(TimePoint aNow) const
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -31,8 +31,10 @@
 {
   /// The caller waits no longer.
   TimePoint deadline;
-  /// Longest of the latest answers of its kind; nothing if unknown.
-  std::optional<Duration> longest;
+  /// How long it may take, by the latest answers; nothing if unknown.
+  std::optional<Duration> byLatest;
+  /// How long the largest answer to the request should take; nothing if unknown.
+  std::optional<Duration> byLargestSize;
 };
 
 /// Times of a planned stop, under one absolute deadline.
@@ -46,8 +48,8 @@
   /// The last part of that time, in which final answers reach their callers.
   static constexpr double kFinalAnswersShare = 0.2;
 
-  /// Factor on the longest usual answer once the load balancer sends callers elsewhere: a
-  /// server may slow down, and a rejected caller loses little by then.
+  /// Factor on the expected time once the load balancer sends callers elsewhere: a server
+  /// may slow down, and a rejected caller loses little by then.
   static constexpr double kAnswerTimeMargin = 1.5;
 
   /// @param aBegin time of the signal
@@ -61,7 +63,7 @@
   void Shorten(TimePoint aNow, Duration aPeriod);
 
   /// True if the answer can be expected to end in time. While callers still reach this VM
-  /// only, it must be as long as usual; later, with a margin.
+  /// only, the latest answers decide; later it must be certain.
   [[nodiscard]] bool LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
 
   [[nodiscard]] StopPhase PhaseAt(TimePoint aNow) const;
--- a/programs/toucanstand-entry/CallHandler.cpp
+++ b/programs/toucanstand-entry/CallHandler.cpp
@@ -312,7 +312,8 @@
     const auto took = BootClock::now() - request.arrivedAt;
     metrics.Record(std::string("call_seconds{class=\"") + Name(request.workClass) + "\"}",
                    took);
-    this->context.answerDurations.OnAnswered(KindOf(request), took, BootClock::now());
+    this->context.answerDurations.OnAnswered(
+      KindOf(request), AnswerDurations::Answer{ took, took, 0 }, BootClock::now());
     // Worth is a fraction, counters are whole numbers.
     metrics.Count(
       "worth_answered_milli_total",
@@ -332,7 +333,7 @@
   // A call of which no like has been answered is taken until the listener closes.
   const auto longest = std::max(durations.Longest(kind, now).value_or(Duration::zero()),
                                 durations.LongestInProgress(kind, now));
-  return stop->LeavesTimeFor({ aRequest.deadline, longest }, now);
+  return stop->LeavesTimeFor({ aRequest.deadline, longest, std::nullopt }, now);
 }
 
 std::optional<CallEnd> CallHandler::RefuseNewWork()
--- a/programs/toucanstand-server/Call.h
+++ b/programs/toucanstand-server/Call.h
@@ -41,6 +41,8 @@
   std::size_t attempts = 0;
   std::string destination;
   std::optional<Duration> timeToFirstByte;
+  /// Events of a stream; 0 for other responses.
+  std::size_t events = 0;
   /// Longest time between two arrivals of stream events.
   Duration maxEventGap{ 0 };
 };
--- a/programs/toucanstand-server/CallProgress.cpp
+++ b/programs/toucanstand-server/CallProgress.cpp
@@ -48,8 +48,9 @@
          !this->state.LeavesTimeFor(this->call, aNow);
 }
 
-void CallProgress::RecordEvents(TimePoint aNow)
+void CallProgress::RecordEvents(std::size_t aCount, TimePoint aNow)
 {
+  this->eventCount = aCount;
   if (!this->timeToFirstByte) {
     this->timeToFirstByte = aNow - this->call.arrivedAt;
   }
@@ -70,6 +71,7 @@
   result.attempts = this->tracker.AttemptCount();
   result.destination = this->destination;
   result.timeToFirstByte = this->timeToFirstByte;
+  result.events = this->eventCount;
   result.maxEventGap = this->maxEventGap;
   return result;
 }
--- a/programs/toucanstand-server/CallProgress.h
+++ b/programs/toucanstand-server/CallProgress.h
@@ -27,7 +27,8 @@
 
   /// Records the arrival of complete stream events. The first call sets the time to first
   /// byte.
-  void RecordEvents(TimePoint aNow);
+  /// @param aCount events of all attempts so far
+  void RecordEvents(std::size_t aCount, TimePoint aNow);
 
   [[nodiscard]] CallResult MakeResult(CallOutcome aOutcome,
                                       int aStatus,
@@ -43,6 +44,8 @@
   /// Measured from the arrival of the call.
   std::optional<Duration> timeToFirstByte;
   std::optional<TimePoint> lastEventsAt;
+  /// Complete stream events that have arrived.
+  std::size_t eventCount = 0;
   Duration maxEventGap{ 0 };
   /// True once the head of the response has been sent to the caller.
   bool responseStarted = false;
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -203,7 +203,7 @@
       this->placement.OnEvents(this->ticket, now);
       this->state.OnRunEvents(
         this->run, this->framer.EventCount() - this->eventsBeforeAttempt, now);
-      this->progress.RecordEvents(now);
+      this->progress.RecordEvents(this->framer.EventCount(), now);
     }
     if (!co_await this->ForwardEvents(aStream, *events)) {
       co_return this->MakeAbandonedAttempt();
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -171,7 +171,10 @@
   const bool isSuccess = aResult.outcome == CallOutcome::Answered &&
                          aResult.status >= 200 && aResult.status < 300;
   if (isSuccess) {
-    this->state.OnAnswered(aCall, took, BootClock::now());
+    const AnswerDurations::Answer answer{ took,
+                                          aResult.timeToFirstByte.value_or(took),
+                                          aResult.events };
+    this->state.OnAnswered(aCall, answer, BootClock::now());
   }
   if (aResult.outcome == CallOutcome::Unknown && aCall.exchange.IsFinalAnswerDue()) {
     ++this->state.requestsEndedByStop;
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -271,9 +271,11 @@
   }
 }
 
-void ServingState::OnAnswered(const Call& aCall, Duration aDuration, TimePoint aNow)
+void ServingState::OnAnswered(const Call& aCall,
+                              const AnswerDurations::Answer& aAnswer,
+                              TimePoint aNow)
 {
-  this->answerDurations.OnAnswered(this->KindOf(aCall), aDuration, aNow);
+  this->answerDurations.OnAnswered(this->KindOf(aCall), aAnswer, aNow);
 }
 
 bool ServingState::LeavesTimeFor(const Call& aCall, TimePoint aNow) const
@@ -281,7 +283,15 @@
   if (!this->stopSchedule) {
     return true;
   }
-  const ExpectedAnswer answer{ aCall.deadline, this->LongestAnswer(aCall, aNow) };
+  const auto kind = this->KindOf(aCall);
+  ExpectedAnswer answer;
+  answer.deadline = aCall.deadline;
+  answer.byLatest = this->answerDurations.Longest(kind, aNow);
+  answer.byLargestSize = this->ExpectedDuration(aCall);
+  if (answer.byLatest) {
+    *answer.byLatest =
+      std::max(*answer.byLatest, this->answerDurations.LongestInProgress(kind, aNow));
+  }
   return this->stopSchedule->LeavesTimeFor(answer, aNow);
 }
 
@@ -295,20 +305,6 @@
            cost != nullptr ? aCall.facts.mostAnswerTokens : 0 };
 }
 
-std::optional<Duration> ServingState::LongestAnswer(const Call& aCall,
-                                                    TimePoint aNow) const
-{
-  // The latest answers show how slow the servers are, but not how long a rare one takes.
-  const auto expected = this->ExpectedDuration(aCall);
-  if (!expected) {
-    return std::nullopt;
-  }
-  const auto kind = this->KindOf(aCall);
-  return std::max({ *expected,
-                    this->answerDurations.Longest(kind, aNow).value_or(*expected),
-                    this->answerDurations.LongestInProgress(kind, aNow) });
-}
-
 std::optional<Duration> ServingState::ExpectedDuration(const Call& aCall) const
 {
   const auto* cost = this->FindCostModel(aCall.pool);
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -82,7 +82,9 @@
   [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
 
   /// Records that a call was answered.
-  void OnAnswered(const Call& aCall, Duration aDuration, TimePoint aNow);
+  void OnAnswered(const Call& aCall,
+                  const AnswerDurations::Answer& aAnswer,
+                  TimePoint aNow);
 
   /// True unless a planned stop ends before the answer to a call that begins now would.
   [[nodiscard]] bool LeavesTimeFor(const Call& aCall, TimePoint aNow) const;
@@ -139,10 +141,6 @@
 private:
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
-  /// How long the answer may take: as expected for its size, or as long as the latest
-  /// ones and those in progress; nothing if its size is unknown.
-  [[nodiscard]] std::optional<Duration> LongestAnswer(const Call& aCall,
-                                                      TimePoint aNow) const;
   /// Duration of an answer of the largest size that the request allows, in a full group;
   /// of a plain call, its latency objective.
   [[nodiscard]] std::optional<Duration> ExpectedDuration(const Call& aCall) const;
--- a/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
+++ b/tests/unit/toucanstand_delivery/TestAnswerDurations.cpp
@@ -18,7 +18,7 @@
             TimePoint aNow = kNow)
 {
   for (std::size_t number = 0; number < aCount; ++number) {
-    aDurations.OnAnswered(aKind, aDuration, aNow);
+    aDurations.OnAnswered(aKind, { aDuration, aDuration, 0 }, aNow);
   }
 }
 
@@ -95,3 +95,15 @@
   Answer(durations, kShort, AnswerDurations::kMinSamples, 1s);
   CHECK(durations.Longest(kShort, kNow) == Duration(1s));
 }
+
+TEST_CASE("The rare answer with many events counts at the pace of the latest ones",
+          "[answers]")
+{
+  // Guards against an estimate that is too short as the latest answers are all short.
+  AnswerDurations durations;
+  durations.OnAnswered(kShort, { 2500ms, 500ms, 41 }, kNow - 120s);
+  for (std::size_t number = 0; number < AnswerDurations::kMinSamples; ++number) {
+    durations.OnAnswered(kShort, { 1300ms, 300ms, 11 }, kNow);
+  }
+  CHECK(durations.Longest(kShort, kNow) == Duration(300ms + 41 * 100ms));
+}
--- a/tests/unit/toucanstand_transport/TestStopSchedule.cpp
+++ b/tests/unit/toucanstand_transport/TestStopSchedule.cpp
@@ -59,7 +59,7 @@
   const StopSchedule schedule(kBegin, 7200ms, 2500ms);
   const auto mayBegin = [&schedule](Duration aAfterSignal,
                                     std::optional<Duration> aLongest) {
-    const ExpectedAnswer answer{ kBegin + 60s, aLongest };
+    const ExpectedAnswer answer{ kBegin + 60s, aLongest, {} };
     return schedule.LeavesTimeFor(answer, kBegin + aAfterSignal);
   };
   CHECK_FALSE(mayBegin(0s, std::nullopt));
@@ -75,6 +75,19 @@
 {
   // Guards against a plain call that has no time left for its final answer.
   const StopSchedule schedule(kBegin, 8s, 2500ms);
-  CHECK(schedule.LeavesTimeFor({ kBegin + 7s, std::nullopt }, kBegin));
-  CHECK_FALSE(schedule.LeavesTimeFor({ kBegin + 8s, std::nullopt }, kBegin));
+  CHECK(schedule.LeavesTimeFor({ kBegin + 7s, {}, {} }, kBegin));
+  CHECK_FALSE(schedule.LeavesTimeFor({ kBegin + 8s, {}, {} }, kBegin));
+}
+
+TEST_CASE("The largest answer to a request must fit once callers reach other VMs",
+          "[stop]")
+{
+  // Guards against a rare long answer that is cut, as the latest ones were short.
+  const StopSchedule schedule(kBegin, 7200ms, 2500ms);
+  const ExpectedAnswer answer{ kBegin + 60s, 1s, 4s };
+  CHECK(schedule.LeavesTimeFor(answer, kBegin + 2s));
+  CHECK_FALSE(schedule.LeavesTimeFor(answer, kBegin + 3s));
+  const ExpectedAnswer unseen{ kBegin + 60s, {}, 4s };
+  CHECK(schedule.LeavesTimeFor(unseen, kBegin + 2s));
+  CHECK_FALSE(schedule.LeavesTimeFor(unseen, kBegin + 3500ms));
 }
