Close the listener of a stopping VM when the load balancer has had its time

A refused connection sends its caller to another VM at once; what a stopping VM could still serve then are short calls only.

--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -1,7 +1,6 @@
 #include "http/HttpServer.h"
 
 #include <algorithm>
-#include <optional>
 #include <vector>
 
 #include <boost/asio/as_tuple.hpp>
@@ -85,23 +84,17 @@
   void AdvanceStop(StopPhase aPhase, TimePoint aNow)
   {
     this->context->stopPhase = aPhase;
-    const auto live = this->LiveSessions();
-    std::ranges::for_each(live, [aPhase, aNow](const auto& aSession) {
+    std::ranges::for_each(this->LiveSessions(), [aPhase, aNow](const auto& aSession) {
       aSession->AdvanceStop(aPhase, aNow);
     });
-    if (aPhase == StopPhase::Draining && !this->drainingSince) {
-      this->drainingSince = aNow;
-    }
-    // While earlier requests keep the process, it can serve others as well.
-    const bool hasNoEarlierRequest =
-      this->drainingSince && std::ranges::none_of(live, [this](const auto& aSession) {
-        return aSession->HasRequestFrom(*this->drainingSince);
-      });
-    if (aPhase >= StopPhase::FinalAnswers || hasNoEarlierRequest) {
+    // Callers that connect later reach another VM at once, while this one may have no
+    // time for them.
+    if (aPhase == StopPhase::Draining || aPhase >= StopPhase::FinalAnswers) {
       this->CloseListener();
     }
   }
 
+  /// Accepts what the kernel has queued and then no more.
   void CloseListener()
   {
     if (this->acceptor.is_open()) {
@@ -135,7 +128,6 @@
   std::shared_ptr<HttpSession::Context> context;
   std::vector<std::weak_ptr<HttpSession>> sessions;
   std::size_t openConnections = 0;
-  std::optional<TimePoint> drainingSince;
 
 private:
   static Task<> Accept(std::shared_ptr<Implementation> aSelf)
@@ -222,11 +214,6 @@
   this->implementation->context->makeStopRejection = std::move(aFactory);
 }
 
-void HttpServer::CloseListener()
-{
-  this->implementation->CloseListener();
-}
-
 bool HttpServer::IsBusy() const
 {
   return this->implementation->acceptor.is_open() || this->OpenConnections() > 0;
--- a/modules/toucanstand_transport/http/HttpServer.h
+++ b/modules/toucanstand_transport/http/HttpServer.h
@@ -68,9 +68,6 @@
   /// Sets the answer to requests that a planned stop rejects while they are arriving.
   void SetStopRejection(RejectionFactory aFactory);
 
-  /// Accepts what the kernel has queued and then no more.
-  void CloseListener();
-
   /// True while a planned stop must wait: the listener or a connection is open.
   [[nodiscard]] bool IsBusy() const;
 
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -116,14 +116,6 @@
   this->stream.close();
 }
 
-bool HttpSession::HasRequestFrom(TimePoint aBefore) const
-{
-  const bool hasRequest = this->state == ConnectionState::ReceivingRequest ||
-                          this->state == ConnectionState::AwaitingAnswer ||
-                          this->state == ConnectionState::SendingAnswer;
-  return hasRequest && this->firstByteAt < aBefore;
-}
-
 bool HttpSession::IsUnfinished()
 {
   if (this->state == ConnectionState::AwaitingClose) {
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -47,9 +47,6 @@
   /// Closes the connection now.
   void Abort();
 
-  /// True while a request that began before this time is in progress or arriving.
-  [[nodiscard]] bool HasRequestFrom(TimePoint aBefore) const;
-
   /// True if the end of the process would lose a part of a request or of an answer.
   [[nodiscard]] bool IsUnfinished();
 
--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -78,8 +78,6 @@
   if (aPhase >= StopPhase::Draining && !this->context.draining) {
     this->context.draining = true;
     this->context.gate.StartDrain();
-    // Calls are refused from now on, so further callers are better off elsewhere.
-    this->server.CloseListener();
   }
   this->server.AdvanceStop(aPhase, aNow);
 }
--- a/tests/platform/TestPlannedStopConnections.cpp
+++ b/tests/platform/TestPlannedStopConnections.cpp
@@ -41,12 +41,13 @@
   constexpr int kTrickling = 24;
   for (int number = 0; number < kTrickling; ++number) {
     callers.Start([&stop, &log, number] {
-      // One piece after another without a pause, until the answer comes.
       const auto name = "trickling-body-" + std::to_string(number);
-      stop.WaitUntil(stop.Closing() - 300ms);
+      stop.WaitUntil(stop.LastConnect());
       CallerConnection caller(stop.server.listenEndpoint);
       caller.Send(ChunkedRequestHead(
         "POST", PlannedStop::kStreamTarget, PlannedStop::RequestHeaders(name)));
+      // One piece after another without a pause, until the answer comes.
+      stop.WaitUntil(stop.Closing() - 300ms);
       while (!caller.WaitForInput(1ms) && caller.Send(ChunkText("x"))) {
       }
       log.Add(name, caller.ReadAnswer(PlannedStop::kPatience));
@@ -55,9 +56,10 @@
   for (int number = 0; number < kTrickling; ++number) {
     callers.Start([&stop, &log, number] {
       const auto name = "trickling-head-" + std::to_string(number);
-      stop.WaitUntil(stop.Closing() - 300ms);
+      stop.WaitUntil(stop.LastConnect());
       CallerConnection caller(stop.server.listenEndpoint);
       caller.Send("POST /chat/1 HTTP/1.1\r\nX-Attempt-Id: " + name + "\r\nX-Long: ");
+      stop.WaitUntil(stop.Closing() - 300ms);
       while (!caller.WaitForInput(1ms) && caller.Send("y")) {
       }
       log.Add(name, caller.ReadAnswer(PlannedStop::kPatience));
@@ -65,7 +67,7 @@
   }
   callers.Start([&stop, &log] {
     const auto name = "awaits-continue";
-    stop.WaitUntil(stop.Closing() - 300ms);
+    stop.WaitUntil(stop.LastConnect());
     CallerConnection caller(stop.server.listenEndpoint);
     auto headers = PlannedStop::RequestHeaders(name);
     headers.Add("Expect", "100-continue");
--- a/tests/platform/support/PlannedStop.h
+++ b/tests/platform/support/PlannedStop.h
@@ -54,6 +54,8 @@
 
   /// Time from the signal until what is left is cut off.
   [[nodiscard]] std::chrono::milliseconds DrainEnd() const;
+  /// Time from the signal until which connections are accepted for certain.
+  [[nodiscard]] std::chrono::milliseconds LastConnect() const;
   /// Time from the signal from which no request begins.
   [[nodiscard]] std::chrono::milliseconds Closing() const;
   /// Time from the signal until final answers are due.
