Keep a connection of a stopping VM until its caller has received the last answer

A caller that was still receiving a long answer, whose head had kept the connection, lost its next request: the VM closed the connection 1 s after it had written the answer, and the process ended. If the caller sent that request, or a line end, while it was still reading, the reset also cut off the tail of the answer with status 200. The quiet time began when the answer was written, not when the caller had it.

Bytes that the caller has not acknowledged now count as activity, as in AwaitClose; a caller that never reads keeps the process until the end of the drain.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -90,6 +90,10 @@
   if (!this->state) {
     return;
   }
+  if (this->IsLastAnswerOnItsWay()) {
+    // The caller can't send its next request before it has the end of the last answer.
+    this->quietSince = aNow;
+  }
   switch (ActionDuringStop(aPhase, *this->state, this->QuietTime(aNow))) {
     case StopAction::None:
       return;
@@ -118,10 +122,16 @@
 
 bool HttpSession::IsUnfinished()
 {
-  if (this->state == ConnectionState::AwaitingClose) {
-    return UnacknowledgedBytes(this->stream.socket()) > 0;
-  }
-  return this->state && this->state != ConnectionState::AwaitingRequest;
+  const bool isAnswered = this->state == ConnectionState::AwaitingClose ||
+                          this->state == ConnectionState::AwaitingRequest;
+  return isAnswered ? UnacknowledgedBytes(this->stream.socket()) > 0
+                    : this->state.has_value();
+}
+
+bool HttpSession::IsLastAnswerOnItsWay()
+{
+  return this->state == ConnectionState::AwaitingRequest &&
+         UnacknowledgedBytes(this->stream.socket()) > 0;
 }
 
 Duration HttpSession::QuietTime(TimePoint aNow) const
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -83,6 +83,8 @@
   /// what it still sends.
   /// @param aSilence time without input after which the caller is given up
   Task<> AwaitClose(Duration aSilence);
+  /// True while a connection that was kept has not brought the last answer to the caller.
+  [[nodiscard]] bool IsLastAnswerOnItsWay();
   void CloseIfQuiet();
   void RejectArrivingRequest();
   void AskForFinalAnswer();
@@ -104,7 +106,8 @@
   std::function<void()> goneListener;
   std::function<void()> finalAnswerListener;
   std::optional<ConnectionState> state = ConnectionState::AwaitingRequest;
-  /// Time at which the connection was accepted or its last answer ended.
+  /// Time at which the connection was accepted or its last answer ended; in a planned
+  /// stop, at which the caller had received that answer.
   TimePoint quietSince = BootClock::now();
   TimePoint firstByteAt{};
   Duration receiveTime{ 0 };
--- a/tests/platform/TestPlannedStopReading.cpp
+++ b/tests/platform/TestPlannedStopReading.cpp
@@ -63,6 +63,39 @@
     }
   }
   CHECK(served > static_cast<int>(kCallers / 2));
+  // Some callers have not received their answers when the process ends.
+  CHECK(stop.server.process->Wait() == 1);
+}
+
+TEST_CASE("A caller that reads a long answer late can use its connection again", "[stop]")
+{
+  // Guards against a connection that is closed although its last head kept it, as the
+  // caller was receiving that answer until a moment ago.
+  const bool sendsBeforeReading = GENERATE(false, true);
+  INFO("the next request is sent before the answer is read: " << sendsBeforeReading);
+  constexpr std::size_t kPadding = 40'000;
+  PlannedStop stop(8000ms, 2000ms);
+  stop.ForEachEngine(
+    [](BackendServerStandin& aEngine) { aEngine.eventPadding = kPadding; });
+  CallerConnection caller(stop.server.listenEndpoint, 4096);
+  REQUIRE(caller.Send(PlannedStop::StreamRequest("late")));
+  std::this_thread::sleep_for(1s);
+  stop.SendSignal();
+  stop.WaitUntil(4500ms);
+  if (sendsBeforeReading) {
+    caller.Send(PlannedStop::StreamRequest("next"));
+  }
+  const auto late = caller.ReadAnswer(PlannedStop::kPatience);
+  CHECK(late.status == 200);
+  CHECK_FALSE(late.ClosesConnection());
+  CHECK((late.body == BackendServerStandin::CompleteStream(stop.eventCount, kPadding)));
+  if (!sendsBeforeReading) {
+    caller.Send(PlannedStop::StreamRequest("next"));
+  }
+  const auto next = caller.ReadAnswer(PlannedStop::kPatience);
+  INFO("status " << next.status << " end " << static_cast<int>(next.end));
+  CHECK(next.isComplete);
+  CHECK((next.status == 200 || next.status == 503));
   CHECK(stop.server.process->Wait() == 0);
 }
 
