Let streams in progress bound those of a stopping VM although few have ended

Callers got status 200 and a cut body: with fewer than 8 answers in the last minute, a stopping VM took requests on by the cost model alone, although streams that were in progress had already taken several times as long. Since the time of answers in progress counted only beside that of the latest ones.

--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -288,9 +288,11 @@
   answer.deadline = aCall.deadline;
   answer.byLatest = this->answerDurations.Longest(kind, aNow);
   answer.byLargestSize = this->ExpectedDuration(aCall);
-  if (answer.byLatest) {
-    *answer.byLatest =
-      std::max(*answer.byLatest, this->answerDurations.LongestInProgress(kind, aNow));
+  const auto inProgress = this->answerDurations.LongestInProgress(kind, aNow);
+  for (auto* expected : { &answer.byLatest, &answer.byLargestSize }) {
+    if (*expected) {
+      *expected = std::max(**expected, inProgress);
+    }
   }
   return this->stopSchedule->LeavesTimeFor(answer, aNow);
 }
--- /dev/null
+++ b/tests/platform/TestPlannedStopLate.cpp
@@ -0,0 +1,87 @@
+#include <algorithm>
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "support/AnswerLog.h"
+#include "support/ParallelCallers.h"
+#include "support/PlannedStop.h"
+
+using namespace toucanstand;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+// Requests that reach a server late in a planned stop, and answers that come late.
+
+namespace {
+
+/// Sends a whole request for a stream at a time after the signal.
+void CallAt(PlannedStop& aStop,
+            milliseconds aAfterSignal,
+            const std::string& aAttemptId,
+            AnswerLog& aLog)
+{
+  aStop.WaitUntil(aAfterSignal);
+  CallerConnection caller(aStop.server.listenEndpoint);
+  caller.Send(PlannedStop::StreamRequest(aAttemptId));
+  aLog.Add(aAttemptId, caller.ReadAnswer(PlannedStop::kPatience));
+}
+
+/// Connects before the listener closes; the last byte of the request follows at a time
+/// after the signal.
+void CallWithLastByteAt(PlannedStop& aStop,
+                        milliseconds aAfterSignal,
+                        const std::string& aAttemptId,
+                        AnswerLog& aLog)
+{
+  aStop.WaitUntil(std::min(aAfterSignal, aStop.LastConnect()));
+  CallerConnection caller(aStop.server.listenEndpoint);
+  caller.Send(ChunkedRequestHead("POST",
+                                 PlannedStop::kStreamTarget,
+                                 PlannedStop::RequestHeaders(aAttemptId)) +
+              ChunkText("prompt"));
+  aStop.WaitUntil(aAfterSignal);
+  caller.Send(ChunkText(""));
+  aLog.Add(aAttemptId, caller.ReadAnswer(PlannedStop::kPatience));
+}
+
+void CheckAllWhole(PlannedStop& aStop, const AnswerLog& aLog)
+{
+  for (const auto& [attempt, answer] : aLog.Answers()) {
+    aStop.CheckWhole(answer, attempt);
+  }
+}
+
+} // namespace
+
+TEST_CASE("Streams that are slower than predicted are not begun too late although few "
+          "have ended",
+          "[stop]")
+{
+  // Guards against a VM that believes its cost model while streams in progress, too few
+  // of which have ended, show that it is wrong.
+  PlannedStop stop(8000ms, 1000ms);
+  stop.eventCount = 20;
+  stop.ForEachEngine(
+    [&stop](BackendServerStandin& aEngine) { aEngine.eventCount = stop.eventCount; });
+  AnswerLog log;
+  ParallelCallers callers;
+  stop.PlanSignal(1200ms);
+  for (int number = 0; number < 9; ++number) {
+    callers.Start([&stop, &log, number] {
+      CallAt(stop, number * 400ms - 1000ms, "early-" + std::to_string(number), log);
+    });
+  }
+  for (int number = 0; number < 6; ++number) {
+    callers.Start([&stop, &log, number] {
+      CallWithLastByteAt(
+        stop, 3300ms + number * 300ms, "late-" + std::to_string(number), log);
+    });
+  }
+  stop.SendPlannedSignal();
+  callers.WaitForAll();
+  CheckAllWhole(stop, log);
+  CHECK(stop.server.process->Wait() == 0);
+}
