Begin no second attempt of a stream that a planned stop would cut off

A request whose first engine was silent until the first event (1.2 s) was sent to a second one whatever time was left, as it may have run and no other VM may be asked. Its caller got the head of the second stream and a part of it. It now gets a whole 502 (unknown) at once if the answer would not end in time even if it took as long as expected, without the margin of 1.5: nobody else can make the attempt. Plain calls go on: their answers are sent whole or not at all.

--- a/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
@@ -38,20 +38,28 @@
   if (aAnswer.deadline <= this->finalAnswersAt) {
     return true;
   }
-  const auto& latest = aAnswer.byLatest;
-  const auto& largest = aAnswer.byLargestSize;
-  if (!latest && !largest) {
+  const bool isUnknown = !aAnswer.byLatest && !aAnswer.byLargestSize;
+  if (isUnknown || !this->MayEndInTime(aAnswer, aNow)) {
     return false;
   }
-  const auto left = this->finalAnswersAt - aNow;
   if (this->PhaseAt(aNow) == StopPhase::LeavingRotation) {
-    return latest.value_or(largest.value_or(Duration::zero())) <= left;
+    return true;
   }
-  const auto longest =
-    std::max(latest.value_or(Duration::zero()), largest.value_or(Duration::zero()));
+  const auto longest = std::max(aAnswer.byLatest.value_or(Duration::zero()),
+                                aAnswer.byLargestSize.value_or(Duration::zero()));
+  const auto left = this->finalAnswersAt - aNow;
   return FromSeconds(ToSeconds(longest) * kAnswerTimeMargin) <= left;
 }
 
+bool StopSchedule::MayEndInTime(const ExpectedAnswer& aAnswer, TimePoint aNow) const
+{
+  if (aAnswer.deadline <= this->finalAnswersAt) {
+    return true;
+  }
+  const auto expected = aAnswer.byLatest ? aAnswer.byLatest : aAnswer.byLargestSize;
+  return !expected || *expected <= this->finalAnswersAt - aNow;
+}
+
 StopPhase StopSchedule::PhaseAt(TimePoint aNow) const
 {
   if (aNow >= this->end) {
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -63,9 +63,14 @@
   void Shorten(TimePoint aNow, Duration aPeriod);
 
   /// True if the answer can be expected to end in time. While callers still reach this VM
-  /// only, the latest answers decide; later it must be certain.
+  /// only, the latest answers decide; later there must be a margin. A stream can still
+  /// take longer, as when its server pauses.
   [[nodiscard]] bool LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
 
+  /// False if the answer can't end in time unless it is quicker than expected. For a
+  /// request that may have run, so that no other VM can serve it in its place.
+  [[nodiscard]] bool MayEndInTime(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
+
   [[nodiscard]] StopPhase PhaseAt(TimePoint aNow) const;
   [[nodiscard]] TimePoint ClosingAt() const { return this->closingAt; }
   [[nodiscard]] TimePoint FinalAnswersAt() const { return this->finalAnswersAt; }
--- a/programs/toucanstand-server/CallProgress.cpp
+++ b/programs/toucanstand-server/CallProgress.cpp
@@ -48,6 +48,11 @@
          !this->state.LeavesTimeFor(this->call, aNow);
 }
 
+bool CallProgress::IsTooLateToStream(TimePoint aNow) const
+{
+  return !this->responseStarted && !this->state.MayEndInTime(this->call, aNow);
+}
+
 void CallProgress::RecordEvents(std::size_t aCount, TimePoint aNow)
 {
   this->eventCount = aCount;
--- a/programs/toucanstand-server/CallProgress.h
+++ b/programs/toucanstand-server/CallProgress.h
@@ -25,6 +25,10 @@
   /// so that another VM can serve it.
   [[nodiscard]] bool MustLeaveToOtherVms(TimePoint aNow) const;
 
+  /// True if a planned stop would cut a stream off that begins now. Its caller then gets
+  /// a whole answer instead of a part of the stream.
+  [[nodiscard]] bool IsTooLateToStream(TimePoint aNow) const;
+
   /// Records the arrival of complete stream events. The first call sets the time to first
   /// byte.
   /// @param aCount events of all attempts so far
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -56,7 +56,9 @@
         "crashing_prompt_part",
         this->state.promptPartQuarantine.RemainingTime(*crashingPart, BootClock::now()));
     }
-    if (this->progress.MustLeaveToOtherVms(BootClock::now())) {
+    const auto now = BootClock::now();
+    if (this->progress.MustLeaveToOtherVms(now) ||
+        this->progress.IsTooLateToStream(now)) {
       co_return co_await this->progress.GiveUp("stopping", this->state.stopRetryAfter);
     }
     const auto choice =
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -176,7 +176,9 @@
                                           aResult.events };
     this->state.OnAnswered(aCall, answer, BootClock::now());
   }
-  if (aResult.outcome == CallOutcome::Unknown && aCall.exchange.IsFinalAnswerDue()) {
+  const bool isEndedByStop =
+    aCall.exchange.IsFinalAnswerDue() || aResult.reason == Name(GiveUpReason::Stopping);
+  if (aResult.outcome == CallOutcome::Unknown && isEndedByStop) {
     ++this->state.requestsEndedByStop;
   }
   const auto& stop = this->state.stopSchedule;
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -280,9 +280,18 @@
 
 bool ServingState::LeavesTimeFor(const Call& aCall, TimePoint aNow) const
 {
-  if (!this->stopSchedule) {
-    return true;
-  }
+  return !this->stopSchedule ||
+         this->stopSchedule->LeavesTimeFor(this->ExpectAnswer(aCall, aNow), aNow);
+}
+
+bool ServingState::MayEndInTime(const Call& aCall, TimePoint aNow) const
+{
+  return !this->stopSchedule ||
+         this->stopSchedule->MayEndInTime(this->ExpectAnswer(aCall, aNow), aNow);
+}
+
+ExpectedAnswer ServingState::ExpectAnswer(const Call& aCall, TimePoint aNow) const
+{
   const auto kind = this->KindOf(aCall);
   ExpectedAnswer answer;
   answer.deadline = aCall.deadline;
@@ -294,7 +303,7 @@
       *expected = std::max(**expected, inProgress);
     }
   }
-  return this->stopSchedule->LeavesTimeFor(answer, aNow);
+  return answer;
 }
 
 AnswerDurations::Kind ServingState::KindOf(const Call& aCall) const
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -89,6 +89,10 @@
   /// True unless a planned stop ends before the answer to a call that begins now would.
   [[nodiscard]] bool LeavesTimeFor(const Call& aCall, TimePoint aNow) const;
 
+  /// The same for a call that may have run, so that it can't be left to another VM: true
+  /// unless the answer would have to be quicker than expected.
+  [[nodiscard]] bool MayEndInTime(const Call& aCall, TimePoint aNow) const;
+
   /// A backend server and its address.
   struct Destination
   {
@@ -141,6 +145,7 @@
 private:
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
+  [[nodiscard]] ExpectedAnswer ExpectAnswer(const Call& aCall, TimePoint aNow) const;
   /// Duration of an answer of the largest size that the request allows, in a full group;
   /// of a plain call, its latency objective.
   [[nodiscard]] std::optional<Duration> ExpectedDuration(const Call& aCall) const;
--- a/tests/platform/TestPlannedStopLate.cpp
+++ b/tests/platform/TestPlannedStopLate.cpp
@@ -85,3 +85,33 @@
   CheckAllWhole(stop, log);
   CHECK(stop.server.process->Wait() == 0);
 }
+
+TEST_CASE(
+  "A request whose first engine was silent gets a whole answer from a stopping VM",
+  "[stop]")
+{
+  // Guards against a second attempt that begins without time for its stream: its caller
+  // would see status 200 and a cut body, where a whole answer was possible.
+  PlannedStop stop(8000ms, 4400ms);
+  const auto silent = stop.platform.OpenGroupHeads().begin()->second;
+  stop.platform.RunOnLoop(
+    [&] { stop.platform.BackendServer(silent).eventInterval = 60s; });
+  AnswerLog log;
+  ParallelCallers callers;
+  stop.PlanSignal(100ms);
+  for (int number = 0; number < 6; ++number) {
+    callers.Start([&stop, &log, number] {
+      CallAt(stop, 1900ms, "retried-" + std::to_string(number), log);
+    });
+  }
+  stop.SendPlannedSignal();
+  callers.WaitForAll();
+  stop.server.process->Wait();
+  for (const auto& [attempt, answer] : log.Answers()) {
+    INFO(attempt << " status " << answer.status << " bytes " << answer.body.size());
+    CHECK(answer.isComplete);
+    CHECK((answer.status != 200 || answer.body == stop.WholeStream()));
+  }
+  const auto runs = stop.platform.Runs();
+  CHECK(std::ranges::count(runs, silent, &RecordedRun::server) > 0);
+}
--- a/tests/unit/toucanstand_transport/TestStopSchedule.cpp
+++ b/tests/unit/toucanstand_transport/TestStopSchedule.cpp
@@ -91,3 +91,17 @@
   CHECK(schedule.LeavesTimeFor(unseen, kBegin + 2s));
   CHECK_FALSE(schedule.LeavesTimeFor(unseen, kBegin + 3500ms));
 }
+
+TEST_CASE("A request that may have run is not given up while its answer may end in time",
+          "[stop]")
+{
+  // Guards against an attempt that is cut, and against one that is not made although
+  // nobody else can make it.
+  const StopSchedule schedule(kBegin, 7200ms, 2500ms);
+  const ExpectedAnswer answer{ kBegin + 60s, 3s, 6s };
+  CHECK_FALSE(schedule.LeavesTimeFor(answer, kBegin + 3500ms));
+  CHECK(schedule.MayEndInTime(answer, kBegin + 3500ms));
+  CHECK_FALSE(schedule.MayEndInTime(answer, kBegin + 4200ms));
+  CHECK(schedule.MayEndInTime({ kBegin + 60s, {}, {} }, kBegin + 3s));
+  CHECK(schedule.MayEndInTime({ kBegin + 7s, {}, {} }, kBegin));
+}
