--- a/tests/platform/TestPlannedStopLate.cpp
+++ b/tests/platform/TestPlannedStopLate.cpp
@@ -115,3 +115,81 @@
   const auto runs = stop.platform.Runs();
   CHECK(std::ranges::count(runs, silent, &RecordedRun::server) > 0);
 }
+
+TEST_CASE("What reaches a process while it is suspended beyond its drain is answered",
+          "[stop]")
+{
+  // Guards against answers that servers ended long before, and whole requests, that are
+  // dropped as the deadline has passed.
+  PlannedStop stop(8000ms, 1000ms);
+  AnswerLog streams;
+  AnswerLog requests;
+  ParallelCallers callers;
+  stop.PlanSignal(200ms);
+  for (int number = 0; number < 6; ++number) {
+    callers.Start([&stop, &streams, number] {
+      CallAt(stop, -100ms, "ended-" + std::to_string(number), streams);
+    });
+    callers.Start([&stop, &requests, number] {
+      CallAt(stop, 1500ms, "arrived-" + std::to_string(number), requests);
+    });
+  }
+  stop.SendPlannedSignal();
+  stop.WaitUntil(150ms);
+  stop.server.process->Signal(SIGSTOP);
+  stop.WaitUntil(stop.DrainEnd() + 100ms);
+  stop.server.process->Signal(SIGCONT);
+  callers.WaitForAll();
+  CheckAllWhole(stop, streams);
+  for (const auto& [attempt, answer] : requests.Answers()) {
+    stop.CheckNotRun(answer, attempt);
+  }
+  CHECK(stop.server.process->Wait() == 0);
+}
+
+TEST_CASE("A stopping VM refuses connections once the load balancer has had its time",
+          "[stop]")
+{
+  // Guards against callers that connect to be rejected, while a refused connection would
+  // send them to another VM at once.
+  PlannedStop stop(8000ms, 4000ms);
+  CallerConnection earlier(stop.server.listenEndpoint);
+  REQUIRE(earlier.Send(PlannedStop::StreamRequest("earlier")));
+  std::this_thread::sleep_for(300ms);
+  stop.SendSignal();
+  stop.WaitUntil(stop.LastConnect());
+  CHECK(CallerConnection(stop.server.listenEndpoint).IsConnected());
+  stop.WaitUntil(2800ms);
+  CHECK_FALSE(CallerConnection(stop.server.listenEndpoint).IsConnected());
+  stop.CheckWhole(earlier.ReadAnswer(PlannedStop::kPatience), "earlier");
+  CHECK(stop.server.process->Wait() == 0);
+}
+
+TEST_CASE("A request that an engine did not run is not sent to another one too late",
+          "[stop]")
+{
+  // Guards against a further attempt for which nobody asked whether there is time.
+  PlannedStop stop(8000ms, 4000ms);
+  const auto rejecting = stop.platform.OpenGroupHeads().begin()->second;
+  constexpr int kCallers = 8;
+  stop.platform.RunOnLoop([&] {
+    auto& faults = stop.platform.BackendServer(rejecting).faults;
+    faults.rejectAsOverloaded = kCallers;
+    faults.rejectionDelay = 1000ms;
+  });
+  AnswerLog log;
+  ParallelCallers callers;
+  stop.PlanSignal(100ms);
+  for (int number = 0; number < kCallers; ++number) {
+    callers.Start([&stop, &log, number] {
+      CallAt(stop, 2300ms, "call-" + std::to_string(number), log);
+    });
+  }
+  stop.SendPlannedSignal();
+  callers.WaitForAll();
+  CheckAllWhole(stop, log);
+  const auto refused = std::ranges::count_if(
+    log.Answers(), [](const auto& aEntry) { return aEntry.second.status == 503; });
+  CHECK(refused > 0);
+  CHECK(stop.server.process->Wait() == 0);
+}
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -262,6 +262,7 @@
     co_return;
   }
   if (ConsumeFault(this->faults.rejectAsOverloaded)) {
+    co_await this->Sleep(this->faults.rejectionDelay);
     rejection.status = 503;
     rejection.headers.Add("X-Not-Run", "1");
     co_await aExchange.Respond(std::move(rejection));
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -40,6 +40,8 @@
   int rejectAsWrongServer = 0;
   /// Requests rejected with 503 and the header that says that they did not run.
   int rejectAsOverloaded = 0;
+  /// Time that the server takes for such a rejection.
+  std::chrono::milliseconds rejectionDelay{ 0 };
   /// Requests to a plain service that run, but whose connection closes without a
   /// response.
   int dropResponses = 0;
