--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -90,6 +90,10 @@
   if (!this->state) {
     return;
   }
+  if (this->IsLastAnswerOnItsWay()) {
+    // The caller can't send its next request before it has the end of the last answer.
+    this->quietSince = aNow;
+  }
   switch (ActionDuringStop(aPhase, *this->state, this->QuietTime(aNow))) {
     case StopAction::None:
       return;
@@ -118,11 +122,19 @@
 
 bool HttpSession::IsUnfinished()
 {
-  if (this->state == ConnectionState::AwaitingClose) {
-    // The handler counts a request that got its final answer.
-    return !this->finalAnswerDue && UnacknowledgedBytes(this->stream.socket()) > 0;
+  const bool isAnswered = this->state == ConnectionState::AwaitingClose ||
+                          this->state == ConnectionState::AwaitingRequest;
+  if (!isAnswered) {
+    return this->state.has_value();
   }
-  return this->state && this->state != ConnectionState::AwaitingRequest;
+  // The handler counts a request that got its final answer.
+  return !this->finalAnswerDue && UnacknowledgedBytes(this->stream.socket()) > 0;
+}
+
+bool HttpSession::IsLastAnswerOnItsWay()
+{
+  return this->state == ConnectionState::AwaitingRequest &&
+         UnacknowledgedBytes(this->stream.socket()) > 0;
 }
 
 Duration HttpSession::QuietTime(TimePoint aNow) const
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -280,19 +280,30 @@
 
 bool ServingState::LeavesTimeFor(const Call& aCall, TimePoint aNow) const
 {
-  if (!this->stopSchedule) {
-    return true;
-  }
+  return !this->stopSchedule ||
+         this->stopSchedule->LeavesTimeFor(this->ExpectAnswer(aCall, aNow), aNow);
+}
+
+bool ServingState::MayEndInTime(const Call& aCall, TimePoint aNow) const
+{
+  return !this->stopSchedule ||
+         this->stopSchedule->MayEndInTime(this->ExpectAnswer(aCall, aNow), aNow);
+}
+
+ExpectedAnswer ServingState::ExpectAnswer(const Call& aCall, TimePoint aNow) const
+{
   const auto kind = this->KindOf(aCall);
   ExpectedAnswer answer;
   answer.deadline = aCall.deadline;
   answer.byLatest = this->answerDurations.Longest(kind, aNow);
   answer.byLargestSize = this->ExpectedDuration(aCall);
-  if (answer.byLatest) {
-    *answer.byLatest =
-      std::max(*answer.byLatest, this->answerDurations.LongestInProgress(kind, aNow));
+  const auto inProgress = this->answerDurations.LongestInProgress(kind, aNow);
+  for (auto* expected : { &answer.byLatest, &answer.byLargestSize }) {
+    if (*expected) {
+      *expected = std::max(**expected, inProgress);
+    }
   }
-  return this->stopSchedule->LeavesTimeFor(answer, aNow);
+  return answer;
 }
 
 AnswerDurations::Kind ServingState::KindOf(const Call& aCall) const
