Say when the last VM of a fleet may be back although its peers stopped after it

Two VMs that stop one after the other: the first one told the callers that it rejected to come back after 50 ms, as it had counted its peers when its stop began. No VM served them then. The number of peers is now read at each step of the stop.

--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -288,8 +288,6 @@
 void ServerProcess::BeginStop()
 {
   this->state.stopSchedule = this->shutdown.Schedule();
-  this->state.stopRetryAfter =
-    this->peers.PeerCount() > 0 ? kRetryAfterAtPeers : kRetryAfterRestart;
   this->LogConnections("stop_begins", StopPhase::LeavingRotation);
   this->tunnels.Drain();
   asio::co_spawn(this->loop, this->storeSession.RevokeLeases(), asio::detached);
@@ -301,6 +299,9 @@
     this->loggedStopPhase = aPhase;
     this->LogConnections("stop_phase", aPhase);
   }
+  // Peers may stop as well.
+  this->state.stopRetryAfter =
+    this->peers.PeerCount() > 0 ? kRetryAfterAtPeers : kRetryAfterRestart;
   this->callerServer.AdvanceStop(aPhase, aNow);
 }
 
--- a/tests/platform/TestPlannedStopLate.cpp
+++ b/tests/platform/TestPlannedStopLate.cpp
@@ -216,3 +216,25 @@
   CHECK(refused > 0);
   CHECK(stop.server.process->Wait() == 0);
 }
+
+TEST_CASE("The last VM that stops says when it may be back although a peer stopped later",
+          "[stop]")
+{
+  // Guards against callers that come back 20 times a second as both VMs count the other.
+  PlannedStop stop(2000ms, 400ms);
+  ServerUnderTest other(stop.platform, "vm-2");
+  stop.server.caller.WaitFor(
+    stop.server.operatorEndpoint, "/state", [](const nlohmann::json& aState) {
+      return aState.at("state").at("peers") == 1;
+    });
+  CallerConnection caller(stop.server.listenEndpoint);
+  REQUIRE(caller.Send(ChunkedRequestHead(
+    "POST", PlannedStop::kStreamTarget, PlannedStop::RequestHeaders("rejected"))));
+  stop.SendSignal();
+  stop.WaitUntil(100ms);
+  other.process->Signal(SIGTERM);
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
+  stop.CheckNotRun(answer, "rejected");
+  CHECK(std::stod(std::string(answer.headers.Find("Retry-After"))) >= 2);
+  CHECK(stop.server.process->Wait() == 0);
+}
