Do not take silent engines for crashed in toucanstand-entry

What callers saw: a request whose connection broke twice while its engines took longer than probe_ms to say their state was quarantined (422) for 10 minutes, although no engine had crashed.

BackendCall::ProbeServer had one result for an answer with an error, a refusal, a reset and silence, and Judge() took it for a crash.

Change: ProbeServer returns a ProbeOutcome; only a refusal or a state that shows another run is a crash. A server whose connection ends before an answer is probed again after 100 ms, up to four times and no longer than the time of one probe as before, because the kernel accepts connections for a moment while a process ends. The call itself waits for the probes, so none is left after it.

The engine stand-in gains two faults: break_open and state_delay_ms.

probes_total has the label outcome.

--- a/programs/toucanstand-entry/BackendCall.cpp
+++ b/programs/toucanstand-entry/BackendCall.cpp
@@ -21,6 +21,10 @@
 constexpr Duration kNoServerRetryAfter = std::chrono::seconds(1);
 /// Between two questions to the arbiter.
 constexpr Duration kAskPause = std::chrono::milliseconds(50);
+/// Between two probes of a server. One whose process is ending accepts connections for a
+/// moment and refuses them then.
+constexpr Duration kProbePause = std::chrono::milliseconds(100);
+constexpr std::size_t kMaxProbes = 4;
 constexpr std::size_t kMostStateBytes = 1U << 20U;
 
 /// True unless a server's state shows that it left the candidate's group: an engine that
@@ -37,6 +41,12 @@
          state->at("generation") == aCandidate.generation;
 }
 
+/// True if the server may have crashed or not: nothing answered and nothing refused.
+bool IsOpen(ProbeOutcome aOutcome)
+{
+  return aOutcome == ProbeOutcome::Broken || aOutcome == ProbeOutcome::Silent;
+}
+
 } // namespace
 
 BackendCall::BackendCall(EntryContext& aContext, CallState& aState)
@@ -102,10 +112,13 @@
     aFailure == HttpFailure::HeadTimedOut || aFailure == HttpFailure::BodyTimedOut;
   const auto probed = co_await this->ProbeServer(aCandidate);
   this->context.client.DropIdle(aCandidate.endpoint);
-  if (probed == ProbeResult::Unchanged) {
+  if (probed == ProbeOutcome::Answered) {
     co_return wasSilent ? AttemptFailure::SilentConnection : ToAttemptFailure(aFailure);
   }
-  if (!wasSilent) {
+  // A server that only stays silent, or answers with an error, may just be busy.
+  const bool hasCrashed =
+    probed == ProbeOutcome::Refused || probed == ProbeOutcome::OtherServer;
+  if (!wasSilent && hasCrashed) {
     this->serverCrashed = true;
     quarantine.OnServerCrashed(aCandidate.server, BootClock::now());
     this->context.suspects.Publish(quarantine, BootClock::now());
@@ -218,34 +231,52 @@
   this->state.cancel.Disarm();
 }
 
-Task<BackendCall::ProbeResult> BackendCall::ProbeServer(Candidate aCandidate)
+Task<ProbeOutcome> BackendCall::ProbeServer(Candidate aCandidate)
+{
+  const auto end = BootClock::now() + this->context.settings.progress.probe;
+  auto outcome = ProbeOutcome::Silent;
+  for (std::size_t number = 1; number <= kMaxProbes; ++number) {
+    outcome = co_await this->ProbeOnce(aCandidate, end - BootClock::now());
+    this->context.metrics.Count(std::string("probes_total{outcome=\"") + Name(outcome) +
+                                "\"}");
+    if (!IsOpen(outcome) || BootClock::now() + kProbePause >= end) {
+      break;
+    }
+    co_await this->Pause(kProbePause);
+  }
+  co_return outcome;
+}
+
+Task<ProbeOutcome> BackendCall::ProbeOnce(Candidate aCandidate, Duration aTimeout)
 {
   HttpRequest request;
   request.target = "/state";
   HttpDeadlines deadlines;
-  deadlines.connect = this->context.settings.progress.probe;
-  deadlines.head = this->context.settings.progress.probe;
-  deadlines.progress = this->context.settings.progress.probe;
+  deadlines.connect = aTimeout;
+  deadlines.head = aTimeout;
+  deadlines.progress = aTimeout;
   CancelSwitch never;
-  this->context.metrics.Count("probes_total");
   auto opened = co_await this->context.client.Open(
     aCandidate.endpoint, std::move(request), deadlines, ConnectionUse::Fresh, never);
-  if (!opened || (*opened)->Status() != 200) {
-    co_return ProbeResult::NoAnswer;
+  if (!opened) {
+    co_return ToProbeOutcome(opened.LastReason());
+  }
+  if ((*opened)->Status() != 200) {
+    co_return ProbeOutcome::OtherAnswer;
   }
   std::string body;
   while (true) {
     auto piece = co_await (*opened)->Read(never);
     if (!piece || body.size() > kMostStateBytes) {
-      co_return ProbeResult::NoAnswer;
+      co_return ProbeOutcome::OtherAnswer;
     }
     if (piece->empty()) {
       break;
     }
     body += *piece;
   }
-  co_return ReportsGroup(body, aCandidate) ? ProbeResult::Unchanged
-                                           : ProbeResult::Restarted;
+  co_return ReportsGroup(body, aCandidate) ? ProbeOutcome::Answered
+                                           : ProbeOutcome::OtherServer;
 }
 
 std::variant<Candidate, CallEnd> BackendCall::ChooseAmong(
--- a/programs/toucanstand-entry/BackendCall.h
+++ b/programs/toucanstand-entry/BackendCall.h
@@ -7,6 +7,7 @@
 #include "CallState.h"
 #include "EntryContext.h"
 #include "attempts/AttemptTracker.h"
+#include "http/ProbeOutcome.h"
 #include "http/Task.h"
 
 namespace toucanstand {
@@ -51,20 +52,14 @@
   AttemptTracker tracker;
 
 private:
-  /// What a server says over a fresh connection.
-  enum class ProbeResult
-  {
-    /// It answers and is what the request was sent to.
-    Unchanged,
-    /// It answers and no longer belongs to the candidate's group and generation.
-    Restarted,
-    NoAnswer,
-  };
-
   Task<std::variant<Candidate, CallEnd>> Choose();
   Task<std::optional<CallEnd>> AskToRunAlone(const ServerId& aServer);
   Task<> Pause(Duration aDuration);
-  Task<ProbeResult> ProbeServer(Candidate aCandidate);
+  /// Probes the server until something answers or refuses, for the time of one probe.
+  Task<ProbeOutcome> ProbeServer(Candidate aCandidate);
+  /// Probes the server once. An answer shows another run if the server no longer belongs
+  /// to the candidate's group and generation.
+  Task<ProbeOutcome> ProbeOnce(Candidate aCandidate, Duration aTimeout);
   std::variant<Candidate, CallEnd> ChooseAmong(const std::vector<ServerId>& aServers,
                                                TimePoint aNow);
   void NoteEnd(const Candidate& aCandidate,
--- a/standins/standin-engine/EngineServer.cpp
+++ b/standins/standin-engine/EngineServer.cpp
@@ -70,9 +70,7 @@
 void EngineServer::Die(std::optional<Duration> aRestartAfter)
 {
   this->model.Crash(BootClock::now());
-  while (!this->streams.empty()) {
-    this->AbortStream(this->streams.begin()->first);
-  }
+  this->BreakOpen();
   this->modelTimer.Arm(std::nullopt);
   this->server.Die(aRestartAfter);
 }
@@ -90,6 +88,13 @@
   }
 }
 
+void EngineServer::BreakOpen()
+{
+  while (!this->streams.empty()) {
+    this->AbortStream(this->streams.begin()->first);
+  }
+}
+
 void EngineServer::SetLeaving(bool aLeaving, bool aRefuse)
 {
   this->model.SetLeaving(aLeaving, aRefuse, BootClock::now());
@@ -104,8 +109,7 @@
 {
   const auto& request = aExchange.Request();
   if (request.method == "GET" && request.target == "/state") {
-    const auto state = this->model.State(BootClock::now());
-    co_await aExchange.Respond(JsonResponse(200, EncodeJson(state)));
+    co_await this->ServeState(aExchange);
   } else if (request.method == "POST" && request.target == "/v1/chat/completions") {
     co_await this->ServeChat(aExchange);
   } else if (request.method == "DELETE" && request.target.starts_with(kCancelPath)) {
@@ -204,6 +208,16 @@
     JsonResponse(reply == OrderReply::Accepted ? 202 : 409, EncodeJson(body)));
 }
 
+Task<> EngineServer::ServeState(HttpExchange& aExchange)
+{
+  if (this->stateDelay > Duration::zero()) {
+    asio::steady_timer timer(this->loop, this->stateDelay);
+    co_await timer.async_wait(kAwait);
+  }
+  const auto state = this->model.State(BootClock::now());
+  co_await aExchange.Respond(JsonResponse(200, EncodeJson(state)));
+}
+
 void EngineServer::Pump()
 {
   this->Deliver(this->model.Advance(BootClock::now()));
--- a/standins/standin-engine/EngineServer.h
+++ b/standins/standin-engine/EngineServer.h
@@ -46,6 +46,10 @@
 
   /// Makes the connections that are open now silent for good.
   void SilenceOpen();
+  /// Breaks off the answers in progress. The engine goes on and keeps its state.
+  void BreakOpen();
+  /// Time that the engine takes to say its state, as on a busy machine.
+  void SetStateDelay(Duration aDelay) { this->stateDelay = aDelay; }
 
   void SetSlowFactor(double aFactor) { this->model.SetSlowFactor(aFactor); }
   void SetLeaving(bool aLeaving, bool aRefuse);
@@ -71,6 +75,7 @@
   Task<> WriteStream(HttpExchange& aExchange, Stream& aStream);
   Task<> ServeCancel(HttpExchange& aExchange);
   Task<> ServeOrder(HttpExchange& aExchange);
+  Task<> ServeState(HttpExchange& aExchange);
   void Pump();
   void Deliver(const EngineOutput& aOutput);
   void AbortStream(std::uint64_t aRun);
@@ -81,6 +86,7 @@
   EngineModel model;
   ModelTimer modelTimer;
   FaultyServer server;
+  Duration stateDelay{ 0 };
   std::map<std::uint64_t, std::shared_ptr<Stream>> streams;
 };
 
--- a/standins/standin-engine/Main.cpp
+++ b/standins/standin-engine/Main.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::int64_t kMostEngines = 1000;
 constexpr double kHighestSlowFactor = 1e6;
+constexpr Duration kLongestStateDelay = std::chrono::minutes(1);
 
 ProgramDescription Description()
 {
@@ -100,6 +101,15 @@
   if (aReader.Flag("silent", false)) {
     changes.emplace_back([](EngineServer& aEngine) { aEngine.SilenceOpen(); });
   }
+  if (aReader.Has("state_delay_ms")) {
+    const auto delay =
+      aReader.Milliseconds("state_delay_ms", Duration::zero(), kLongestStateDelay);
+    changes.emplace_back(
+      [delay](EngineServer& aEngine) { aEngine.SetStateDelay(delay); });
+  }
+  if (aReader.Flag("break_open", false)) {
+    changes.emplace_back([](EngineServer& aEngine) { aEngine.BreakOpen(); });
+  }
   if (aReader.Has("dead")) {
     const bool dead = aReader.Flag("dead");
     changes.emplace_back([dead](EngineServer& aEngine) {
--- a/tests/integration/TestEntry.cpp
+++ b/tests/integration/TestEntry.cpp
@@ -1,4 +1,9 @@
+#include <algorithm>
 #include <csignal>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <thread>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -58,7 +63,7 @@
 /// Engines and services behind one entry whose knowledge comes from a FakeNode.
 struct Fixture
 {
-  explicit Fixture(int aTokensPerSecond, int aRestartMs = 60000)
+  explicit Fixture(int aTokensPerSecond, int aRestartMs = 60000, int aProbeMs = 500)
     : engines("standin-engine",
               { "--listen=127.0.0.1:0",
                 "--control=127.0.0.1:0",
@@ -82,7 +87,7 @@
           { "claim_timeout_ms", 200 },
           { "seed", 7 },
           { "progress",
-            { { "first_ms", 2000 }, { "between_ms", 500 }, { "probe_ms", 500 } } } })
+            { { "first_ms", 2000 }, { "between_ms", 500 }, { "probe_ms", aProbeMs } } } })
     , entry("toucanstand-entry", { settings.Option() })
   {
     for (int index = 0; index < kEngines; ++index) {
@@ -266,6 +271,88 @@
   CHECK(json::parse(answer->body)["error"]["type"] == "quarantined");
 }
 
+namespace {
+
+/// Engines whose answers break off while they run, and which take long to say their
+/// state.
+struct UnansweredProbes : Fixture
+{
+  explicit UnansweredProbes(int aProbeMs)
+    : Fixture(200, 60000, aProbeMs)
+  {
+    this->Fault({ { "state_delay_ms", 30000 } });
+  }
+
+  void Fault(const json& aFault)
+  {
+    this->caller.Json(this->engineControl, "POST", "/fault", aFault.dump());
+  }
+
+  /// Waits until one more engine runs the request, and returns its number.
+  int NextEngine()
+  {
+    std::optional<int> found;
+    this->caller.WaitFor(this->engineControl, "/log", [&](const json& aLog) {
+      for (int index = 0; index < kEngines; ++index) {
+        if (!aLog["engines"][index]["runs"].empty() && !this->seen.contains(index)) {
+          found = index;
+        }
+      }
+      return found.has_value();
+    });
+    this->seen.insert(*found);
+    return *found;
+  }
+
+  std::set<int> seen;
+};
+
+} // namespace
+
+TEST_CASE("A request whose engines answer probes late is not quarantined", "[entry]")
+{
+  // Guards against a busy machine on which broken connections quarantine a request that
+  // crashes nothing.
+  UnansweredProbes fixture(500);
+  const auto body = Chat("innocent", 300, true).dump();
+  std::string bytes;
+  const auto stream = fixture.caller.OpenStream(fixture.callers, kChat, body, {}, bytes);
+  REQUIRE(stream);
+  for (int number = 0; number < 2; ++number) {
+    fixture.NextEngine();
+    fixture.Fault({ { "break_open", true } });
+  }
+  (void)ReadToEnd(fixture.caller, *stream, bytes);
+  fixture.Fault({ { "state_delay_ms", 0 } });
+  const auto again = fixture.caller.Call(fixture.callers, "POST", kChat, body);
+  REQUIRE(again);
+  INFO(again->body);
+  CHECK(again->status == 200);
+}
+
+TEST_CASE("A request whose engines end while they are probed is quarantined", "[entry]")
+{
+  // Guards against a crash that is missed because its machine still accepts connections.
+  UnansweredProbes fixture(3000);
+  HttpCaller patient(std::chrono::seconds(8));
+  const auto body = Chat("deadly", 300, true).dump();
+  std::string bytes;
+  const auto stream = patient.OpenStream(fixture.callers, kChat, body, {}, bytes);
+  REQUIRE(stream);
+  for (int number = 0; number < 2; ++number) {
+    const int engine = fixture.NextEngine();
+    fixture.Fault({ { "engine", engine }, { "break_open", true } });
+    // The probe has connected and waits for an answer.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fixture.Fault({ { "engine", engine }, { "dead", true } });
+  }
+  (void)ReadToEnd(patient, *stream, bytes);
+  const auto again = patient.Call(fixture.callers, "POST", kChat, body);
+  REQUIRE(again);
+  INFO(again->body);
+  CHECK(again->status == 422);
+}
+
 TEST_CASE("A connection that went silent is left for a new one", "[entry]")
 {
   // Guards against a stream that hangs for good, and against blaming the server (R68).
