--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "CrashDetector.h"
 #include "ServerSettings.h"
 #include "answers/AnswerDurations.h"
 #include "attempts/AttemptFailure.h"
@@ -100,8 +101,8 @@
     Endpoint endpoint;
   };
 
-  /// Records the end of a run. If its connection broke, the server is probed; if it does
-  /// not answer, the requests that it was running are suspected of crashing servers.
+  /// Records the end of a run. If its connection broke, the server is probed; if that
+  /// shows a crash, the requests that it was running are suspected of crashing servers.
   void OnRunEnded(const RequestId& aRun,
                   const Destination& aDestination,
                   std::optional<AttemptFailure> aFailure);
@@ -143,8 +144,6 @@
   // NOLINTEND(misc-non-private-member-variables-in-classes)
 
 private:
-  /// Records a server crash if the server does not answer.
-  Task<> ProbeServer(Destination aDestination);
   [[nodiscard]] ExpectedAnswer ExpectAnswer(const Call& aCall, TimePoint aNow) const;
   /// Duration of an answer of the largest size that the request allows, in a full group;
   /// of a plain call, its latency objective.
@@ -154,6 +153,7 @@
 
   std::optional<std::uint64_t> destinationsRevision;
   std::uint64_t runCount = 0;
+  CrashDetector crashDetector;
 };
 
 } // namespace toucanstand
