Soak: excuse no stream that began more than 3 s after SIGTERM and was cut

The verdict excused every stream that the end of a drain cut, however late its request had been whole, so that the soak could not see a VM that takes requests on too late.

--- a/tests/platform/support/SoakVerdict.cpp
+++ b/tests/platform/support/SoakVerdict.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+/// Time after SIGTERM from which a request may only be sent to a server if its answer
+/// ends before the drain does.
+constexpr auto kExcusedBegin = std::chrono::seconds(3);
 /// Share of the stop period after which a drain ends.
 constexpr double kDrainShare = 0.9;
 constexpr int kSignalExit = 128;
@@ -188,7 +191,9 @@
   const bool isDrainOver =
     aLife.terminatedAt && aRequest.endedAt - *aLife.terminatedAt >= this->drain;
   const bool isStream = aRequest.kind == SoakRequestKind::Generation;
-  if (isDrainOver && isStream && aLife.exitCode == 1) {
+  const bool beganTooLate = aLife.terminatedAt && aRequest.wholeSentAt &&
+                            *aRequest.wholeSentAt - *aLife.terminatedAt > kExcusedBegin;
+  if (isDrainOver && isStream && aLife.exitCode == 1 && !beganTooLate) {
     const bool beganInDrain =
       aRequest.wholeSentAt && *aRequest.wholeSentAt > *aLife.terminatedAt;
     ++this->excused[beganInDrain ? "streams that began in a drain and ran over its end"
