Send no new request to a server that says in an answer that it leaves

Cause: only the registration in the store was read. A server that leaves says so in each answer, before its registration arrives or when that says `ready` for other reasons, and went on to get requests.

Change: HeaderTranslation reads `Server-Leaving` into a typed field, of answers that belong to the request and to the server that was asked; EngineClient does so for replies to orders and questions for health. ServerDirectory marks the entry of that run as leaving, so that candidates, groups and formation treat it as one whose registration says so, and destinations are rebuilt at once. The run is remembered when its entry is written again as ready, or lapses for up to 10 minutes; another run is not bound. Unreadable values count as absent and are counted. Decision 0018.

The stand-in of a head that is closed now reports `closing` until its streams have ended, as the `wait` of the order demands; it used to break them.

Ruled out: a list of leaving servers beside the directory, which groups and formation would have to ask as well; news of it in the reports between VMs (decision 0018).

--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -59,6 +59,15 @@
   double perSecond = 0;
 };
 
+/// What a response says about further requests to its server.
+struct ServerStatement
+{
+  /// The server finishes what it has and must get no new requests.
+  bool isLeaving = false;
+  /// The response says something about leaving that can't be read; it counts as absent.
+  bool isLeavingUnreadable = false;
+};
+
 /// What the head of a backend server's response says about the run.
 struct ReplyFacts
 {
@@ -78,6 +87,8 @@
   bool answersThisCall = true;
   std::optional<StatedLoad> load;
   StatedRateLimit rateLimit;
+  /// Has its defaults unless the response is one of the server that was asked.
+  ServerStatement statement;
   /// The group member at fault, when the server names one.
   std::optional<ServerId> serverAtFault;
 };
--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -28,7 +28,8 @@
     return true;
   }
   const bool isRenewed = this->outdatedInStore.erase(aEntry.id) > 0;
-  aEntry.leaving = aEntry.leaving || (sameRun && known.leaving);
+  aEntry.leaving =
+    aEntry.leaving || (sameRun && known.leaving) || this->SaidThatItLeaves(aEntry);
   if (known == aEntry) {
     known.sequence = aEntry.sequence;
     return restored || isRenewed;
@@ -48,6 +49,36 @@
   this->RemoveNow(aServer);
 }
 
+bool ServerDirectory::MarkLeaving(const ServerRun& aRun)
+{
+  auto& leaving = this->leavingRuns[aRun.server];
+  if (aRun.startedAtUnixMs < leaving.startedAtUnixMs) {
+    return false; // A late answer of an earlier run.
+  }
+  leaving.startedAtUnixMs = aRun.startedAtUnixMs;
+  const auto known = this->servers.find(aRun.server);
+  if (known == this->servers.end() || known->second.leaving ||
+      !this->SaidThatItLeaves(known->second)) {
+    return false;
+  }
+  known->second.leaving = true;
+  ++this->revision;
+  return true;
+}
+
+ServerRun ServerDirectory::RunOf(const ServerId& aServer) const
+{
+  const auto* known = this->Find(aServer);
+  return { aServer, known == nullptr ? 0 : known->startedAtUnixMs };
+}
+
+bool ServerDirectory::SaidThatItLeaves(const ServerEntry& aEntry) const
+{
+  const auto found = this->leavingRuns.find(aEntry.id);
+  return found != this->leavingRuns.end() &&
+         found->second.startedAtUnixMs == aEntry.startedAtUnixMs;
+}
+
 void ServerDirectory::OnStoreBack(TimePoint aNow)
 {
   this->removals.BeginGrace(aNow + kReturnGrace);
@@ -58,6 +89,19 @@
   for (const auto& server : this->removals.TakeDue(aNow)) {
     this->RemoveNow(server);
   }
+  for (auto& [server, run] : this->leavingRuns) {
+    if (this->Find(server) != nullptr || run.lastRegisteredAt == TimePoint{}) {
+      run.lastRegisteredAt = aNow;
+    }
+  }
+  std::erase_if(this->leavingRuns, [&](const auto& aLeaving) {
+    const auto& [server, run] = aLeaving;
+    if (const auto* entry = this->Find(server)) {
+      return entry->startedAtUnixMs > run.startedAtUnixMs;
+    }
+    // A run without a known start can't be told from the next one.
+    return run.startedAtUnixMs == 0 || aNow - run.lastRegisteredAt > kLeavingRetention;
+  });
 }
 
 void ServerDirectory::RemoveNow(const ServerId& aServer)
--- a/modules/toucanstand_world/serving/ServerDirectory.h
+++ b/modules/toucanstand_world/serving/ServerDirectory.h
@@ -9,6 +9,7 @@
 
 #include "serving/DeferredRemovals.h"
 #include "serving/ServerEntry.h"
+#include "serving/ServerRun.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -37,6 +38,10 @@
   /// Servers that live and reach the store register again within about two seconds of
   /// its return; the rest covers the delay of the change feed.
   static constexpr Duration kReturnGrace = std::chrono::milliseconds(2700);
+  /// Time for which it is remembered that a server without a registration leaves. A
+  /// registration that lapsed, or that a restored store has lost, is back within a few
+  /// seconds; the rest covers an outage of the store.
+  static constexpr Duration kLeavingRetention = std::chrono::minutes(10);
 
   /// Adds or replaces an entry, unless it is older than the known one of the same run:
   /// the store may have been restored from a copy.
@@ -44,10 +49,18 @@
   bool Put(ServerEntry aEntry);
   void Remove(const ServerId& aServer, TimePoint aNow);
 
+  /// Applies that a run of a server says itself that it leaves: its entry counts as
+  /// leaving, whatever the store says of that run.
+  /// @returns true if its entry did not say so
+  bool MarkLeaving(const ServerRun& aRun);
+
+  /// The present run of a server; one with an unknown start if it has no entry.
+  [[nodiscard]] ServerRun RunOf(const ServerId& aServer) const;
+
   /// The store answers again after an outage.
   void OnStoreBack(TimePoint aNow);
 
-  /// Applies removals whose grace period has ended.
+  /// Applies removals whose grace period has ended, and forgets runs that are gone.
   void OnTime(TimePoint aNow);
 
   [[nodiscard]] const ServerEntry* Find(const ServerId& aServer) const;
@@ -65,12 +78,22 @@
   [[nodiscard]] nlohmann::json Describe() const;
 
 private:
+  /// A run that said itself that it leaves.
+  struct LeavingRun
+  {
+    std::int64_t startedAtUnixMs = 0;
+    /// When it last had an entry.
+    TimePoint lastRegisteredAt{};
+  };
+
   void RemoveNow(const ServerId& aServer);
+  [[nodiscard]] bool SaidThatItLeaves(const ServerEntry& aEntry) const;
 
   std::map<ServerId, ServerEntry> servers;
   DeferredRemovals<ServerId> removals;
   /// Servers whose entry in the store is older than the known one.
   std::set<ServerId> outdatedInStore;
+  std::map<ServerId, LeavingRun> leavingRuns;
   std::uint64_t revision = 0;
 };
 
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -94,23 +94,24 @@
   target.server = aCandidate.server;
   target.endpoint = aCandidate.endpoint;
   target.headTimeout = this->HeadTimeout();
+  const auto asked = this->state.directory.RunOf(aCandidate.server);
   auto opened = co_await this->sender.Open(std::move(target));
   if (!opened) {
     co_return FailedAttempt{ this->sender.ClassifyFailure(opened.LastReason()),
                              std::nullopt };
   }
-  co_return co_await this->ReceiveResponse(aCandidate.server, **opened);
+  co_return co_await this->ReceiveResponse(asked, **opened);
 }
 
 Task<std::optional<FailedAttempt>> BufferedCall::ReceiveResponse(
-  const ServerId& aServer,
+  const ServerRun& aAsked,
   HttpClientStream& aStream)
 {
   this->progress.timeToFirstByte = BootClock::now() - this->call.arrivedAt;
   const int status = aStream.Status();
   const auto facts =
     platform::ReadResponseHead(status, aStream.Headers(), this->call.facts.id);
-  this->state.OnResponseHead(aServer, facts);
+  this->state.OnResponseHead(aAsked, facts);
   if (!facts.answersThisCall || (facts.isSuccess && !facts.isSigned)) {
     co_return FailedAttempt{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
--- a/programs/toucanstand-server/BufferedCall.h
+++ b/programs/toucanstand-server/BufferedCall.h
@@ -24,7 +24,7 @@
 
 private:
   Task<std::optional<FailedAttempt>> Attempt(const Candidate& aCandidate);
-  Task<std::optional<FailedAttempt>> ReceiveResponse(const ServerId& aServer,
+  Task<std::optional<FailedAttempt>> ReceiveResponse(const ServerRun& aAsked,
                                                      HttpClientStream& aStream);
   void RecordAttemptEnd(const Candidate& aCandidate,
                         const std::optional<FailedAttempt>& aFailedAttempt,
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -143,6 +143,7 @@
   this->ticket =
     this->placement.OnSent(aChoice, this->call.facts.promptTokens, BootClock::now());
   std::optional<FailedAttempt> failedAttempt;
+  const auto asked = this->state.directory.RunOf(aChoice.group.head);
   auto opened = co_await this->sender.Open(this->MakeTarget(aChoice));
   if (!opened) {
     failedAttempt =
@@ -152,7 +153,7 @@
     const auto facts =
       platform::ReadResponseHead(stream.Status(), stream.Headers(), this->call.facts.id);
     this->statedRateLimit = facts.rateLimit;
-    this->state.OnResponseHead(aChoice.group.head, facts);
+    this->state.OnResponseHead(asked, facts);
     if (facts.load) {
       this->placement.OnStatedLoad(aChoice.group.id, *facts.load, BootClock::now());
     }
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -73,6 +73,10 @@
 {
   this->backendClient.SetPaths(&this->paths);
   this->engineClient.SetPaths(&this->paths);
+  this->engineClient.SetAskListener([this](const ServerId& aServer) {
+    return [this, asked = this->directory.RunOf(aServer)](
+             const ServerStatement& aStatement) { this->OnStatement(asked, aStatement); };
+  });
 }
 
 bool ServingState::ApplyConfiguration(ServingConfiguration aConfiguration)
@@ -188,25 +192,41 @@
   }
 }
 
-void ServingState::OnResponseHead(const ServerId& aServer, const ReplyFacts& aFacts)
+void ServingState::OnStatement(const ServerRun& aAsked, const ServerStatement& aStatement)
+{
+  if (aStatement.isLeavingUnreadable) {
+    this->metrics.Count("server_statements_unreadable_total{field=\"leaving\"}");
+  }
+  if (!aStatement.isLeaving || !this->directory.MarkLeaving(aAsked)) {
+    return;
+  }
+  this->metrics.Count("server_leaving_stated_total");
+  this->log.Write(LogWeight::Notable,
+                  "server_leaving",
+                  { { "server", aAsked.server.Value() }, { "source", "answer" } });
+  this->RefreshDestinations(BootClock::now());
+}
+
+void ServingState::OnResponseHead(const ServerRun& aAsked, const ReplyFacts& aFacts)
 {
   if (!aFacts.answersThisCall || aFacts.wrongServer) {
     return;
   }
+  this->OnStatement(aAsked, aFacts.statement);
   using Change = ServerRateLimits::Change;
   const bool isAnswer = aFacts.isSuccess && aFacts.isSigned;
-  const auto change =
-    this->rateLimits.OnResponse(aServer, aFacts.rateLimit, isAnswer, BootClock::now());
+  const auto change = this->rateLimits.OnResponse(
+    aAsked.server, aFacts.rateLimit, isAnswer, BootClock::now());
   if (change == Change::None) {
     return;
   }
   const bool isLimited = change == Change::Limited;
   this->metrics.Count(isLimited ? "server_limits_stated_total"
                                 : "server_limits_lifted_total");
-  this->log.Write(
-    LogWeight::Notable,
-    isLimited ? "server_limited" : "server_limit_lifted",
-    { { "server", aServer.Value() }, { "per_second", aFacts.rateLimit.perSecond } });
+  this->log.Write(LogWeight::Notable,
+                  isLimited ? "server_limited" : "server_limit_lifted",
+                  { { "server", aAsked.server.Value() },
+                    { "per_second", aFacts.rateLimit.perSecond } });
 }
 
 Duration ServingState::RateLimitDelay(const Call& aCall, TimePoint aNow) const
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -72,7 +72,8 @@
   void OnRunEvents(const RequestId& aRun, std::size_t aEvents, TimePoint aNow);
 
   /// Applies what the head of a response says about the server that sent it.
-  void OnResponseHead(const ServerId& aServer, const ReplyFacts& aFacts);
+  /// @param aAsked the run of the server when the request was sent
+  void OnResponseHead(const ServerRun& aAsked, const ReplyFacts& aFacts);
 
   /// Time until this VM may send the call to a server that it must spare now because of
   /// its rate limit; zero if no limit prevents that.
@@ -139,6 +140,7 @@
   // NOLINTEND(misc-non-private-member-variables-in-classes)
 
 private:
+  void OnStatement(const ServerRun& aAsked, const ServerStatement& aStatement);
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
   /// Duration of an answer of the largest size that the request allows, in a full group;
--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -176,7 +176,10 @@
     this->state.directory.Remove(aServer, now);
     return true;
   }
-  if (known == nullptr || known->leaving != entry->leaving) {
+  // A server that said in an answer that it leaves may be registered as ready.
+  const bool isOtherRun =
+    known == nullptr || known->startedAtUnixMs != entry->startedAtUnixMs;
+  if (isOtherRun || (entry->leaving && !known->leaving)) {
     this->state.log.Write(LogWeight::Notable,
                           entry->leaving ? "server_leaving" : "server_registered",
                           { { "server", aServer.Value() },
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -98,7 +98,7 @@
                  { "State", this->registrationState },
                  { "ColdRemainingMs", 0 },
                  { "Seq", this->receivedOrders.size() },
-                 { "born", 1700000000000 } };
+                 { "born", this->startedAtUnixMs } };
   if (!this->domain.empty()) {
     entry["Domain"] = this->domain;
     entry["Staged"] = this->stagedModels;
@@ -125,6 +125,15 @@
   this->onRegistrationChanged(this->RegistrationText());
 }
 
+void BackendServerStandin::BeginNewRun()
+{
+  ++this->startedAtUnixMs;
+  this->faults = {};
+  this->registrationState = "ready";
+  this->group.clear();
+  this->SetGroupState("");
+}
+
 void BackendServerStandin::SetGroupState(const std::string& aState)
 {
   this->groupState = aState;
@@ -195,7 +204,7 @@
     return 202;
   }
   if (kind == "close") {
-    this->SetGroupState("ready");
+    this->SetGroupState(this->openStreams == 0 ? "ready" : "closing");
     return 202;
   }
   this->group.clear();
@@ -208,6 +217,7 @@
   const auto order = json::parse(aExchange.Request().body, nullptr, false);
   HttpResponse response;
   response.status = order.is_object() ? this->ApplyOrder(order) : 400;
+  this->AddStatements(response.headers);
   co_await aExchange.Respond(std::move(response));
 }
 
@@ -228,9 +238,25 @@
   if (!this->faults.statedLimit.empty()) {
     headers.Add("Server-Limit", this->faults.statedLimit);
   }
+  this->AddStatements(headers);
   return headers;
 }
 
+void BackendServerStandin::AddStatements(HttpHeaders& aHeaders) const
+{
+  if (!this->faults.statedLeaving.empty()) {
+    aHeaders.Add("Server-Leaving", this->faults.statedLeaving);
+  }
+}
+
+void BackendServerStandin::OnStreamEnded()
+{
+  --this->openStreams;
+  if (this->openStreams == 0 && this->groupState == "closing") {
+    this->SetGroupState("ready");
+  }
+}
+
 void BackendServerStandin::NoteRunFailed(const HttpExchange& aExchange)
 {
   this->onRunFailed(std::string(aExchange.Request().headers.Find("X-Attempt-Id")));
@@ -252,7 +278,9 @@
   }
   if (request.target == "/report") {
     co_await this->Sleep(this->faults.reportDelay);
-    co_await aExchange.Respond(JsonResponse(200, "{}"));
+    HttpResponse report = JsonResponse(200, "{}");
+    this->AddStatements(report.headers);
+    co_await aExchange.Respond(std::move(report));
     co_return;
   }
   const bool isServing = this->domain.empty() || this->groupState == "open";
@@ -264,6 +292,7 @@
   if (ConsumeFault(this->faults.rejectAsOverloaded)) {
     rejection.status = 503;
     rejection.headers.Add("X-Not-Run", "1");
+    this->AddStatements(rejection.headers);
     co_await aExchange.Respond(std::move(rejection));
     co_return;
   }
@@ -272,7 +301,9 @@
   if (this->domain.empty()) {
     co_await this->RespondToCall(aExchange);
   } else {
+    ++this->openStreams;
     co_await this->StreamEvents(aExchange);
+    this->OnStreamEnded();
   }
 }
 
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -54,6 +54,9 @@
   std::chrono::milliseconds reportDelay{ 0 };
   /// Requests per second that the server says it takes; nothing if empty.
   std::string statedLimit;
+  /// Value with which each response, also to orders and for reports, says that the server
+  /// leaves; the registration stays. None if empty.
+  std::string statedLeaving;
   /// Responses without the server's signature header.
   int unsignedResponses = 0;
   /// Responses with the attempt id of another request.
@@ -105,6 +108,9 @@
   [[nodiscard]] bool IsAlive() const { return this->alive; }
 
   void SetDraining();
+  /// Registers a run that began later, without a group and without faults, at the same
+  /// address.
+  void BeginNewRun();
 
   RegistrationChangedHandler onRegistrationChanged;
   RunStartedHandler onRunStarted;
@@ -138,6 +144,10 @@
   /// @returns the HTTP status of the reply
   [[nodiscard]] int ApplyOrder(const nlohmann::json& aOrder);
   [[nodiscard]] HttpHeaders ResponseHeaders(const HttpRequest& aRequest);
+  /// Adds what the server says of itself in each response.
+  void AddStatements(HttpHeaders& aHeaders) const;
+  /// A closed head is ready when its last stream has ended.
+  void OnStreamEnded();
   void NoteRunFailed(const HttpExchange& aExchange);
   void SetGroupState(const std::string& aState);
 
@@ -147,6 +157,8 @@
   std::string service;
   std::string domain;
   std::string registrationState = "ready";
+  std::int64_t startedAtUnixMs = 1700000000000;
+  int openStreams = 0;
   std::unique_ptr<HttpServer> server;
   /// Keeps the port while the server does not listen.
   std::optional<boost::asio::ip::tcp::socket> reservedPort;
--- a/tests/unit/toucanstand_platform/TestEngineClient.cpp
+++ b/tests/unit/toucanstand_platform/TestEngineClient.cpp
@@ -13,6 +13,8 @@
 {
   EngineOrderReply order = EngineOrderReply::Unknown;
   bool probe = false;
+  /// Servers that said that they leave, once for each reply.
+  std::vector<std::string> leaving;
 };
 
 /// Sends an order and a probe to an engine that answers both in this way.
@@ -34,6 +36,13 @@
   const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
   platform::EngineClient client(loop, metrics);
   EngineAnswers answers;
+  client.SetAskListener([&answers](const ServerId& aServer) {
+    return [&answers, aServer](const ServerStatement& aStatement) {
+      if (aStatement.isLeaving) {
+        answers.leaving.push_back(aServer.Value());
+      }
+    };
+  });
   boost::asio::co_spawn(
     loop,
     [&]() -> Task<> {
@@ -79,3 +88,17 @@
     CHECK(answers.probe);
   }
 }
+
+TEST_CASE("An engine says in a reply to an order or a probe that it leaves", "[platform]")
+{
+  // Guards against an engine that is ordered into a group because only answers to
+  // clients' requests are read, and against the reply of another one.
+  const std::pair<std::string, std::string> leaving{ "Server-Leaving", "1" };
+  for (const int status : { 200, 202, 409, 412, 503 }) {
+    INFO(status);
+    CHECK(Ask(status, { leaving }).leaving == std::vector<std::string>{ "i-1", "i-1" });
+    CHECK(Ask(status, { leaving, { "X-Attempt-Id", "id-1" } }).leaving.empty());
+  }
+  CHECK(Ask(421, { leaving }).leaving.empty());
+  CHECK(Ask(200, { { "Server-Leaving", "yes" } }).leaving.empty());
+}
--- a/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
+++ b/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
@@ -246,3 +246,48 @@
   }
   CHECK(limit({ "3", "4" }).kind == Kind::Unreadable);
 }
+
+TEST_CASE("Only an exact statement of the server that was asked says that it leaves",
+          "[platform]")
+{
+  // Guards against a server that gets no requests because of a damaged header, or of an
+  // answer of another server or to another request.
+  const auto read = [](int aStatus, HttpHeaders aHeaders) {
+    return platform::ReadResponseHead(aStatus, aHeaders, RequestId("id-1")).statement;
+  };
+  const std::pair<std::string, std::string> leaving{ "Server-Leaving", "1" };
+  const std::pair<std::string, std::string> stamp{ "X-Engine-Stamp", "s" };
+  CHECK(read(200, { leaving, stamp }).isLeaving);
+  CHECK(read(200, { leaving, leaving, stamp, { "X-Attempt-Id", "id-1" } }).isLeaving);
+  for (const int status : { 400, 404, 500, 503 }) {
+    INFO(status);
+    CHECK(read(status, { leaving }).isLeaving);
+    CHECK(read(status, { leaving, { "X-Not-Run", "1" } }).isLeaving);
+    CHECK(!read(status, { leaving, { "X-Attempt-Id", "id-2" } }).isLeaving);
+  }
+  CHECK(!read(200, { leaving }).isLeaving);
+  CHECK(!read(421, { leaving }).isLeaving);
+  CHECK(!read(503, {}).isLeaving);
+  CHECK(!read(503, {}).isLeavingUnreadable);
+
+  for (const auto& value : std::vector<std::string>{ "0",
+                                                     "",
+                                                     "true",
+                                                     "2",
+                                                     "11",
+                                                     "01",
+                                                     "1,1",
+                                                     "1 ",
+                                                     "-1",
+                                                     "1.0",
+                                                     std::string(10'000, '1'),
+                                                     std::string("1\0", 2) }) {
+    INFO(value.substr(0, 20));
+    const auto statement = read(503, { { "Server-Leaving", value } });
+    CHECK(!statement.isLeaving);
+    CHECK(statement.isLeavingUnreadable);
+  }
+  const auto ambiguous = read(503, { leaving, { "Server-Leaving", "0" } });
+  CHECK(!ambiguous.isLeaving);
+  CHECK(ambiguous.isLeavingUnreadable);
+}
--- a/tests/unit/toucanstand_world/TestServerDirectory.cpp
+++ b/tests/unit/toucanstand_world/TestServerDirectory.cpp
@@ -62,6 +62,60 @@
   CHECK(!directory.Find(ServerId("a"))->leaving);
 }
 
+TEST_CASE("A run that said that it leaves is leaving whatever the store says",
+          "[directory]")
+{
+  // Guards against new requests to a server whose registration is older than its answer,
+  // or lapses and comes back.
+  ServerDirectory directory;
+  directory.Put(Entry("a"));
+  const auto run = directory.RunOf(ServerId("a"));
+  const auto revision = directory.Revision();
+  CHECK(directory.MarkLeaving(run));
+  CHECK(directory.Revision() > revision);
+  CHECK_FALSE(directory.MarkLeaving(run));
+  directory.Put(Entry("a"));
+  CHECK(directory.Find(ServerId("a"))->leaving);
+  directory.Remove(ServerId("a"), kStart);
+  directory.OnTime(kStart);
+  directory.OnTime(kStart + ServerDirectory::kLeavingRetention);
+  directory.Put(Entry("a"));
+  CHECK(directory.Find(ServerId("a"))->leaving);
+
+  // It is forgotten when its registration has been missing for long.
+  directory.Remove(ServerId("a"), kStart);
+  directory.OnTime(kStart);
+  directory.OnTime(kStart + ServerDirectory::kLeavingRetention +
+                   std::chrono::milliseconds(1));
+  directory.Put(Entry("a"));
+  CHECK(!directory.Find(ServerId("a"))->leaving);
+}
+
+TEST_CASE("That a run leaves says nothing of another run or server", "[directory]")
+{
+  // Guards against a restarted server that gets no requests because an answer of its
+  // former run arrives late.
+  ServerDirectory directory;
+  directory.Put(Entry("a"));
+  directory.Put(Entry("b"));
+  const auto former = directory.RunOf(ServerId("a"));
+  auto restarted = Entry("a");
+  restarted.startedAtUnixMs = 2;
+  directory.Put(restarted);
+  CHECK_FALSE(directory.MarkLeaving(former));
+  CHECK(!directory.Find(ServerId("a"))->leaving);
+  CHECK(!directory.Find(ServerId("b"))->leaving);
+
+  CHECK(directory.MarkLeaving(directory.RunOf(ServerId("a"))));
+  CHECK_FALSE(directory.MarkLeaving(former));
+  directory.Put(restarted);
+  CHECK(directory.Find(ServerId("a"))->leaving);
+  restarted.startedAtUnixMs = 3;
+  directory.Put(restarted);
+  CHECK(!directory.Find(ServerId("a"))->leaving);
+  CHECK_FALSE(directory.MarkLeaving({ ServerId("unknown"), 0 }));
+}
+
 TEST_CASE("A heartbeat that changes nothing changes no revision", "[directory]")
 {
   ServerDirectory directory;
