Send a server nothing for the time that its 503 names

Cause: Retry-After of a server's 503 was not read. The server got the next request after 250 ms (plain services) or 150 ms (groups), or was ejected for 5 s and more if its 503 did not say that the request did not run; callers were told to come back after 0.4 to 1 s, however long all servers of their service wanted nothing.

Change: HeaderTranslation reads Retry-After of a 503 (seconds and the three forms of a date, relative to the answer's Date where it has one). ServerAvailability, a decision class, answers when a server may be sent a request and what stands in the way: leaving (ServerDirectory), the time of a 503, rate limits (ServerRateLimits). BufferedCall and GenerationCall exclude what it names in each choice; the leader sends such a server no order and forms no group with it. Of two times, the one that ends later counts; ten minutes are the longest; another run of the server ends it. A 503 with a time counts as a refusal. Rejections name the smallest time at which a server that could take the request does so again, and the jitter of a rejection is now 1 s at most. `spared` in the log lines, `route_refused` for plain services and `toucanstandctl explain` lead from a request to the answer that kept it from a server.

Ruled out: the rate limits, which all VMs share, and ejection, which a last resort passes over, as the place of the time (decision 0018).

--- /dev/null
+++ b/modules/toucanstand_admission/limits/ServerAvailability.cpp
@@ -0,0 +1,111 @@
+#include "limits/ServerAvailability.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace toucanstand {
+
+const char* ServerAvailability::Name(Obstacle aObstacle)
+{
+  // In the order of the enumeration.
+  constexpr std::array kNames = { "none", "leaving", "retry_after", "rate_limit" };
+  return kNames.at(static_cast<std::size_t>(aObstacle));
+}
+
+ServerAvailability::ServerAvailability(const ServerDirectory& aDirectory,
+                                       const ServerRateLimits& aRateLimits)
+  : directory(aDirectory)
+  , rateLimits(aRateLimits)
+{
+}
+
+bool ServerAvailability::OnWaitStated(const ServerRun& aRun,
+                                      Duration aTime,
+                                      TimePoint aNow)
+{
+  const auto* entry = this->directory.Find(aRun.server);
+  const bool isOver = entry != nullptr && entry->startedAtUnixMs != aRun.startedAtUnixMs;
+  if (isOver || aTime <= Duration::zero()) {
+    return false;
+  }
+  auto& wait = this->waits[aRun.server];
+  const bool isNew = wait.startedAtUnixMs != aRun.startedAtUnixMs || wait.until <= aNow;
+  const auto until = aNow + std::min(aTime, kMaxWait);
+  wait.until = isNew ? until : std::max(wait.until, until);
+  wait.startedAtUnixMs = aRun.startedAtUnixMs;
+  return isNew;
+}
+
+Duration ServerAvailability::RemainingWait(const ServerId& aServer,
+                                           const Wait& aWait,
+                                           TimePoint aNow) const
+{
+  const auto* entry = this->directory.Find(aServer);
+  const bool isOver = entry != nullptr && entry->startedAtUnixMs != aWait.startedAtUnixMs;
+  return isOver ? Duration::zero() : std::max(aWait.until - aNow, Duration::zero());
+}
+
+bool ServerAvailability::IsWaiting(const ServerId& aServer, TimePoint aNow) const
+{
+  const auto found = this->waits.find(aServer);
+  return found != this->waits.end() &&
+         this->RemainingWait(aServer, found->second, aNow) > Duration::zero();
+}
+
+ServerAvailability::Answer ServerAvailability::WhenMayBeSent(const ServerId& aServer,
+                                                             TimePoint aNow) const
+{
+  const auto* entry = this->directory.Find(aServer);
+  if (entry != nullptr && entry->leaving) {
+    return { Obstacle::Leaving, std::nullopt };
+  }
+  const auto limited = this->rateLimits.TimeUntilNextRequest(aServer, aNow);
+  const auto found = this->waits.find(aServer);
+  const auto waiting = found == this->waits.end()
+                         ? Duration::zero()
+                         : this->RemainingWait(aServer, found->second, aNow);
+  if (waiting > Duration::zero()) {
+    return { Obstacle::Waiting,
+             limited ? std::optional(std::max(*limited, waiting)) : std::nullopt };
+  }
+  return { limited == Duration::zero() ? Obstacle::None : Obstacle::RateLimit, limited };
+}
+
+std::vector<ServerAvailability::SparedServer> ServerAvailability::Spared(
+  TimePoint aNow) const
+{
+  std::vector<SparedServer> spared;
+  for (const auto& [server, wait] : this->waits) {
+    if (this->RemainingWait(server, wait, aNow) > Duration::zero()) {
+      spared.push_back({ server, Obstacle::Waiting });
+    }
+  }
+  for (auto& server : this->rateLimits.Exhausted(aNow)) {
+    if (!this->IsWaiting(server, aNow)) {
+      spared.push_back({ std::move(server), Obstacle::RateLimit });
+    }
+  }
+  return spared;
+}
+
+void ServerAvailability::OnTime(TimePoint aNow)
+{
+  std::erase_if(this->waits, [&](const auto& aEntry) {
+    return this->RemainingWait(aEntry.first, aEntry.second, aNow) <= Duration::zero();
+  });
+}
+
+nlohmann::json ServerAvailability::Describe(TimePoint aNow) const
+{
+  auto document = nlohmann::json::array();
+  for (const auto& [server, wait] : this->waits) {
+    document.push_back(
+      { { "server", server.Value() },
+        { "wait_ms", ToMilliseconds(this->RemainingWait(server, wait, aNow)).count() } });
+  }
+  return document;
+}
+
+} // namespace toucanstand
--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -30,6 +30,9 @@
   this->staging.Update(this->pool, aInputs, aNow);
   this->lifecycle.Step(aInputs, context.observed, aNow);
   auto free = this->FreeEngines(aInputs.directory);
+  std::erase_if(free, [&aInputs](const ServerEntry* aEntry) {
+    return aInputs.isWaiting && aInputs.isWaiting(aEntry->id);
+  });
   if (!aInputs.cost.models.empty()) {
     this->FormGroups(context, free);
     this->UpdateSummary(context, free);
--- a/modules/toucanstand_groups/formation/FormationInputs.h
+++ b/modules/toucanstand_groups/formation/FormationInputs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -24,6 +25,8 @@
   bool trafficStarted = false;
   /// Time after which a head with a missing member abandons its requests.
   Duration headStallTimeout = std::chrono::seconds(5);
+  /// True for an engine that wants nothing for now; no group is formed with it.
+  std::function<bool(const ServerId&)> isWaiting = nullptr;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -66,6 +66,10 @@
   bool isLeaving = false;
   /// The response says something about leaving that can't be read; it counts as absent.
   bool isLeavingUnreadable = false;
+  /// The server is overloaded and wants nothing from this VM for this time from receipt.
+  std::optional<Duration> retryAfter;
+  /// The response names such a time that can't be read; it counts as absent.
+  bool isRetryAfterUnreadable = false;
 };
 
 /// What the head of a backend server's response says about the run.
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -38,14 +38,14 @@
     RouteQuery query;
     query.pool = this->call.pool;
     query.excluded = this->triedCandidates;
-    std::ranges::transform(this->state.rateLimits.Exhausted(BootClock::now()),
+    std::ranges::transform(this->state.availability.Spared(BootClock::now()),
                            std::back_inserter(query.excluded),
-                           &ServerId::Value);
+                           [](const auto& aSpared) { return aSpared.server.Value(); });
     const auto candidate = this->state.router.Choose(query, BootClock::now());
     if (!candidate) {
-      const auto delay = this->state.RateLimitDelay(this->call, BootClock::now());
+      this->LogRefusal(candidate.LastReason());
       co_return co_await this->progress.GiveUp(Name(candidate.LastReason()),
-                                               std::max(kRetryAfter, delay));
+                                               this->RetryAfter());
     }
     const auto sentAt = BootClock::now();
     this->progress.destination = candidate->id;
@@ -69,11 +69,31 @@
     const auto decision = this->progress.tracker.OnFailure(
       failedAttempt->failure, candidate->id, BootClock::now());
     if (decision.kind == RetryAction::GiveUp) {
-      co_return co_await this->progress.GiveUp(Name(decision.reason), kRetryAfter);
+      co_return co_await this->progress.GiveUp(Name(decision.reason), this->RetryAfter());
     }
   }
 }
 
+Duration BufferedCall::RetryAfter() const
+{
+  return std::max(kRetryAfter,
+                  this->state.TimeUntilAvailable(this->call, BootClock::now()));
+}
+
+void BufferedCall::LogRefusal(RouteRefusal aReason)
+{
+  const auto now = BootClock::now();
+  this->state.log.Write(
+    LogWeight::Notable,
+    "route_refused",
+    { { "request", this->call.facts.id.Value() },
+      { "pool", this->call.pool.Value() },
+      { "reason", Name(aReason) },
+      { "spared", this->state.DescribeSpared(this->call.pool, now) },
+      { "leaving", this->state.CountLeaving(this->call.pool) },
+      { "retry_after_ms", ToMilliseconds(this->RetryAfter()).count() } });
+}
+
 Duration BufferedCall::HeadTimeout() const
 {
   const auto remaining =
@@ -94,6 +114,7 @@
   target.server = aCandidate.server;
   target.endpoint = aCandidate.endpoint;
   target.headTimeout = this->HeadTimeout();
+  this->serverWaits = false;
   const auto asked = this->state.directory.RunOf(aCandidate.server);
   auto opened = co_await this->sender.Open(std::move(target));
   if (!opened) {
@@ -112,6 +133,7 @@
   const auto facts =
     platform::ReadResponseHead(status, aStream.Headers(), this->call.facts.id);
   this->state.OnResponseHead(aAsked, facts);
+  this->serverWaits = facts.statement.retryAfter.has_value();
   if (!facts.answersThisCall || (facts.isSuccess && !facts.isSigned)) {
     co_return FailedAttempt{ AttemptFailure::BrokenBeforeHead, std::nullopt };
   }
@@ -136,9 +158,12 @@
 {
   const auto now = BootClock::now();
   // Each exchange has its own connection, so a timeout is attributed to the server.
-  const auto end = aFailedAttempt
-                     ? ToRouteOutcome(aFailedAttempt->failure, RouteOutcome::Slow)
-                     : RouteOutcome::Answered;
+  auto end = aFailedAttempt ? ToRouteOutcome(aFailedAttempt->failure, RouteOutcome::Slow)
+                            : RouteOutcome::Answered;
+  if (end == RouteOutcome::Broken && this->serverWaits) {
+    // An ejection would outlast the time for which the server wants nothing.
+    end = RouteOutcome::Refused;
+  }
   if (!aFailedAttempt) {
     this->state.router.OnFirstByte(aCandidate.id, now - aSentAt, now);
   }
@@ -148,6 +173,7 @@
     "attempt_end",
     { { "request", this->call.facts.id.Value() },
       { "server", aCandidate.id },
+      { "spared", this->state.DescribeSpared(this->call.pool, now) },
       { "took_ms", ToMilliseconds(now - aSentAt).count() },
       { "end", aFailedAttempt ? Name(aFailedAttempt->failure) : "answered" } });
 }
--- a/programs/toucanstand-server/BufferedCall.h
+++ b/programs/toucanstand-server/BufferedCall.h
@@ -30,11 +30,16 @@
                         const std::optional<FailedAttempt>& aFailedAttempt,
                         TimePoint aSentAt);
   [[nodiscard]] Duration HeadTimeout() const;
+  /// Retry-After of a call that no server runs now.
+  [[nodiscard]] Duration RetryAfter() const;
+  void LogRefusal(RouteRefusal aReason);
 
   ServingState& state;
   Call& call;
   CallSender sender;
   CallProgress progress;
+  /// The server of the last attempt named a time for which it wants nothing.
+  bool serverWaits = false;
   std::vector<std::string> triedCandidates;
   std::optional<HttpResponse> receivedResponse;
 };
--- a/programs/toucanstand-server/ErrorResponder.cpp
+++ b/programs/toucanstand-server/ErrorResponder.cpp
@@ -1,5 +1,6 @@
 #include "ErrorResponder.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -11,6 +12,8 @@
 
 /// Maximum jitter that is added to a Retry-After, as a fraction of it.
 constexpr double kMaxJitter = 0.5;
+/// The same as a time: callers that wait for a server should return soon after it does.
+constexpr Duration kMaxJitterTime = std::chrono::seconds(1);
 
 std::string FormatSeconds(Duration aDuration)
 {
@@ -35,8 +38,10 @@
                                                 std::string_view aReason,
                                                 Duration aRetryAfter)
 {
+  const double mostJitter =
+    std::min(ToSeconds(aRetryAfter) * kMaxJitter, ToSeconds(kMaxJitterTime));
   const auto retryAfter =
-    FromSeconds(ToSeconds(aRetryAfter) * (1.0 + kMaxJitter * aState.random.Fraction()));
+    aRetryAfter + FromSeconds(mostJitter * aState.random.Fraction());
   return MakeResponse(aCall,
                       503,
                       aReason,
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -1,6 +1,7 @@
 #include "GenerationCall.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 
 #include "platform/HeaderTranslation.h"
@@ -65,7 +66,7 @@
       auto delay = choice.LastReason();
       if (delay.reason == PlacementRefusalReason::NoGroup) {
         delay.retryAfter = std::max(
-          delay.retryAfter, this->state.RateLimitDelay(this->call, BootClock::now()));
+          delay.retryAfter, this->state.TimeUntilAvailable(this->call, BootClock::now()));
       }
       this->LogRefusal(delay);
       co_return co_await this->progress.GiveUp(Name(delay.reason), delay.retryAfter);
@@ -88,8 +89,10 @@
     const auto decision = this->progress.tracker.OnFailure(
       failedAttempt->failure, this->progress.destination, BootClock::now());
     if (decision.kind == RetryAction::GiveUp) {
-      co_return co_await this->progress.GiveUp(Name(decision.reason),
-                                               kFullGroupRetryAfter);
+      co_return co_await this->progress.GiveUp(
+        Name(decision.reason),
+        std::max(kFullGroupRetryAfter,
+                 this->state.TimeUntilAvailable(this->call, BootClock::now())));
     }
   }
 }
@@ -101,7 +104,9 @@
   query.promptTokens = this->call.facts.promptTokens;
   query.firstEventTarget = this->call.route->targetLatency;
   query.excluded = this->triedGroups;
-  query.excludedServers = this->state.rateLimits.Exhausted(BootClock::now());
+  std::ranges::transform(this->state.availability.Spared(BootClock::now()),
+                         std::back_inserter(query.excludedServers),
+                         &ServerAvailability::SparedServer::server);
   // A retried call takes precedence over a new one: its stream may have started, or it
   // has already waited for a group that failed.
   query.mustPlace = !this->triedGroups.empty();
@@ -140,6 +145,7 @@
   this->eventsBeforeAttempt = this->framer.EventCount();
   this->groupUnusable = false;
   this->statedRateLimit = {};
+  this->serverWaits = false;
   this->ticket =
     this->placement.OnSent(aChoice, this->call.facts.promptTokens, BootClock::now());
   std::optional<FailedAttempt> failedAttempt;
@@ -153,6 +159,7 @@
     const auto facts =
       platform::ReadResponseHead(stream.Status(), stream.Headers(), this->call.facts.id);
     this->statedRateLimit = facts.rateLimit;
+    this->serverWaits = facts.statement.retryAfter.has_value();
     this->state.OnResponseHead(asked, facts);
     if (facts.load) {
       this->placement.OnStatedLoad(aChoice.group.id, *facts.load, BootClock::now());
@@ -315,7 +322,9 @@
     case AttemptFailure::Stopping:
       return GroupRequestOutcome::Abandoned;
     default:
-      return GroupRequestOutcome::Failed;
+      // A group whose head wants nothing for now has not failed.
+      return this->serverWaits ? GroupRequestOutcome::Rejected
+                               : GroupRequestOutcome::Failed;
   }
 }
 
@@ -330,9 +339,8 @@
       { "groups", static_cast<std::int64_t>(aDelay.consideredGroups) },
       { "soonest_ms", ToMilliseconds(aDelay.earliestPrediction).count() },
       { "limit_ms", ToMilliseconds(aDelay.predictionLimit).count() },
-      { "rate_limited_servers",
-        static_cast<std::int64_t>(
-          this->state.rateLimits.Exhausted(BootClock::now()).size()) },
+      { "spared", this->state.DescribeSpared(this->call.pool, BootClock::now()) },
+      { "leaving", this->state.CountLeaving(this->call.pool) },
       { "prompt_tokens", this->call.facts.promptTokens },
       { "retry_after_ms", ToMilliseconds(aDelay.retryAfter).count() } });
 }
@@ -357,6 +365,7 @@
         this->statedRateLimit.kind == StatedRateLimit::Kind::Limited
           ? this->statedRateLimit.perSecond
           : -1.0 },
+      { "spared", this->state.DescribeSpared(this->call.pool, BootClock::now()) },
       { "prompt_parts", FormatPromptParts(this->call.facts.sharedPromptParts) },
       { "end", aFailedAttempt ? Name(aFailedAttempt->failure) : "answered" } });
 }
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -62,6 +62,8 @@
   bool groupUnusable = false;
   /// What the response to the current attempt says.
   StatedRateLimit statedRateLimit;
+  /// It named a time for which its server wants nothing.
+  bool serverWaits = false;
   /// Events that earlier attempts have delivered.
   std::size_t eventsBeforeAttempt = 0;
 };
--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -91,7 +91,10 @@
                           aCost,
                           this->peers.TotalDemand(aNow),
                           this->state.workMeter.HasSeenRequests(),
-                          this->state.settings.headStall };
+                          this->state.settings.headStall,
+                          [this, aNow](const ServerId& aServer) {
+                            return this->state.availability.IsWaiting(aServer, aNow);
+                          } };
   auto& controller = this->ControllerOf(aPool);
   for (auto& order : controller.Plan(inputs, aNow)) {
     asio::co_spawn(
@@ -131,7 +134,7 @@
   for (const auto& [pool, controller] : this->controllers) {
     for (const auto& server : controller.UnresponsiveEngines()) {
       const auto* entry = this->state.directory.Find(server);
-      if (entry != nullptr) {
+      if (entry != nullptr && !this->state.availability.IsWaiting(server, aNow)) {
         asio::co_spawn(this->state.loop,
                        this->ProbeMember(pool, server, entry->endpoint),
                        asio::detached);
@@ -154,6 +157,10 @@
 
 Task<> GroupCoordinator::SendOrder(PoolId aPool, EngineOrder aOrder)
 {
+  if (this->state.availability.IsWaiting(aOrder.server, BootClock::now())) {
+    // The controller repeats what has no effect.
+    co_return;
+  }
   const auto sentInTerm = this->term;
   const auto reply = co_await this->SendVerified(aOrder);
   this->state.log.Write(LogWeight::Notable,
@@ -194,6 +201,7 @@
     const auto entry = std::next(servers.begin(), position)->second;
     const bool answers =
       entry.id != aExcept && entry.membership &&
+      !this->state.availability.IsWaiting(entry.id, BootClock::now()) &&
       co_await this->state.engineClient.RespondsToProbe(entry.id, entry.endpoint);
     if (answers) {
       co_return true;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -192,6 +192,7 @@
   this->state.quarantine.OnTime(now);
   this->JudgePromptParts(now);
   this->ShareRateLimits(now);
+  this->state.availability.OnTime(now);
   this->state.retryBudget.Configure(
     this->state.settings.retries.SettingsPerVm(this->peers.PeerCount() + 1));
   this->state.retryBudget.OnTime(now);
@@ -392,6 +393,7 @@
            { "quarantine", this->state.quarantine.Describe(now) },
            { "prompt_part_quarantine", this->state.promptPartQuarantine.Describe(now) },
            { "rate_limits", this->state.rateLimits.Describe(now) },
+           { "waiting_servers", this->state.availability.Describe(now) },
            { "retry_budget", this->state.retryBudget.Describe() },
            { "log_lines_left_out", this->state.log.LeftOut() } };
 }
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -18,6 +18,8 @@
 /// Configuration changes must be in force 2 s after they were accepted; an older copy of
 /// the store may lack one.
 constexpr Duration kMaxStoreCopyAge = std::chrono::milliseconds(2000);
+/// Servers without requests that a log line names.
+constexpr std::size_t kMaxLoggedServers = 8;
 /// Effectively unlimited: a server is usable until its registration says otherwise.
 constexpr Duration kNoExpiry = std::chrono::hours(24 * 365);
 
@@ -67,6 +69,7 @@
         { this->settings.routineLinesPerSecond, this->settings.notableLinesPerSecond })
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
+  , availability(this->directory, this->rateLimits)
   , paths(Random(this->random.Engine()()))
   , backendClient(aLoop, this->metrics, UnframedBody::EndsWithConnection)
   , engineClient(aLoop, this->metrics)
@@ -197,6 +200,12 @@
   if (aStatement.isLeavingUnreadable) {
     this->metrics.Count("server_statements_unreadable_total{field=\"leaving\"}");
   }
+  if (aStatement.isRetryAfterUnreadable) {
+    this->metrics.Count("server_statements_unreadable_total{field=\"retry_after\"}");
+  }
+  if (aStatement.retryAfter) {
+    this->OnWaitStated(aAsked, *aStatement.retryAfter);
+  }
   if (!aStatement.isLeaving || !this->directory.MarkLeaving(aAsked)) {
     return;
   }
@@ -207,6 +216,17 @@
   this->RefreshDestinations(BootClock::now());
 }
 
+void ServingState::OnWaitStated(const ServerRun& aAsked, Duration aTime)
+{
+  this->metrics.Count("server_waits_stated_total");
+  if (this->availability.OnWaitStated(aAsked, aTime, BootClock::now())) {
+    this->log.Write(LogWeight::Notable,
+                    "server_wait_stated",
+                    { { "server", aAsked.server.Value() },
+                      { "wait_ms", ToMilliseconds(aTime).count() } });
+  }
+}
+
 void ServingState::OnResponseHead(const ServerRun& aAsked, const ReplyFacts& aFacts)
 {
   if (!aFacts.answersThisCall || aFacts.wrongServer) {
@@ -229,22 +249,57 @@
                     { "per_second", aFacts.rateLimit.perSecond } });
 }
 
-Duration ServingState::RateLimitDelay(const Call& aCall, TimePoint aNow) const
+Duration ServingState::TimeUntilAvailable(const Call& aCall, TimePoint aNow) const
 {
+  if (this->availability.Spared(aNow).empty()) {
+    return Duration::zero();
+  }
   std::optional<Duration> earliest;
-  for (const auto& server : this->rateLimits.Exhausted(aNow)) {
-    const auto* entry = this->directory.Find(server);
-    const bool couldServe =
-      entry != nullptr && entry->pool == aCall.pool &&
-      (!entry->membership || ModelOfGroup(entry->membership->group) == aCall.facts.model);
-    const auto delay = this->rateLimits.TimeUntilNextRequest(server, aNow);
-    if (couldServe && delay) {
-      earliest = std::min(earliest.value_or(*delay), *delay);
+  const auto consider = [&](const ServerId& aServer) {
+    const auto wait = this->availability.WhenMayBeSent(aServer, aNow).wait;
+    if (wait) {
+      earliest = std::min(earliest.value_or(*wait), *wait);
+    }
+  };
+  if (const auto* cost = this->FindCostModel(aCall.pool)) {
+    for (const auto& group : this->directory.GroupsOf(aCall.pool) | std::views::values) {
+      const auto servable = ToServingGroup(group, *cost);
+      if (servable && servable->model == aCall.facts.model) {
+        consider(servable->head);
+      }
+    }
+    return earliest.value_or(Duration::zero());
+  }
+  for (const auto& entry : this->directory.Servers() | std::views::values) {
+    if (entry.pool == aCall.pool) {
+      consider(entry.id);
     }
   }
   return earliest.value_or(Duration::zero());
 }
 
+std::string ServingState::DescribeSpared(const PoolId& aPool, TimePoint aNow) const
+{
+  std::string text;
+  std::size_t count = 0;
+  for (const auto& spared : this->availability.Spared(aNow)) {
+    const auto* entry = this->directory.Find(spared.server);
+    const bool isListed = entry != nullptr && entry->pool == aPool && !entry->leaving;
+    if (isListed && ++count <= kMaxLoggedServers) {
+      text += text.empty() ? "" : ",";
+      text += spared.server.Value() + ":" + ServerAvailability::Name(spared.obstacle);
+    }
+  }
+  return text;
+}
+
+std::int64_t ServingState::CountLeaving(const PoolId& aPool) const
+{
+  return std::ranges::count_if(
+    this->directory.Servers() | std::views::values,
+    [&aPool](const auto& aEntry) { return aEntry.pool == aPool && aEntry.leaving; });
+}
+
 void ServingState::OnRunEnded(const RequestId& aRun,
                               const Destination& aDestination,
                               std::optional<AttemptFailure> aFailure)
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -15,6 +15,7 @@
 #include "demand/WorkMeter.h"
 #include "http/HttpClient.h"
 #include "lifecycle/StopSchedule.h"
+#include "limits/ServerAvailability.h"
 #include "limits/ServerRateLimits.h"
 #include "logging/DecisionLog.h"
 #include "metrics/MetricsRegistry.h"
@@ -75,9 +76,14 @@
   /// @param aAsked the run of the server when the request was sent
   void OnResponseHead(const ServerRun& aAsked, const ReplyFacts& aFacts);
 
-  /// Time until this VM may send the call to a server that it must spare now because of
-  /// its rate limit; zero if no limit prevents that.
-  [[nodiscard]] Duration RateLimitDelay(const Call& aCall, TimePoint aNow) const;
+  /// Time until this VM may send the call to one of the servers that could serve it, if
+  /// all of them must get no request now; else zero.
+  [[nodiscard]] Duration TimeUntilAvailable(const Call& aCall, TimePoint aNow) const;
+
+  /// The servers of a pool that must get no request now although they do not leave, and
+  /// why, for the log.
+  [[nodiscard]] std::string DescribeSpared(const PoolId& aPool, TimePoint aNow) const;
+  [[nodiscard]] std::int64_t CountLeaving(const PoolId& aPool) const;
 
   /// The calls whose answers take about as long as that of this call.
   [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
@@ -118,6 +124,7 @@
   CrashQuarantine quarantine;
   PromptPartQuarantine promptPartQuarantine;
   ServerRateLimits rateLimits;
+  ServerAvailability availability;
   WorkMeter workMeter;
   /// Ways from this VM to the backend servers.
   BackendPaths paths;
@@ -141,6 +148,7 @@
 
 private:
   void OnStatement(const ServerRun& aAsked, const ServerStatement& aStatement);
+  void OnWaitStated(const ServerRun& aAsked, Duration aTime);
   /// Records a server crash if the server does not answer.
   Task<> ProbeServer(Destination aDestination);
   /// Duration of an answer of the largest size that the request allows, in a full group;
--- a/programs/toucanstandctl/RequestTimeline.cpp
+++ b/programs/toucanstandctl/RequestTimeline.cpp
@@ -17,13 +17,29 @@
          ", not run: " + aLine.Text("reason");
 }
 
+/// Servers that got no request although they do not leave, as `SERVER:REASON,...`.
+std::string FormatSpared(const LogLine& aLine)
+{
+  return aLine.fields.contains("spared") && !aLine.Text("spared").empty()
+           ? ", no requests then to " + aLine.Text("spared")
+           : "";
+}
+
 std::string FormatPlacementRefusal(const LogLine& aLine)
 {
   return "not placed (" + aLine.Text("reason") + "): the earliest of " +
          aLine.Text("groups") + " groups was predicted to produce the first event in " +
          aLine.Text("soonest_ms") + " ms, the limit was " + aLine.Text("limit_ms") +
          " ms; prompt of " + aLine.Text("prompt_tokens") + " tokens, retry advised in " +
-         aLine.Text("retry_after_ms") + " ms or slightly later";
+         aLine.Text("retry_after_ms") + " ms or slightly later" + FormatSpared(aLine);
+}
+
+std::string FormatRouteRefusal(const LogLine& aLine)
+{
+  return "no server of " + aLine.Text("pool") + " could be chosen (" +
+         aLine.Text("reason") + "): " + aLine.Text("leaving") +
+         " leave, retry advised in " + aLine.Text("retry_after_ms") +
+         " ms or slightly later" + FormatSpared(aLine);
 }
 
 std::string FormatAttempt(const LogLine& aLine)
@@ -41,7 +57,7 @@
   if (aLine.fields.contains("took_ms")) {
     text += ", after " + aLine.Text("took_ms") + " ms";
   }
-  return text;
+  return text + FormatSpared(aLine);
 }
 
 std::string FormatRequestEnd(const LogLine& aLine)
@@ -85,6 +101,7 @@
     { "server_leaving", "it announced that it is leaving" },
     { "server_registered", "it registered" },
     { "server_crashed", "its connection broke and it does not answer" },
+    { "server_wait_stated", "it wants nothing for a time" },
   };
   const auto found = kEventTexts.find(aLine.event);
   return "server " + aLine.Text("server") + ": " +
@@ -103,6 +120,7 @@
   static const std::map<std::string, LineFormatter, std::less<>> kFormatters = {
     { "request_rejected", &FormatRejection },
     { "placement_refused", &FormatPlacementRefusal },
+    { "route_refused", &FormatRouteRefusal },
     { "attempt_end", &FormatAttempt },
     { "request_end", &FormatRequestEnd },
     { "engine_order", &FormatEngineOrder },
@@ -112,6 +130,7 @@
     { "server_leaving", &FormatServerEvent },
     { "server_registered", &FormatServerEvent },
     { "server_crashed", &FormatServerEvent },
+    { "server_wait_stated", &FormatServerEvent },
     { "store_lost", &FormatStoreEvent },
     { "store_regained", &FormatStoreEvent },
   };
@@ -283,6 +302,10 @@
   if (this->FindRequestLine("placement_refused") != nullptr) {
     return "the groups of its model could not serve it in the time wanted";
   }
+  if (const auto* refused = this->FindRequestLine("route_refused")) {
+    return "no server of " + refused->Text("pool") + " could be sent it" +
+           FormatSpared(*refused);
+  }
   const auto* end = this->FindRequestLine("request_end");
   return end != nullptr && end->Text("outcome") == "answered"
            ? "it was answered by its first attempt"
--- a/tests/platform/TestServerAvailability.cpp
+++ b/tests/platform/TestServerAvailability.cpp
@@ -1,5 +1,7 @@
 #include <atomic>
 
+#include <csignal>
+
 #include <catch2/catch.hpp>
 
 #include "support/ParallelCallers.h"
@@ -169,3 +171,258 @@
   CHECK(CountRuns(platform, "engine-0") == 0);
   CHECK(OrdersOf(platform, "engine-0").size() <= 2);
 }
+
+namespace {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// Sets the Retry-After with which the server answers requests with 503; none if empty.
+void SetRetryAfter(PlatformStandin& aPlatform,
+                   const std::string& aServer,
+                   const std::string& aRetryAfter)
+{
+  aPlatform.RunOnLoop(
+    [&] { aPlatform.BackendServer(aServer).faults.retryAfter = aRetryAfter; });
+}
+
+/// Whatever the server received, orders and reports included.
+std::vector<SteadyTime> ArrivalsAt(PlatformStandin& aPlatform, const std::string& aServer)
+{
+  std::vector<SteadyTime> arrivals;
+  aPlatform.RunOnLoop([&] { arrivals = aPlatform.BackendServer(aServer).arrivals; });
+  return arrivals;
+}
+
+std::size_t CountBetween(const std::vector<SteadyTime>& aArrivals,
+                         SteadyTime aFrom,
+                         SteadyTime aUntil)
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aArrivals, [&](SteadyTime aArrival) {
+      return aArrival >= aFrom && aArrival < aUntil;
+    }));
+}
+
+/// Sends idempotent calls one after the other until the time.
+/// @returns how many were answered
+std::size_t CallUntil(ServerUnderTest& aVm, SteadyTime aUntil)
+{
+  std::size_t answered = 0;
+  for (int number = 0; std::chrono::steady_clock::now() < aUntil; ++number) {
+    const auto answer = aVm.Call("GET", "/looks/1", "paced-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    answered += answer->status == 200 ? 1 : 0;
+    std::this_thread::sleep_for(3ms);
+  }
+  return answered;
+}
+
+/// The moment at which the server was first sent a request that it answered with 503.
+SteadyTime CallUntilRejectedBy(ServerUnderTest& aVm, const std::string& aServer)
+{
+  const auto before = ArrivalsAt(aVm.platform, aServer).size();
+  const auto deadline = std::chrono::steady_clock::now() + 5s;
+  while (ArrivalsAt(aVm.platform, aServer).size() == before) {
+    REQUIRE(std::chrono::steady_clock::now() < deadline);
+    REQUIRE(aVm.Call("GET", "/looks/1", "rejected").HasValue());
+  }
+  return ArrivalsAt(aVm.platform, aServer).at(before);
+}
+
+/// A server answers 503 with this time; it gets nothing meanwhile and its share after it.
+void CheckSpan(const std::string& aRetryAfter, std::chrono::milliseconds aSpan)
+{
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  SetRetryAfter(platform, "stock-0", aRetryAfter);
+  const auto rejectedAt = CallUntilRejectedBy(vm, "stock-0");
+  SetRetryAfter(platform, "stock-0", "");
+  const auto end = rejectedAt + aSpan;
+  const auto answered = CallUntil(vm, end + 1s);
+  CHECK(answered > 100);
+  const auto arrivals = ArrivalsAt(platform, "stock-0");
+  CHECK(CountBetween(arrivals, rejectedAt + 500ms, end) == 0);
+  CHECK(CountBetween(arrivals, end, end + 1s) > 10);
+}
+
+double RetryAfterOf(const HttpResponse& aAnswer)
+{
+  return std::stod(std::string(aAnswer.headers.Find("Retry-After")));
+}
+
+} // namespace
+
+TEST_CASE("A server that answers 503 with Retry-After gets nothing for 1 s", "[server]")
+{
+  // Guards against requests within the span, and against a span that lasts too long.
+  CheckSpan("1", 1s);
+}
+
+TEST_CASE("A server that answers 503 with Retry-After gets nothing for 3 s", "[server]")
+{
+  CheckSpan("3", 3s);
+}
+
+TEST_CASE("A server that answers 503 with Retry-After gets nothing for 30 s",
+          "[server][.long]")
+{
+  CheckSpan("30", 30s);
+}
+
+TEST_CASE("Of two times that a server names, the one that ends later counts", "[server]")
+{
+  // Guards against a shorter time, of an answer that was under way, that ends a longer
+  // one, and against a longer one that does not count.
+  const auto [first, second] =
+    GENERATE(table<std::string, std::string>({ { "3", "1" }, { "1", "3" } }));
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  // All calls are under way before a server answers the first.
+  constexpr auto kRejectionDelay = 300ms;
+  platform.RunOnLoop([&] {
+    for (const std::string id : { "stock-0", "stock-1" }) {
+      auto& server = platform.BackendServer(id);
+      server.faults.retryAfters = { first, second };
+      server.faults.rejectionDelay = kRejectionDelay;
+    }
+  });
+  ParallelCallers callers;
+  std::atomic<int> answers = 0;
+  for (int caller = 0; caller < 4; ++caller) {
+    callers.Start([&, caller] {
+      HttpCaller http(6s);
+      const auto answer = http.Call(vm.listenEndpoint,
+                                    "POST",
+                                    "/holds/1",
+                                    "body",
+                                    { { "Host", "api.example" },
+                                      { "X-Attempt-Id", "two-" + std::to_string(caller) },
+                                      { "X-Deadline-Ms", "4000" },
+                                      { "Authorization", "Bearer key-1" } });
+      answers += answer ? 1 : 0;
+    });
+  }
+  callers.WaitForAll();
+  REQUIRE(answers == 4);
+  const auto rejectedAt = std::chrono::steady_clock::now();
+  platform.RunOnLoop([&] {
+    for (const std::string id : { "stock-0", "stock-1" }) {
+      platform.BackendServer(id).faults.retryAfters.clear();
+    }
+  });
+  CallUntil(vm, rejectedAt + 4s);
+  std::size_t checkedServers = 0;
+  for (const std::string id : { "stock-0", "stock-1" }) {
+    const auto arrivals = ArrivalsAt(platform, id);
+    if (CountBetween(arrivals, SteadyTime(), rejectedAt) < 2) {
+      continue; // It has named one time only.
+    }
+    ++checkedServers;
+    const auto statedAt = arrivals.at(first == "3" ? 0 : 1) + kRejectionDelay;
+    CHECK(CountBetween(arrivals, statedAt + 500ms, statedAt + 3s) == 0);
+    CHECK(CountBetween(arrivals, statedAt + 3s, statedAt + 4s) > 0);
+  }
+  CHECK(checkedServers > 0);
+}
+
+TEST_CASE("Callers are told the earliest time at which a server takes requests again",
+          "[server]")
+{
+  // Guards against callers that wait in vain or come back too early while all servers of
+  // a service want nothing, and against requests to these.
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  SetRetryAfter(platform, "stock-0", "2");
+  SetRetryAfter(platform, "stock-1", "4");
+  CallUntilRejectedBy(vm, "stock-0");
+  const auto deadline = std::chrono::steady_clock::now() + 1s;
+  while (ArrivalsAt(platform, "stock-1").empty()) {
+    REQUIRE(std::chrono::steady_clock::now() < deadline);
+    REQUIRE(vm.Call("GET", "/looks/1", "both").HasValue());
+  }
+  const auto firstAt = ArrivalsAt(platform, "stock-0").back();
+  const auto before =
+    ArrivalsAt(platform, "stock-0").size() + ArrivalsAt(platform, "stock-1").size();
+  for (int number = 0; number < 50; ++number) {
+    const auto sentAt = std::chrono::steady_clock::now();
+    const auto answer = vm.Call("GET", "/looks/1", "none-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    CHECK(std::chrono::steady_clock::now() - sentAt < 300ms);
+    CHECK(answer->status == 503);
+    CHECK(answer->headers.Find("Toucanstand-Outcome") == "not-run");
+    const double remaining = std::chrono::duration<double>(firstAt + 2s - sentAt).count();
+    CHECK(RetryAfterOf(*answer) >= std::max(remaining - 0.2, 0.0));
+    CHECK(RetryAfterOf(*answer) <= remaining * 1.5 + 0.2);
+  }
+  CHECK(ArrivalsAt(platform, "stock-0").size() + ArrivalsAt(platform, "stock-1").size() ==
+        before);
+}
+
+TEST_CASE("Callers are told when the only group takes requests again", "[server]")
+{
+  // Guards against streams that are sent to a head that wants nothing, and against orders
+  // to it and a return time that is that of a missing group.
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  const auto head = platform.OpenGroupHeads().begin()->second;
+  SetRetryAfter(platform, head, "3");
+  const auto first = vm.Generate("first");
+  REQUIRE(first.HasValue());
+  CHECK(first->status == 503);
+  CHECK(RetryAfterOf(*first) >= 2.8);
+  CHECK(RetryAfterOf(*first) <= 4.2);
+  SetRetryAfter(platform, head, "");
+  const auto rejectedAt = ArrivalsAt(platform, head).back();
+  const auto end = rejectedAt + 3s;
+  std::size_t answered = 0;
+  for (int number = 0; std::chrono::steady_clock::now() < end + 1s; ++number) {
+    const auto answer = vm.Generate("paced-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    answered += answer->status == 200 ? 1 : 0;
+    std::this_thread::sleep_for(5ms);
+  }
+  CHECK(answered > 0);
+  const auto arrivals = ArrivalsAt(platform, head);
+  CHECK(CountBetween(arrivals, rejectedAt + 500ms, end) == 0);
+  CHECK(CountBetween(arrivals, end, end + 1s) > 0);
+}
+
+TEST_CASE("A process that is frozen and thawed within the span still knows of it",
+          "[server]")
+{
+  // Guards against a span that stands still while the process does, or is forgotten.
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  SayThatItLeaves(platform, "stock-1");
+  CallUntilRunBy(vm, "stock-1");
+  const auto runsOfLeaving = CountRuns(platform, "stock-1");
+  SetRetryAfter(platform, "stock-0", "3");
+  const auto rejectedAt = CallUntilRejectedBy(vm, "stock-0");
+  SetRetryAfter(platform, "stock-0", "");
+  const auto end = rejectedAt + 3s;
+  vm.process->Signal(SIGSTOP);
+  std::this_thread::sleep_until(rejectedAt + 1500ms);
+  vm.process->Signal(SIGCONT);
+  CHECK(CallUntil(vm, end + 1s) > 0);
+  const auto arrivals = ArrivalsAt(platform, "stock-0");
+  CHECK(CountBetween(arrivals, rejectedAt + 500ms, end) == 0);
+  CHECK(CountBetween(arrivals, end, end + 1s) > 0);
+  CHECK(CountRuns(platform, "stock-1") == runsOfLeaving);
+}
+
+TEST_CASE("A new run of a server is not bound by what the former one said", "[server]")
+{
+  // Guards against a restarted server that gets no requests.
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  SetRetryAfter(platform, "stock-0", "30");
+  CallUntilRejectedBy(vm, "stock-0");
+  platform.RunOnLoop([&] { platform.BackendServer("stock-0").BeginNewRun(); });
+  CallUntilRunBy(vm, "stock-0");
+}
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -266,6 +266,7 @@
 {
   const auto& request = aExchange.Request();
   const auto expected = request.headers.Find("X-Expect-Instance");
+  this->arrivals.push_back(std::chrono::steady_clock::now());
   HttpResponse rejection;
   if (!expected.empty() && expected != this->id) {
     rejection.status = 421;
@@ -289,6 +290,10 @@
     co_await aExchange.Respond(std::move(rejection));
     co_return;
   }
+  if (!this->faults.retryAfter.empty() || !this->faults.retryAfters.empty()) {
+    co_await this->RejectWithRetryAfter(aExchange);
+    co_return;
+  }
   if (ConsumeFault(this->faults.rejectAsOverloaded)) {
     rejection.status = 503;
     rejection.headers.Add("X-Not-Run", "1");
@@ -307,6 +312,22 @@
   }
 }
 
+Task<> BackendServerStandin::RejectWithRetryAfter(HttpExchange& aExchange)
+{
+  auto retryAfter = this->faults.retryAfter;
+  if (!this->faults.retryAfters.empty()) {
+    retryAfter = this->faults.retryAfters.front();
+    this->faults.retryAfters.pop_front();
+  }
+  co_await this->Sleep(this->faults.rejectionDelay);
+  HttpResponse rejection;
+  rejection.status = 503;
+  rejection.headers.Add("X-Not-Run", "1");
+  rejection.headers.Add("Retry-After", retryAfter);
+  this->AddStatements(rejection.headers);
+  co_await aExchange.Respond(std::move(rejection));
+}
+
 Task<> BackendServerStandin::RespondToCall(HttpExchange& aExchange)
 {
   if (this->faults.crashOnRequest) {
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,6 +59,12 @@
   /// Value with which each response, also to orders and for reports, says that the server
   /// leaves; the registration stays. None if empty.
   std::string statedLeaving;
+  /// Requests are rejected with 503 and this Retry-After, without being run; none if
+  /// empty. The next of the list is used as long as there is one.
+  std::string retryAfter;
+  std::deque<std::string> retryAfters;
+  /// Time until such a rejection is sent.
+  std::chrono::milliseconds rejectionDelay{ 0 };
   /// Responses without the server's signature header.
   int unsignedResponses = 0;
   /// Responses with the attempt id of another request.
@@ -130,6 +138,8 @@
   std::size_t eventPadding = 0;
   /// Kind and group of each order that was received, oldest first: `join m-1`.
   std::vector<std::string> receivedOrders;
+  /// When each request, order or question for a report arrived.
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
   /// Orders to join another group that arrived while this server was an open head.
   int joinsWhileOpen = 0;
 
@@ -137,6 +147,7 @@
   Task<> HandleRequest(HttpExchange& aExchange);
   Task<> HandleOrder(HttpExchange& aExchange);
   Task<> StreamEvents(HttpExchange& aExchange);
+  Task<> RejectWithRetryAfter(HttpExchange& aExchange);
   Task<> RespondToCall(HttpExchange& aExchange);
   Task<> Sleep(std::chrono::milliseconds aDuration);
   /// Does nothing when the server crashed or left the group during the delay.
--- a/tests/unit/programs/TestRequestTimeline.cpp
+++ b/tests/unit/programs/TestRequestTimeline.cpp
@@ -100,6 +100,31 @@
         "the groups of its model could not serve it in the time wanted");
 }
 
+TEST_CASE("The timeline of a request says which servers were not sent it", "[explain]")
+{
+  // Guards against a refusal whose cause, the answer of a server to another request,
+  // can't be found by the request's id.
+  const auto timeline = TimelineOf(
+    { MakeLogLine(900, "vm-1", "server_wait_stated", R"("server":"s-1","wait_ms":3000)"),
+      MakeLogLine(950,
+                  "vm-1",
+                  "attempt_end",
+                  R"("request":"r-4","server":"s-1","end":"refused_as_not_run")"),
+      MakeLogLine(1010,
+                  "vm-1",
+                  "route_refused",
+                  R"("request":"r-3","pool":"stock","reason":"all-excluded","leaving":1,)"
+                  R"("spared":"s-1:retry_after","retry_after_ms":2890)") },
+    "r-3");
+  REQUIRE(timeline.Entries().size() == 1);
+  CHECK(
+    timeline.Entries()[0].text ==
+    "no server of stock could be chosen (all-excluded): 1 leave, retry advised in 2890 "
+    "ms or slightly later, no requests then to s-1:retry_after");
+  CHECK(timeline.ExplainOutcome() ==
+        "no server of stock could be sent it, no requests then to s-1:retry_after");
+}
+
 TEST_CASE("Truncated and damaged lines are counted and add no entries", "[explain]")
 {
   // Guards against entries built from a partial line when a log collector truncates
--- a/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
+++ b/tests/unit/toucanstand_platform/TestHeaderTranslation.cpp
@@ -291,3 +291,79 @@
   CHECK(!ambiguous.isLeaving);
   CHECK(ambiguous.isLeavingUnreadable);
 }
+
+TEST_CASE("The time for which a server wants nothing is read in all forms of HTTP",
+          "[platform]")
+{
+  // Guards against requests to a server that names the end as a date, and against clocks
+  // that differ: the answer's own date counts where it has one.
+  using namespace std::chrono_literals;
+  // Wed, 21 Oct 2026 07:28:00 GMT
+  const std::chrono::system_clock::time_point received(std::chrono::seconds(1792567680));
+  const auto read = [&](const HttpHeaders& aHeaders, int aStatus = 503) {
+    return platform::ReadResponseHead(aStatus, aHeaders, RequestId("id-1"), received)
+      .statement;
+  };
+  const auto time = [&](const std::string& aValue, const std::string& aDate = "") {
+    HttpHeaders headers{ { "Retry-After", aValue } };
+    if (!aDate.empty()) {
+      headers.Add("Date", aDate);
+    }
+    const auto statement = read(headers);
+    CHECK(statement.isRetryAfterUnreadable != statement.retryAfter.has_value());
+    return statement.retryAfter;
+  };
+  CHECK(time("3") == Duration(3s));
+  CHECK(time("030") == Duration(30s));
+  CHECK(time("0") == Duration(0s));
+  CHECK(time("Wed, 21 Oct 2026 07:28:30 GMT") == Duration(30s));
+  CHECK(time("Wednesday, 21-Oct-26 07:28:30 GMT") == Duration(30s));
+  CHECK(time("Wed Oct 21 07:28:30 2026") == Duration(30s));
+  CHECK(time("Wed, 21 Oct 2026 07:28:30 GMT", "Wed, 21 Oct 2026 07:28:20 GMT") ==
+        Duration(10s));
+  CHECK(time("Wed, 21 Oct 2026 07:28:30 GMT", "yesterday") == Duration(30s));
+  CHECK(time("Wed, 21 Oct 2015 07:28:00 GMT") == Duration(0s));
+  // It is cut where it is used; here it must only fit.
+  const Duration longest = std::chrono::hours(24 * 365);
+  CHECK(time("1000000000000") == longest);
+  CHECK(time(std::string(10'000, '9')) == longest);
+  CHECK(time("Fri, 31 Dec 9999 23:59:59 GMT") == longest);
+  CHECK(time("Fri, 31 Dec 9999 23:59:59 GMT", "Thu, 01 Jan 0001 00:00:00 GMT") ==
+        longest);
+
+  for (const auto& value :
+       std::vector<std::string>{ "",
+                                 "-1",
+                                 "-3",
+                                 "+3",
+                                 "1.5",
+                                 "3s",
+                                 "0x10",
+                                 "1e3",
+                                 "soon",
+                                 "3, 3",
+                                 "NaN",
+                                 "3 s",
+                                 "Wed, 21 Oct 2026",
+                                 "Wed, 21 Oct 2026 07:28:30 CET",
+                                 "Wed, 41 Oct 2026 07:28:30 GMT",
+                                 "Wed, 21 Oct 2026 07:28:30 GMT and more",
+                                 std::string(10'000, 'x'),
+                                 std::string("3\0", 2) }) {
+    INFO(value.substr(0, 40));
+    CHECK(!time(value));
+  }
+  HttpHeaders ambiguous{ { "Retry-After", "3" }, { "Retry-After", "4" } };
+  CHECK(!read(ambiguous).retryAfter);
+  CHECK(read(ambiguous).isRetryAfterUnreadable);
+
+  // Guards against a time of another status, request or server.
+  const HttpHeaders three{ { "Retry-After", "3" }, { "X-Engine-Stamp", "s" } };
+  for (const int status : { 200, 202, 301, 404, 421, 429, 500 }) {
+    INFO(status);
+    CHECK(!read(three, status).retryAfter);
+    CHECK(!read(three, status).isRetryAfterUnreadable);
+  }
+  CHECK(!read({ { "Retry-After", "3" }, { "X-Attempt-Id", "id-2" } }).retryAfter);
+  CHECK(!read({}).isRetryAfterUnreadable);
+}
