Test that an engine's wait reaches orders and formation

Guards against orders to an engine that answers them with 503 and Retry-After, and against a group formed with it.

--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -214,6 +214,33 @@
   CHECK(loads == 2);
 }
 
+TEST_CASE("An engine that wants nothing for now is in no new group", "[formation]")
+{
+  // Guards against a group that waits for a member which must get no order.
+  ServerDirectory directory;
+  directory.Put(FreeEngine("a1", "a", { "small" }));
+  directory.Put(FreeEngine("a2", "a", { "small" }));
+  const auto cost = TwoModels(1);
+  bool isWaiting = true;
+  FormationInputs inputs{ directory, cost, {}, true };
+  inputs.isWaiting = [&isWaiting](const ServerId& aServer) {
+    return isWaiting && aServer == ServerId("a1");
+  };
+  FormationController controller(PoolId("engines"));
+  controller.StartTerm(1);
+  TimePoint now{ seconds(100) };
+  for (int tick = 0; tick < 10; ++tick) {
+    for (const auto& order : controller.Plan(inputs, now)) {
+      CHECK(order.server != ServerId("a1"));
+      CHECK(order.kind != OrderKind::Join);
+    }
+    now += std::chrono::milliseconds(200);
+  }
+  isWaiting = false;
+  const auto orders = controller.Plan(inputs, now);
+  CHECK(std::ranges::count(orders, OrderKind::Join, &EngineOrder::kind) == 2);
+}
+
 TEST_CASE("An engine with an unanswered join order is not given to another group",
           "[formation]")
 {
--- a/tests/unit/toucanstand_platform/TestEngineClient.cpp
+++ b/tests/unit/toucanstand_platform/TestEngineClient.cpp
@@ -15,6 +15,8 @@
   bool probe = false;
   /// Servers that said that they leave, once for each reply.
   std::vector<std::string> leaving;
+  /// Times for which they want nothing, once for each reply that names one.
+  std::vector<Duration> waits;
 };
 
 /// Sends an order and a probe to an engine that answers both in this way.
@@ -41,6 +43,9 @@
       if (aStatement.isLeaving) {
         answers.leaving.push_back(aServer.Value());
       }
+      if (aStatement.retryAfter) {
+        answers.waits.push_back(*aStatement.retryAfter);
+      }
     };
   });
   boost::asio::co_spawn(
@@ -102,3 +107,16 @@
   CHECK(Ask(421, { leaving }).leaving.empty());
   CHECK(Ask(200, { { "Server-Leaving", "yes" } }).leaving.empty());
 }
+
+TEST_CASE("An engine names in a reply a time for which it wants nothing", "[platform]")
+{
+  // Guards against further orders to an engine that rejects them for a time.
+  const HttpHeaders headers{ { "Retry-After", "3" } };
+  const Duration three = std::chrono::seconds(3);
+  CHECK(Ask(503, headers).waits == std::vector{ three, three });
+  CHECK(Ask(503, headers).order == EngineOrderReply::Unknown);
+  for (const int status : { 200, 202, 409, 421, 429 }) {
+    INFO(status);
+    CHECK(Ask(status, headers).waits.empty());
+  }
+}
