--- a/tests/platform/TestServerAvailability.cpp
+++ b/tests/platform/TestServerAvailability.cpp
@@ -151,6 +151,48 @@
   CHECK(orders.size() <= 4);
 }
 
+TEST_CASE("A stream that breaks off on an engine that leaves goes on elsewhere",
+          "[server]")
+{
+  // Guards against a repeat at the server that has just said that it leaves.
+  PlatformStandin platform(4);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(2);
+  const auto leaving = platform.OpenGroupHeads().begin()->second;
+  SayThatItLeaves(platform, leaving);
+  platform.RunOnLoop([&] { platform.BackendServer(leaving).faults.abortStreams = 1; });
+  for (int number = 0; number < 40; ++number) {
+    const auto answer = vm.Generate("stream-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    CHECK(answer->body == BackendServerStandin::CompleteStream());
+  }
+  CHECK(CountRuns(platform, leaving) == 1);
+  CHECK(platform.FailedRuns().size() == 1);
+}
+
+TEST_CASE("A statement that can't be read keeps no request from a server", "[server]")
+{
+  // Guards against a server that is lost because of a damaged header, or without a trace.
+  PlatformStandin platform(2);
+  ServerUnderTest vm(platform, "vm-1");
+  vm.WaitForGroups(1);
+  platform.RunOnLoop([&] {
+    platform.BackendServer("stock-0").faults.statedLeaving = "true";
+    platform.BackendServer("stock-1").faults.statedLeaving = "0";
+  });
+  for (int number = 0; number < 40; ++number) {
+    const auto answer = vm.Call("GET", "/looks/1", "damaged-" + std::to_string(number));
+    REQUIRE(answer.HasValue());
+    CHECK(answer->status == 200);
+  }
+  CHECK(CountRuns(platform, "stock-0") > 5);
+  CHECK(CountRuns(platform, "stock-1") > 5);
+  const auto metrics = vm.caller.Call(vm.operatorEndpoint, "GET", "/metrics");
+  REQUIRE(metrics.HasValue());
+  CHECK(metrics->body.find("server_statements_unreadable_total{field=\"leaving\"} 40") !=
+        std::string::npos);
+}
+
 TEST_CASE("An engine that says in its reply to an order that it leaves is in no group",
           "[server]")
 {
