--- a/modules/toucanstand_world/serving/CallFacts.h
+++ b/modules/toucanstand_world/serving/CallFacts.h
@@ -59,6 +59,19 @@
   double perSecond = 0;
 };
 
+/// What a response says about further requests to its server.
+struct ServerStatement
+{
+  /// The server finishes what it has and must get no new requests.
+  bool isLeaving = false;
+  /// The response says something about leaving that can't be read; it counts as absent.
+  bool isLeavingUnreadable = false;
+  /// The server is overloaded and wants nothing from this VM for this time from receipt.
+  std::optional<Duration> retryAfter;
+  /// The response names such a time that can't be read; it counts as absent.
+  bool isRetryAfterUnreadable = false;
+};
+
 /// What the head of a backend server's response says about the run.
 struct ReplyFacts
 {
@@ -78,6 +91,8 @@
   bool answersThisCall = true;
   std::optional<StatedLoad> load;
   StatedRateLimit rateLimit;
+  /// Has its defaults unless the response is one of the server that was asked.
+  ServerStatement statement;
   /// The group member at fault, when the server names one.
   std::optional<ServerId> serverAtFault;
 };
--- a/programs/toucanstand-server/BufferedCall.h
+++ b/programs/toucanstand-server/BufferedCall.h
@@ -24,17 +24,22 @@
 
 private:
   Task<std::optional<FailedAttempt>> Attempt(const Candidate& aCandidate);
-  Task<std::optional<FailedAttempt>> ReceiveResponse(const ServerId& aServer,
+  Task<std::optional<FailedAttempt>> ReceiveResponse(const ServerRun& aAsked,
                                                      HttpClientStream& aStream);
   void RecordAttemptEnd(const Candidate& aCandidate,
                         const std::optional<FailedAttempt>& aFailedAttempt,
                         TimePoint aSentAt);
   [[nodiscard]] Duration HeadTimeout() const;
+  /// Retry-After of a call that no server runs now.
+  [[nodiscard]] Duration RetryAfter() const;
+  void LogRefusal(RouteRefusal aReason);
 
   ServingState& state;
   Call& call;
   CallSender sender;
   CallProgress progress;
+  /// The server of the last attempt named a time for which it wants nothing.
+  bool serverWaits = false;
   std::vector<std::string> triedCandidates;
   std::optional<HttpResponse> receivedResponse;
 };
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -16,6 +16,8 @@
 /// Configuration changes must be in force 2 s after they were accepted; an older copy of
 /// the store may lack one.
 constexpr Duration kMaxStoreCopyAge = std::chrono::milliseconds(2000);
+/// Servers without requests that a log line names.
+constexpr std::size_t kMaxLoggedServers = 8;
 /// Effectively unlimited: a server is usable until its registration says otherwise.
 constexpr Duration kNoExpiry = std::chrono::hours(24 * 365);
 
@@ -65,6 +67,7 @@
         { this->settings.routineLinesPerSecond, this->settings.notableLinesPerSecond })
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
+  , availability(this->directory, this->rateLimits)
   , paths(Random(this->random.Engine()()))
   , backendClient(aLoop, this->metrics, UnframedBody::EndsWithConnection)
   , engineClient(aLoop, this->metrics)
@@ -72,6 +75,10 @@
 {
   this->backendClient.SetPaths(&this->paths);
   this->engineClient.SetPaths(&this->paths);
+  this->engineClient.SetAskListener([this](const ServerId& aServer) {
+    return [this, asked = this->directory.RunOf(aServer)](
+             const ServerStatement& aStatement) { this->OnStatement(asked, aStatement); };
+  });
 }
 
 bool ServingState::ApplyConfiguration(ServingConfiguration aConfiguration)
@@ -187,43 +194,111 @@
   }
 }
 
-void ServingState::OnResponseHead(const ServerId& aServer, const ReplyFacts& aFacts)
+void ServingState::OnStatement(const ServerRun& aAsked, const ServerStatement& aStatement)
+{
+  if (aStatement.isLeavingUnreadable) {
+    this->metrics.Count("server_statements_unreadable_total{field=\"leaving\"}");
+  }
+  if (aStatement.isRetryAfterUnreadable) {
+    this->metrics.Count("server_statements_unreadable_total{field=\"retry_after\"}");
+  }
+  if (aStatement.retryAfter) {
+    this->OnWaitStated(aAsked, *aStatement.retryAfter);
+  }
+  if (!aStatement.isLeaving || !this->directory.MarkLeaving(aAsked)) {
+    return;
+  }
+  this->metrics.Count("server_leaving_stated_total");
+  this->log.Write(LogWeight::Notable,
+                  "server_leaving",
+                  { { "server", aAsked.server.Value() }, { "source", "answer" } });
+  this->RefreshDestinations(BootClock::now());
+}
+
+void ServingState::OnWaitStated(const ServerRun& aAsked, Duration aTime)
+{
+  this->metrics.Count("server_waits_stated_total");
+  if (this->availability.OnWaitStated(aAsked, aTime, BootClock::now())) {
+    this->log.Write(LogWeight::Notable,
+                    "server_wait_stated",
+                    { { "server", aAsked.server.Value() },
+                      { "wait_ms", ToMilliseconds(aTime).count() } });
+  }
+}
+
+void ServingState::OnResponseHead(const ServerRun& aAsked, const ReplyFacts& aFacts)
 {
   if (!aFacts.answersThisCall || aFacts.wrongServer) {
     return;
   }
+  this->OnStatement(aAsked, aFacts.statement);
   using Change = ServerRateLimits::Change;
   const bool isAnswer = aFacts.isSuccess && aFacts.isSigned;
-  const auto change =
-    this->rateLimits.OnResponse(aServer, aFacts.rateLimit, isAnswer, BootClock::now());
+  const auto change = this->rateLimits.OnResponse(
+    aAsked.server, aFacts.rateLimit, isAnswer, BootClock::now());
   if (change == Change::None) {
     return;
   }
   const bool isLimited = change == Change::Limited;
   this->metrics.Count(isLimited ? "server_limits_stated_total"
                                 : "server_limits_lifted_total");
-  this->log.Write(
-    LogWeight::Notable,
-    isLimited ? "server_limited" : "server_limit_lifted",
-    { { "server", aServer.Value() }, { "per_second", aFacts.rateLimit.perSecond } });
+  this->log.Write(LogWeight::Notable,
+                  isLimited ? "server_limited" : "server_limit_lifted",
+                  { { "server", aAsked.server.Value() },
+                    { "per_second", aFacts.rateLimit.perSecond } });
 }
 
-Duration ServingState::RateLimitDelay(const Call& aCall, TimePoint aNow) const
+Duration ServingState::TimeUntilAvailable(const Call& aCall, TimePoint aNow) const
 {
+  if (this->availability.Spared(aNow).empty()) {
+    return Duration::zero();
+  }
   std::optional<Duration> earliest;
-  for (const auto& server : this->rateLimits.Exhausted(aNow)) {
-    const auto* entry = this->directory.Find(server);
-    const bool couldServe =
-      entry != nullptr && entry->pool == aCall.pool &&
-      (!entry->membership || ModelOfGroup(entry->membership->group) == aCall.facts.model);
-    const auto delay = this->rateLimits.TimeUntilNextRequest(server, aNow);
-    if (couldServe && delay) {
-      earliest = std::min(earliest.value_or(*delay), *delay);
+  const auto consider = [&](const ServerId& aServer) {
+    const auto wait = this->availability.WhenMayBeSent(aServer, aNow).wait;
+    if (wait) {
+      earliest = std::min(earliest.value_or(*wait), *wait);
+    }
+  };
+  if (const auto* cost = this->FindCostModel(aCall.pool)) {
+    for (const auto& group : this->directory.GroupsOf(aCall.pool) | std::views::values) {
+      const auto servable = ToServingGroup(group, *cost);
+      if (servable && servable->model == aCall.facts.model) {
+        consider(servable->head);
+      }
+    }
+    return earliest.value_or(Duration::zero());
+  }
+  for (const auto& entry : this->directory.Servers() | std::views::values) {
+    if (entry.pool == aCall.pool) {
+      consider(entry.id);
     }
   }
   return earliest.value_or(Duration::zero());
 }
 
+std::string ServingState::DescribeSpared(const PoolId& aPool, TimePoint aNow) const
+{
+  std::string text;
+  std::size_t count = 0;
+  for (const auto& spared : this->availability.Spared(aNow)) {
+    const auto* entry = this->directory.Find(spared.server);
+    const bool isListed = entry != nullptr && entry->pool == aPool && !entry->leaving;
+    if (isListed && ++count <= kMaxLoggedServers) {
+      text += text.empty() ? "" : ",";
+      text += spared.server.Value() + ":" + ServerAvailability::Name(spared.obstacle);
+    }
+  }
+  return text;
+}
+
+std::int64_t ServingState::CountLeaving(const PoolId& aPool) const
+{
+  return std::ranges::count_if(
+    this->directory.Servers() | std::views::values,
+    [&aPool](const auto& aEntry) { return aEntry.pool == aPool && aEntry.leaving; });
+}
+
 void ServingState::OnRunEnded(const RequestId& aRun,
                               const Destination& aDestination,
                               std::optional<AttemptFailure> aFailure)
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -131,6 +131,15 @@
   this->onRegistrationChanged(this->RegistrationText());
 }
 
+void BackendServerStandin::BeginNewRun()
+{
+  ++this->startedAtUnixMs;
+  this->faults = {};
+  this->registrationState = "ready";
+  this->group.clear();
+  this->SetGroupState("");
+}
+
 void BackendServerStandin::SetGroupState(const std::string& aState)
 {
   this->groupState = aState;
@@ -201,7 +210,7 @@
     return 202;
   }
   if (kind == "close") {
-    this->SetGroupState("ready");
+    this->SetGroupState(this->openStreams == 0 ? "ready" : "closing");
     return 202;
   }
   this->group.clear();
@@ -214,6 +223,7 @@
   const auto order = json::parse(aExchange.Request().body, nullptr, false);
   HttpResponse response;
   response.status = order.is_object() ? this->ApplyOrder(order) : 400;
+  this->AddStatements(response.headers);
   co_await aExchange.Respond(std::move(response));
 }
 
@@ -234,9 +244,25 @@
   if (!this->faults.statedLimit.empty()) {
     headers.Add("Server-Limit", this->faults.statedLimit);
   }
+  this->AddStatements(headers);
   return headers;
 }
 
+void BackendServerStandin::AddStatements(HttpHeaders& aHeaders) const
+{
+  if (!this->faults.statedLeaving.empty()) {
+    aHeaders.Add("Server-Leaving", this->faults.statedLeaving);
+  }
+}
+
+void BackendServerStandin::OnStreamEnded()
+{
+  --this->openStreams;
+  if (this->openStreams == 0 && this->groupState == "closing") {
+    this->SetGroupState("ready");
+  }
+}
+
 void BackendServerStandin::NoteRunFailed(const HttpExchange& aExchange)
 {
   this->onRunFailed(std::string(aExchange.Request().headers.Find("X-Attempt-Id")));
@@ -246,6 +272,7 @@
 {
   const auto& request = aExchange.Request();
   const auto expected = request.headers.Find("X-Expect-Instance");
+  this->arrivals.push_back(std::chrono::steady_clock::now());
   HttpResponse rejection;
   if (!expected.empty() && expected != this->id) {
     rejection.status = 421;
@@ -258,7 +285,9 @@
   }
   if (request.target == "/report") {
     co_await this->Sleep(this->faults.reportDelay);
-    co_await aExchange.Respond(JsonResponse(this->faults.reportStatus, "{}"));
+    HttpResponse report = JsonResponse(this->faults.reportStatus, "{}");
+    this->AddStatements(report.headers);
+    co_await aExchange.Respond(std::move(report));
     co_return;
   }
   const bool isServing = this->domain.empty() || this->groupState == "open";
@@ -267,10 +296,15 @@
     co_await aExchange.Respond(std::move(rejection));
     co_return;
   }
+  if (!this->faults.retryAfter.empty() || !this->faults.retryAfters.empty()) {
+    co_await this->RejectWithRetryAfter(aExchange);
+    co_return;
+  }
   if (ConsumeFault(this->faults.rejectAsOverloaded)) {
     co_await this->Sleep(this->faults.rejectionDelay);
     rejection.status = 503;
     rejection.headers.Add("X-Not-Run", "1");
+    this->AddStatements(rejection.headers);
     co_await aExchange.Respond(std::move(rejection));
     co_return;
   }
@@ -279,10 +313,28 @@
   if (this->domain.empty()) {
     co_await this->RespondToCall(aExchange);
   } else {
+    ++this->openStreams;
     co_await this->StreamEvents(aExchange);
+    this->OnStreamEnded();
   }
 }
 
+Task<> BackendServerStandin::RejectWithRetryAfter(HttpExchange& aExchange)
+{
+  auto retryAfter = this->faults.retryAfter;
+  if (!this->faults.retryAfters.empty()) {
+    retryAfter = this->faults.retryAfters.front();
+    this->faults.retryAfters.pop_front();
+  }
+  co_await this->Sleep(this->faults.rejectionDelay);
+  HttpResponse rejection;
+  rejection.status = 503;
+  rejection.headers.Add("X-Not-Run", "1");
+  rejection.headers.Add("Retry-After", retryAfter);
+  this->AddStatements(rejection.headers);
+  co_await aExchange.Respond(std::move(rejection));
+}
+
 Task<> BackendServerStandin::RespondToCall(HttpExchange& aExchange)
 {
   if (this->faults.crashOnRequest) {
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -40,7 +42,7 @@
   int rejectAsWrongServer = 0;
   /// Requests rejected with 503 and the header that says that they did not run.
   int rejectAsOverloaded = 0;
-  /// Time that the server takes for such a rejection.
+  /// Time that the server takes for such a rejection, and for one with a Retry-After.
   std::chrono::milliseconds rejectionDelay{ 0 };
   /// Requests to a plain service that run, but whose connection closes without a
   /// response.
@@ -58,6 +60,13 @@
   int reportStatus = 200;
   /// Requests per second that the server says it takes; nothing if empty.
   std::string statedLimit;
+  /// Value with which each response, also to orders and for reports, says that the server
+  /// leaves; the registration stays. None if empty.
+  std::string statedLeaving;
+  /// Requests are rejected with 503 and this Retry-After, without being run; none if
+  /// empty. The next of the list is used as long as there is one.
+  std::string retryAfter;
+  std::deque<std::string> retryAfters;
   /// Responses without the server's signature header.
   int unsignedResponses = 0;
   /// Responses with the attempt id of another request.
@@ -111,6 +120,9 @@
   void SetDraining();
   /// Registers as another run of this server, as after a restart.
   void RegisterAnotherRun();
+  /// Registers a run that began later, without a group and without faults, at the same
+  /// address.
+  void BeginNewRun();
 
   RegistrationChangedHandler onRegistrationChanged;
   RunStartedHandler onRunStarted;
@@ -130,6 +142,8 @@
   std::size_t eventPadding = 0;
   /// Kind and group of each order that was received, oldest first: `join m-1`.
   std::vector<std::string> receivedOrders;
+  /// When each request, order or question for a report arrived.
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
   /// Orders to join another group that arrived while this server was an open head.
   int joinsWhileOpen = 0;
 
@@ -137,6 +151,7 @@
   Task<> HandleRequest(HttpExchange& aExchange);
   Task<> HandleOrder(HttpExchange& aExchange);
   Task<> StreamEvents(HttpExchange& aExchange);
+  Task<> RejectWithRetryAfter(HttpExchange& aExchange);
   Task<> RespondToCall(HttpExchange& aExchange);
   Task<> Sleep(std::chrono::milliseconds aDuration);
   /// Does nothing when the server crashed or left the group during the delay.
@@ -144,6 +159,10 @@
   /// @returns the HTTP status of the reply
   [[nodiscard]] int ApplyOrder(const nlohmann::json& aOrder);
   [[nodiscard]] HttpHeaders ResponseHeaders(const HttpRequest& aRequest);
+  /// Adds what the server says of itself in each response.
+  void AddStatements(HttpHeaders& aHeaders) const;
+  /// A closed head is ready when its last stream has ended.
+  void OnStreamEnded();
   void NoteRunFailed(const HttpExchange& aExchange);
   void SetGroupState(const std::string& aState);
 
@@ -153,6 +172,8 @@
   std::string service;
   std::string domain;
   std::string registrationState = "ready";
+  std::int64_t startedAtUnixMs = 1700000000000;
+  int openStreams = 0;
   std::unique_ptr<HttpServer> server;
   /// Keeps the port while the server does not listen.
   std::optional<boost::asio::ip::tcp::socket> reservedPort;
--- a/tests/unit/toucanstand_platform/TestEngineClient.cpp
+++ b/tests/unit/toucanstand_platform/TestEngineClient.cpp
@@ -16,6 +16,10 @@
 {
   EngineOrderReply order = EngineOrderReply::Unknown;
   ProbeOutcome probe = ProbeOutcome::Silent;
+  /// Servers that said that they leave, once for each reply.
+  std::vector<std::string> leaving;
+  /// Times for which they want nothing, once for each reply that names one.
+  std::vector<Duration> waits;
 };
 
 /// Sends an order and a probe to an engine that answers both in this way.
@@ -37,6 +41,16 @@
   const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
   platform::EngineClient client(loop, metrics);
   EngineAnswers answers;
+  client.SetAskListener([&answers](const ServerId& aServer) {
+    return [&answers, aServer](const ServerStatement& aStatement) {
+      if (aStatement.isLeaving) {
+        answers.leaving.push_back(aServer.Value());
+      }
+      if (aStatement.retryAfter) {
+        answers.waits.push_back(*aStatement.retryAfter);
+      }
+    };
+  });
   boost::asio::co_spawn(
     loop,
     [&]() -> Task<> {
@@ -136,3 +150,30 @@
   CHECK(Ask(500, {}).probe == ProbeOutcome::OtherAnswer);
   CHECK(Ask(503, {}).probe == ProbeOutcome::OtherAnswer);
 }
+
+TEST_CASE("An engine says in a reply to an order or a probe that it leaves", "[platform]")
+{
+  // Guards against an engine that is ordered into a group because only answers to
+  // clients' requests are read, and against the reply of another one.
+  const std::pair<std::string, std::string> leaving{ "Server-Leaving", "1" };
+  for (const int status : { 200, 202, 409, 412, 503 }) {
+    INFO(status);
+    CHECK(Ask(status, { leaving }).leaving == std::vector<std::string>{ "i-1", "i-1" });
+    CHECK(Ask(status, { leaving, { "X-Attempt-Id", "id-1" } }).leaving.empty());
+  }
+  CHECK(Ask(421, { leaving }).leaving.empty());
+  CHECK(Ask(200, { { "Server-Leaving", "yes" } }).leaving.empty());
+}
+
+TEST_CASE("An engine names in a reply a time for which it wants nothing", "[platform]")
+{
+  // Guards against further orders to an engine that rejects them for a time.
+  const HttpHeaders headers{ { "Retry-After", "3" } };
+  const Duration three = std::chrono::seconds(3);
+  CHECK(Ask(503, headers).waits == std::vector{ three, three });
+  CHECK(Ask(503, headers).order == EngineOrderReply::Unknown);
+  for (const int status : { 200, 202, 409, 421, 429 }) {
+    INFO(status);
+    CHECK(Ask(status, headers).waits.empty());
+  }
+}
