Log when the event loop stood still, and what the process did meanwhile

No log tells a process that waited for storage from one that got no processor time or was stopped.

A tick of the loop that is a second late or more is now logged (loop_delayed) and counted, with the processor time, the pages read from storage and the switches of the process since the tick before. Nothing is decided by it. "A process whose event loop stood still says so in its log" fails without it, as the line does not exist.

--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -184,6 +184,7 @@
 void ServerProcess::Tick()
 {
   const auto now = BootClock::now();
+  this->RecordLoopDelay(now);
   this->state.storeUpToDateAt = this->storeSynchronizer.UpToDateAt();
   this->storeSynchronizer.SetIsRelay(this->peers.Directory().IsRelay());
   this->state.directory.OnTime(now);
@@ -218,6 +219,23 @@
   });
 }
 
+void ServerProcess::RecordLoopDelay(TimePoint aNow)
+{
+  const auto delayed = this->loopMonitor.OnTick(aNow, kTickInterval);
+  if (!delayed) {
+    return;
+  }
+  this->state.metrics.Count("loop_delays_total");
+  this->state.log.Write(
+    LogWeight::Notable,
+    "loop_delayed",
+    { { "delay_ms", ToMilliseconds(delayed->delay).count() },
+      { "processor_ms", ToMilliseconds(delayed->processorTime).count() },
+      { "major_faults", delayed->majorFaults },
+      { "voluntary_switches", delayed->voluntarySwitches },
+      { "involuntary_switches", delayed->involuntarySwitches } });
+}
+
 Task<> ServerProcess::ServePeer(HttpExchange& aExchange)
 {
   if (aExchange.Request().target.starts_with(kTunnelTargetPrefix)) {
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "GroupCoordinator.h"
+#include "LoopMonitor.h"
 #include "PeerChannel.h"
 #include "PromptPartRecords.h"
 #include "RelayedChangeFeed.h"
@@ -46,6 +47,7 @@
   void WaitForReload();
   void Reload();
   void Tick();
+  void RecordLoopDelay(TimePoint aNow);
   void JudgePromptParts(TimePoint aNow);
   void ShareRateLimits(TimePoint aNow);
   [[nodiscard]] bool IsReady() const;
@@ -78,6 +80,7 @@
   OperatorEndpoint operators;
   boost::asio::signal_set reloadSignals;
   boost::asio::steady_timer tickTimer;
+  LoopMonitor loopMonitor;
   StopPhase loggedStopPhase = StopPhase::LeavingRotation;
   bool wasCutOff = false;
   /// Version of the configuration whose limits are in force; -1 makes the next Tick()
--- a/tests/platform/TestServer.cpp
+++ b/tests/platform/TestServer.cpp
@@ -421,6 +421,24 @@
   CHECK(platform.OpenGroupHeads().size() == 2);
 }
 
+TEST_CASE("A process whose event loop stood still says so in its log", "[server]")
+{
+  // Guards against late answers and late stops that nobody can tell from a busy machine.
+  PlatformStandin platform(2);
+  ServerUnderTest server(platform, "vm-1");
+  server.WaitForGroups(1);
+  server.process->Signal(SIGSTOP);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  server.process->Signal(SIGCONT);
+  CHECK(server.Generate("m-1").HasValue());
+  server.process->Signal(SIGTERM);
+  CHECK(server.process->Wait() == 0);
+  const auto log = server.process->ReadAll();
+  const auto line = log.find(R"("event":"loop_delayed")");
+  REQUIRE(line != std::string::npos);
+  CHECK(log.find(R"("involuntary_switches")", line) != std::string::npos);
+}
+
 TEST_CASE("A request that crashed two backend servers is quarantined", "[server]")
 {
   // Guards against a request that crashes all backend servers, one after the other.
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -172,7 +172,6 @@
   std::string service;
   std::string domain;
   std::string registrationState = "ready";
-  std::int64_t startedAtUnixMs = 1700000000000;
   int openStreams = 0;
   std::unique_ptr<HttpServer> server;
   /// Keeps the port while the server does not listen.
