Ignore fields that a later build appends to datagrams

A VM dropped a whole report, query or answer of a peer as bad_field when it had one field or one column more than it knows. In a fleet that is upgraded to a build with such a field, the VMs of this build would not see the load at the others, and followers of their relays would read the store. The readers compared the lengths of the lists for equality.

They now demand the fields that they know and ignore what follows. The version number of datagrams rises only if a known field changes.

Ruled out: a rise of the number for each new field, as it cuts VMs off from one another for the length of every upgrade.

--- a/modules/toucanstand_core/serialization/Datagram.cpp
+++ b/modules/toucanstand_core/serialization/Datagram.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-/// Rises when the fields of any kind, or their meaning, change.
+/// Rises when a field of any kind is removed or moved, or changes its type or meaning,
+/// and not when one is appended: readers ignore what follows the fields that they know.
 constexpr std::uint64_t kVersion = 5;
 constexpr std::uint64_t kKinds = 3;
 /// Version, kind and fields.
@@ -90,11 +91,11 @@
   return aValue.is_string() ? aValue.get<std::string>() : std::string();
 }
 
-const json& FieldReader::List(const json& aValue, std::size_t aLength)
+const json& FieldReader::List(const json& aValue, std::size_t aMinLength)
 {
   static const json kEmpty = json::array();
-  const bool good = aValue.is_array() && (aLength == 0 || aValue.size() == aLength) &&
-                    aValue.size() <= kMostItems;
+  const bool good =
+    aValue.is_array() && aValue.size() >= aMinLength && aValue.size() <= kMostItems;
   this->failed = this->failed || !good;
   return good ? aValue : kEmpty;
 }
--- a/modules/toucanstand_core/serialization/Datagram.h
+++ b/modules/toucanstand_core/serialization/Datagram.h
@@ -68,8 +68,9 @@
   /// Like Whole(), but fails for a larger number.
   std::uint64_t Whole(const nlohmann::json& aValue, std::uint64_t aMost);
   std::string Text(const nlohmann::json& aValue);
-  /// A list of that length, or of any when it is 0; an empty list when it is none.
-  const nlohmann::json& List(const nlohmann::json& aValue, std::size_t aLength = 0);
+  /// A list of at least that length, to which a later build may have appended fields; an
+  /// empty list when it is none.
+  const nlohmann::json& List(const nlohmann::json& aValue, std::size_t aMinLength = 0);
 
 private:
   bool failed = false;
--- a/modules/toucanstand_membership/peers/PeerReport.cpp
+++ b/modules/toucanstand_membership/peers/PeerReport.cpp
@@ -81,7 +81,7 @@
 Result<PeerReport, DatagramFailure> DecodePeerReport(const json& aFields)
 {
   constexpr std::size_t kFields = 13;
-  if (!aFields.is_array() || aFields.size() != kFields) {
+  if (!aFields.is_array() || aFields.size() < kFields) {
     return DatagramFailure::BadField;
   }
   FieldReader reader;
--- a/modules/toucanstand_transport/store/ChangeRelay.cpp
+++ b/modules/toucanstand_transport/store/ChangeRelay.cpp
@@ -103,7 +103,7 @@
 Result<ChangeQuery, DatagramFailure> DecodeChangeQuery(const json& aFields)
 {
   constexpr std::size_t kFields = 2;
-  if (!aFields.is_array() || aFields.size() != kFields) {
+  if (!aFields.is_array() || aFields.size() < kFields) {
     return DatagramFailure::BadField;
   }
   FieldReader reader;
@@ -121,7 +121,7 @@
   constexpr std::size_t kFields = 7;
   constexpr std::size_t kChangeFields = 3;
   constexpr std::uint64_t kLongestAgeMs = 3'600'000;
-  if (!aFields.is_array() || aFields.size() != kFields || !aFields[1].is_boolean() ||
+  if (!aFields.is_array() || aFields.size() < kFields || !aFields[1].is_boolean() ||
       !aFields[5].is_boolean()) {
     return DatagramFailure::BadField;
   }
--- a/tests/unit/toucanstand_membership/TestPeerReport.cpp
+++ b/tests/unit/toucanstand_membership/TestPeerReport.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -119,6 +121,25 @@
   CHECK(DecodePeerReport(fields).LastReason() == DatagramFailure::BadField);
 }
 
+TEST_CASE("Fields that a later build appends to a report are ignored", "[peers]")
+{
+  // Guards against VMs that lose sight of the load at peers of a later build while a
+  // fleet is upgraded.
+  auto document = nlohmann::json::from_msgpack(EncodePeerReport(MakeReport()));
+  auto& fields = document[2];
+  constexpr std::array kListsOfRows = { 4, 7, 8, 9, 10, 12 };
+  for (const auto list : kListsOfRows) {
+    for (auto& row : fields[static_cast<std::size_t>(list)]) {
+      row.push_back("later");
+    }
+  }
+  fields.push_back(nlohmann::json::array({ "later", 1U }));
+  fields.push_back(nullptr);
+  const auto decoded = Decode(nlohmann::json::to_msgpack(document));
+  REQUIRE(decoded.HasValue());
+  CHECK(EncodePeerReport(*decoded) == EncodePeerReport(MakeReport()));
+}
+
 TEST_CASE("An aggregate for a VM contains the load of all other VMs", "[peers]")
 {
   // Guards against a VM that counts its own requests twice and regards a group with free
--- a/tests/unit/toucanstand_transport/TestChangeRelay.cpp
+++ b/tests/unit/toucanstand_transport/TestChangeRelay.cpp
@@ -159,6 +159,26 @@
   CHECK(log.After(150)->empty());
 }
 
+TEST_CASE("Fields that a later build appends to a query or an answer are ignored",
+          "[relay]")
+{
+  // Guards against VMs that all read the store while a fleet is upgraded, because their
+  // relay is of a later build.
+  using nlohmann::json;
+  auto answer = json::from_msgpack(EncodeChangeAnswer(Answer()));
+  for (auto& row : answer[2][6]) {
+    row.push_back("later");
+  }
+  answer[2].push_back(json::array({ 1U }));
+  const auto decoded = Decode(json::to_msgpack(answer));
+  REQUIRE(decoded.HasValue());
+  CHECK(EncodeChangeAnswer(*decoded) == EncodeChangeAnswer(Answer()));
+
+  const auto query = DecodeChangeQuery(json::array({ 9U, 55U, "later" }));
+  REQUIRE(query.HasValue());
+  CHECK(query->after == 55);
+}
+
 TEST_CASE("A revision that no store gives is refused", "[relay]")
 {
   // Guards against a copy that ignores all later changes after one odd answer of a peer.
