--- a/tests/platform/support/StoreStandin.cpp
+++ b/tests/platform/support/StoreStandin.cpp
@@ -96,6 +96,18 @@
   this->WakeWatchers();
 }
 
+std::map<std::string, std::string> StoreStandin::Records(const std::string& aPrefix)
+{
+  StoreTransaction read;
+  read.success.push_back(RangeOperation{ PrefixRange(aPrefix) });
+  const auto result = this->state.Execute(read);
+  std::map<std::string, std::string> records;
+  for (const auto& value : std::get<RangeReply>(result->replies.front()).keyValues) {
+    records[value.key] = value.value;
+  }
+  return records;
+}
+
 void StoreStandin::TakeCopy()
 {
   this->copy = this->state;
--- a/tests/platform/support/StoreStandin.h
+++ b/tests/platform/support/StoreStandin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,10 @@
   /// Writes a key without a lease, as the operator or a backend server does.
   void Put(const std::string& aKey, const std::string& aValue);
   void Delete(const std::string& aKey);
+  /// The values of the keys with the prefix.
+  [[nodiscard]] std::map<std::string, std::string> Records(const std::string& aPrefix);
+  /// Number of the last write.
+  [[nodiscard]] std::int64_t Revision() const { return this->state.Revision(); }
 
   /// Takes the copy of all keys and leases that the next Restore() goes back to.
   void TakeCopy();
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -66,6 +66,9 @@
   target_link_libraries(
     integration_${name} PRIVATE integration_support standins_library toucanstand_membership
                                 toucanstand_platform)
+  target_compile_definitions(
+    integration_${name}
+    PRIVATE TOUCANSTAND_RECORDED_FORMATS="${CMAKE_SOURCE_DIR}/tests/platform/data")
   add_dependencies(integration_${name} toucanstand-server)
   add_test(NAME integration/${name} COMMAND integration_${name} ${cases_of_ci})
   set_tests_properties(integration/${name} PROPERTIES LABELS integration TIMEOUT 180)
