--- a/tests/platform/TestStoreRestoration.cpp
+++ b/tests/platform/TestStoreRestoration.cpp
@@ -239,3 +239,16 @@
   CHECK(ServerState(other)["peers"] == 1);
   CHECK(ServerState(vm)["peers"] == 1);
 }
+
+TEST_CASE("Groups are formed after many restorations of the store",
+          "[restoration][known-red]")
+{
+  // Guards against generations that grow beyond what registrations of engines may hold.
+  for (const auto* history : { "83", "84", "1000" }) {
+    INFO("history " << history);
+    PlatformStandin platform(2);
+    platform.RunOnLoop([&] { platform.Store().historyHeader = history; });
+    ServerUnderTest server(platform, "vm-1");
+    CHECK_NOTHROW(server.WaitForGroups(1));
+  }
+}
