--- a/tests/platform/TestPlannedStopMixed.cpp
+++ b/tests/platform/TestPlannedStopMixed.cpp
@@ -15,22 +15,6 @@
 
 namespace {
 
-using Callers = std::vector<std::future<ReceivedAnswer>>;
-
-/// Checks each answer unless its connection was refused. @returns the number of streams
-int CheckAll(PlannedStop& aStop, Callers& aCallers, const std::string& aName)
-{
-  int served = 0;
-  for (std::size_t number = 0; number < aCallers.size(); ++number) {
-    const auto answer = aCallers[number].get();
-    if (answer.end != ConnectionEnd::Refused) {
-      aStop.CheckWhole(answer, aName + std::to_string(number));
-      served += answer.status == 200 ? 1 : 0;
-    }
-  }
-  return served;
-}
-
 /// Callers of each kind, at times drawn from a seed.
 void RunMixedCallers(milliseconds aStopPeriod, unsigned aSeed)
 {
@@ -41,7 +25,7 @@
     return milliseconds(std::uniform_int_distribution<long>(0, aMost.count())(random));
   };
   constexpr int kCallers = 24;
-  Callers callers;
+  PlannedStop::PendingAnswers callers;
   stop.PlanSignal(aStopPeriod / 4);
   for (int number = 0; number < kCallers; ++number) {
     // Bounded by the time that the VM gives a head and a body.
@@ -78,7 +62,7 @@
     }));
   }
   stop.SendPlannedSignal();
-  const int served = CheckAll(stop, callers, "mixed-");
+  const int served = stop.CheckAnswered(callers, "mixed-");
   CHECK(served > 0);
   CHECK(stop.server.process->Wait() == 0);
   CHECK(stop.SinceSignal() < stop.stopPeriod);
