--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -87,8 +87,8 @@
     std::ranges::for_each(this->LiveSessions(), [aPhase, aNow](const auto& aSession) {
       aSession->AdvanceStop(aPhase, aNow);
     });
-    // Callers that connect later reach another VM at once if there is one, while this one
-    // may have no time for them.
+    // Callers that connect later reach another VM at once, while this one may have no
+    // time for them.
     if (aPhase == StopPhase::Draining || aPhase >= StopPhase::FinalAnswers) {
       this->CloseListener();
     }
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -13,9 +13,9 @@
   Serving,
   /// The load balancer may still send connections to this VM.
   LeavingRotation,
-  /// The listener is closed, and the program ends as soon as no work is left.
+  /// The program ends as soon as no work is left.
   Draining,
-  /// A request that is still arriving is rejected.
+  /// No request begins any more. One that is still arriving is rejected.
   Closing,
   /// A request without an answer gets its final one now.
   FinalAnswers,
@@ -31,8 +31,7 @@
 {
   /// The caller waits no longer.
   TimePoint deadline;
-  /// How long it may take, by the latest answers and those in progress; nothing if
-  /// unknown.
+  /// How long it may take, by the latest answers; nothing if unknown.
   std::optional<Duration> byLatest;
   /// How long the largest answer to the request should take; nothing if unknown.
   std::optional<Duration> byLargestSize;
