--- a/review/support/standin.hh
+++ b/review/support/standin.hh
@@ -740,6 +740,11 @@
     const std::lock_guard lock(this->mutex);
     return this->model;
   }
+  std::string Group()
+  {
+    const std::lock_guard lock(this->mutex);
+    return this->group;
+  }
   bool IsOpenHead(const std::string& aModel)
   {
     const std::lock_guard lock(this->mutex);
@@ -918,6 +923,7 @@
     const auto deadline =
       Clock::now() + milliseconds(std::atoll(aRequest.Header("X-Deadline-Ms").c_str()));
     int number = std::atoi(aRequest.Header("Last-Event-Id").c_str());
+    const auto group = aEngine.Group();
     SleepMs(this->intervalMs);
     aEngine.AwaitSpeech();
     if (!aConnection.Send("HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
@@ -932,6 +938,11 @@
       while (Seconds() < aEngine.silentUntil && !aConnection.PeerClosed()) {
         SleepMs(5);
       }
+      if (aEngine.Group() != group) {
+        Log(aEngine.id + " breaks off " + attempt + " after event " + std::to_string(number) +
+            ": it was ordered to leave its group");
+        return false;
+      }
       const bool closed = aConnection.PeerClosed();
       if (closed || Clock::now() > deadline) {
         Log(aEngine.id + " ends " + attempt + " after event " + std::to_string(number) +
