--- a/review/support/standin.hh
+++ b/review/support/standin.hh
@@ -31,6 +31,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -1104,6 +1105,8 @@
     const char* program = std::getenv("PROGRAM");
     this->pid = fork();
     if (this->pid == 0) {
+      // The process ends with this one, also if that is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(output, 1);
       dup2(output, 2);
