Leave a silent server only if the call can go on elsewhere

Cause: an attempt ended at its time limit, and only then the other groups, MaxAttempts, the retry budget and the time left were asked. Each of them could end the request. Ruled out: the stop (the same without a signal) and the leader (no order comes before).

Change: HttpClient asks its owner before a wait ends. The owner leaves only with the next attempt in hand: a group or server that can take the call, time, an attempt that the route allows, and credit of the retry budget, taken at once so that of many silent streams only those leave that can go on. The same for the head of a response, the first event and calls of plain services.

--- a/modules/toucanstand_delivery/attempts/AttemptTracker.cpp
+++ b/modules/toucanstand_delivery/attempts/AttemptTracker.cpp
@@ -57,13 +57,13 @@
   this->provenNotRun += ProvesNotRun(aFailure) ? 1 : 0;
   this->connected += FailedToConnect(aFailure) ? 0 : 1;
 
-  const GiveUpReason reason = this->ReasonToGiveUp(aFailure, aNow);
+  const GiveUpReason reason = this->ReasonToGiveUp(aFailure, this->connected, aNow);
   if (reason != GiveUpReason::None) {
     return this->GiveUp(reason);
   }
-  const auto cause =
-    IndicatesLostServer(aFailure) ? RetryCause::LostServer : RetryCause::MayBeOverload;
-  if (!this->budget.TrySpend(this->account, this->pool, cause)) {
+  const bool isPaid =
+    std::exchange(this->isRetryReserved, false) || this->TakeFromBudget(aFailure);
+  if (!isPaid) {
     return this->GiveUp(GiveUpReason::BudgetExhausted);
   }
   RetryDecision decision;
@@ -72,6 +72,24 @@
   return decision;
 }
 
+GiveUpReason AttemptTracker::ReserveRetry(AttemptFailure aFailure, TimePoint aNow)
+{
+  const auto connectedThen = this->connected + (FailedToConnect(aFailure) ? 0 : 1);
+  const auto reason = this->ReasonToGiveUp(aFailure, connectedThen, aNow);
+  if (reason == GiveUpReason::None && !this->isRetryReserved) {
+    this->isRetryReserved = this->TakeFromBudget(aFailure);
+    return this->isRetryReserved ? GiveUpReason::None : GiveUpReason::BudgetExhausted;
+  }
+  return reason;
+}
+
+bool AttemptTracker::TakeFromBudget(AttemptFailure aFailure)
+{
+  const auto cause =
+    IndicatesLostServer(aFailure) ? RetryCause::LostServer : RetryCause::MayBeOverload;
+  return this->budget.TrySpend(this->account, this->pool, cause);
+}
+
 CallOutcome AttemptTracker::Outcome() const
 {
   if (this->answered) {
@@ -91,7 +109,9 @@
            { "outcome", WireName(this->Outcome()) } };
 }
 
-GiveUpReason AttemptTracker::ReasonToGiveUp(AttemptFailure aFailure, TimePoint aNow) const
+GiveUpReason AttemptTracker::ReasonToGiveUp(AttemptFailure aFailure,
+                                            std::size_t aConnected,
+                                            TimePoint aNow) const
 {
   if (aFailure == AttemptFailure::CallerLeft) {
     return GiveUpReason::CallerLeft;
@@ -110,7 +130,7 @@
     return GiveUpReason::DeadlinePassed;
   }
   const bool tooMany =
-    this->connected >= this->maxConnected || this->tried.size() >= kMaximumAttempts;
+    aConnected >= this->maxConnected || this->tried.size() >= kMaximumAttempts;
   return tooMany ? GiveUpReason::TooManyAttempts : GiveUpReason::None;
 }
 
--- a/modules/toucanstand_delivery/attempts/AttemptTracker.h
+++ b/modules/toucanstand_delivery/attempts/AttemptTracker.h
@@ -94,6 +94,11 @@
                                         const std::string& aCandidateId,
                                         TimePoint aNow);
 
+  /// Decides whether the request could be retried if the attempt in progress failed now,
+  /// and takes what that costs from the budget: OnFailure() charges for it no more.
+  /// @returns why it could not; None if it could
+  [[nodiscard]] GiveUpReason ReserveRetry(AttemptFailure aFailure, TimePoint aNow);
+
   /// Outcome if the caller were answered now. NotRun only when every attempt ended with
   /// proof that it was not executed, or when there was no attempt.
   [[nodiscard]] CallOutcome Outcome() const;
@@ -108,8 +113,11 @@
   [[nodiscard]] nlohmann::json Describe() const;
 
 private:
+  /// @param aConnected attempts whose connection was established, with the failed one
   [[nodiscard]] GiveUpReason ReasonToGiveUp(AttemptFailure aFailure,
+                                            std::size_t aConnected,
                                             TimePoint aNow) const;
+  [[nodiscard]] bool TakeFromBudget(AttemptFailure aFailure);
   [[nodiscard]] RetryDecision GiveUp(GiveUpReason aReason) const;
 
   Repeatability repeatability;
@@ -123,6 +131,7 @@
   std::size_t provenNotRun = 0;
   std::uint64_t offset = 0;
   bool inProgress = false;
+  bool isRetryReserved = false;
   bool bodyForwarded = false;
   bool answered = false;
 };
--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -78,15 +80,90 @@
   CancelSwitch& cancel;
 };
 
+/// Cancels what a stream waits for when the time is up and no more is granted. The timer
+/// of the stream itself can't be moved while an operation is in progress.
+class WaitLimit
+{
+public:
+  WaitLimit(beast::tcp_stream& aStream, WaitExtension aExtend)
+    : wait(std::make_shared<Wait>(aStream, std::move(aExtend)))
+  {
+    aStream.expires_never();
+  }
+  ~WaitLimit() { this->End(); }
+  WaitLimit(const WaitLimit&) = delete;
+  WaitLimit& operator=(const WaitLimit&) = delete;
+
+  void Begin(Duration aTimeout)
+  {
+    this->wait->hasTimedOut = false;
+    Arm(this->wait, aTimeout);
+  }
+
+  /// The same without an extension, from now on.
+  void BeginFinal(Duration aTimeout)
+  {
+    this->wait->extend = nullptr;
+    this->Begin(aTimeout);
+  }
+
+  void End()
+  {
+    ++this->wait->round;
+    this->wait->timer.cancel();
+  }
+
+  [[nodiscard]] bool HasTimedOut() const { return this->wait->hasTimedOut; }
+
+private:
+  struct Wait
+  {
+    Wait(beast::tcp_stream& aStream, WaitExtension aExtend)
+      : stream(aStream)
+      , timer(aStream.get_executor())
+      , extend(std::move(aExtend))
+    {
+    }
+    beast::tcp_stream& stream;
+    asio::steady_timer timer;
+    WaitExtension extend;
+    /// A handler that was queued when its round ended is called without an error.
+    std::uint64_t round = 0;
+    bool hasTimedOut = false;
+  };
+
+  static void Arm(const std::shared_ptr<Wait>& aWait, Duration aTimeout)
+  {
+    aWait->timer.expires_after(aTimeout);
+    aWait->timer.async_wait([weak = std::weak_ptr<Wait>(aWait),
+                             round = ++aWait->round](const beast::error_code& aError) {
+      const auto overdue = weak.lock();
+      if (!overdue || aError || overdue->round != round) {
+        return;
+      }
+      const auto more = overdue->extend ? overdue->extend() : Duration::zero();
+      if (more > Duration::zero()) {
+        Arm(overdue, more);
+        return;
+      }
+      overdue->hasTimedOut = true;
+      overdue->stream.cancel();
+    });
+  }
+
+  std::shared_ptr<Wait> wait;
+};
+
 HttpFailure ReadFailure(const beast::error_code& aError,
                         const CancelSwitch& aCancel,
+                        const WaitLimit& aLimit,
                         HttpFailure aTimedOut,
                         HttpFailure aBroken)
 {
   if (aCancel.IsTripped()) {
     return HttpFailure::Cancelled;
   }
-  if (aError == beast::error::timeout) {
+  if (aLimit.HasTimedOut()) {
     return aTimedOut;
   }
   const bool ended =
@@ -181,12 +258,13 @@
 
   OpenStream(ConnectionPointer aConnection,
              std::unique_ptr<Parser> aParser,
-             Duration aProgress,
+             const HttpDeadlines& aDeadlines,
              UnframedBody aUnframed,
              GiveBack aGiveBack)
     : connection(std::move(aConnection))
+    , limit(this->connection->stream, aDeadlines.extend)
     , parser(std::move(aParser))
-    , progress(aProgress)
+    , progress(aDeadlines.progress)
     , unframed(aUnframed)
     , giveBack(std::move(aGiveBack))
   {
@@ -214,15 +292,19 @@
       body.data = bytes.data();
       body.size = bytes.size();
       const CancelScope scope(aCancel, this->connection->stream);
-      this->connection->stream.expires_after(this->progress);
+      this->limit.Begin(this->progress);
       auto [error, count] = co_await http::async_read_some(
         this->connection->stream, this->connection->buffer, *this->parser, kAwait);
+      this->limit.End();
       if (error == http::error::need_buffer) {
         error = {};
       }
       if (error || aCancel.IsTripped()) {
-        co_return ReadFailure(
-          error, aCancel, HttpFailure::BodyTimedOut, HttpFailure::BrokenInBody);
+        co_return ReadFailure(error,
+                              aCancel,
+                              this->limit,
+                              HttpFailure::BodyTimedOut,
+                              HttpFailure::BrokenInBody);
       }
       const std::size_t received = bytes.size() - body.size;
       if (received > 0) {
@@ -237,6 +319,7 @@
 
 private:
   ConnectionPointer connection;
+  WaitLimit limit;
   std::unique_ptr<Parser> parser;
   HttpHeaders headers;
   Duration progress;
@@ -450,7 +533,8 @@
   bool reusable = aUse != ConnectionUse::Single;
   {
     const CancelScope scope(aCancel, connection->stream);
-    connection->stream.expires_after(aDeadlines.head);
+    WaitLimit limit(connection->stream, aDeadlines.extend);
+    limit.Begin(aDeadlines.head);
     auto [sendError, sent] =
       co_await http::async_write(connection->stream, message, kAwait);
     if (aCancel.IsTripped()) {
@@ -458,7 +542,7 @@
     }
     if (sendError) {
       // A server may answer before it has read the whole body and close then.
-      connection->stream.expires_after(kEarlyResponse);
+      limit.BeginFinal(kEarlyResponse);
       reusable = false;
     }
     std::size_t interimResponses = 0;
@@ -473,6 +557,7 @@
         co_return ReadFailure(
           headError,
           aCancel,
+          limit,
           sendError ? HttpFailure::SendBroken : HttpFailure::HeadTimedOut,
           sendError ? HttpFailure::SendBroken : HttpFailure::BrokenBeforeHead);
       }
@@ -487,7 +572,7 @@
   co_return std::unique_ptr<HttpClientStream>(
     std::make_unique<OpenStream>(std::move(connection),
                                  std::move(parser),
-                                 aDeadlines.progress,
+                                 aDeadlines,
                                  shared->unframed,
                                  std::move(giveBack)));
 }
--- a/modules/toucanstand_transport/http/HttpClient.h
+++ b/modules/toucanstand_transport/http/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -45,6 +46,10 @@
 /// True when no byte of the request can have reached the server.
 [[nodiscard]] bool NothingWasSent(HttpFailure aFailure);
 
+/// Called when a wait for a server has lasted as long as it may. @returns how much longer
+/// it may last; zero ends it.
+using WaitExtension = std::function<Duration()>;
+
 /// How long each stage of an exchange may take.
 struct HttpDeadlines
 {
@@ -54,6 +59,8 @@
   Duration progress = std::chrono::seconds(5);
   /// From the end of the head to the end of the body, for Fetch().
   Duration body = std::chrono::seconds(10);
+  /// Decides on the end of `head` and of `progress`; both are final if empty.
+  WaitExtension extend = nullptr;
 };
 
 /// Whether an idle connection of an earlier exchange may carry the request.
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -35,13 +35,11 @@
     if (this->progress.MustLeaveToOtherVms(BootClock::now())) {
       co_return co_await this->progress.GiveUp("stopping", this->state.stopRetryAfter);
     }
-    RouteQuery query;
-    query.pool = this->call.pool;
-    query.excluded = this->triedCandidates;
-    std::ranges::transform(this->state.availability.Spared(BootClock::now()),
-                           std::back_inserter(query.excluded),
-                           [](const auto& aSpared) { return aSpared.server.Value(); });
-    const auto candidate = this->state.router.Choose(query, BootClock::now());
+    const auto now = BootClock::now();
+    const Result<Candidate, RouteRefusal> candidate =
+      this->plannedMove ? Result<Candidate, RouteRefusal>(*this->plannedMove)
+                        : this->state.router.Choose(this->MakeRouteQuery(now), now);
+    this->plannedMove.reset();
     if (!candidate) {
       this->LogRefusal(candidate.LastReason());
       co_return co_await this->progress.GiveUp(Name(candidate.LastReason()),
@@ -94,15 +92,39 @@
       { "retry_after_ms", ToMilliseconds(this->RetryAfter()).count() } });
 }
 
+RouteQuery BufferedCall::MakeRouteQuery(TimePoint aNow) const
+{
+  RouteQuery query;
+  query.pool = this->call.pool;
+  query.excluded = this->triedCandidates;
+  std::ranges::transform(this->state.availability.Spared(aNow),
+                         std::back_inserter(query.excluded),
+                         [](const auto& aSpared) { return aSpared.server.Value(); });
+  return query;
+}
+
+Duration BufferedCall::ExtendWait(const Candidate& aSilent, TimePoint aNow)
+{
+  if (aNow >= this->call.deadline) {
+    return Duration::zero();
+  }
+  auto query = this->MakeRouteQuery(aNow);
+  query.excluded.push_back(aSilent.id);
+  auto candidate = this->state.router.Choose(query, aNow);
+  const bool canMove = candidate && this->state.MayEndInTime(this->call, aNow) &&
+                       this->progress.tracker.ReserveRetry(
+                         AttemptFailure::SilentConnection, aNow) == GiveUpReason::None;
+  if (canMove) {
+    this->plannedMove = std::move(*candidate);
+    return Duration::zero();
+  }
+  return std::min(kSilenceCheckInterval, this->call.deadline - aNow);
+}
+
 Duration BufferedCall::HeadTimeout() const
 {
   const auto remaining =
     std::max(this->call.deadline - BootClock::now(), Duration::zero());
-  const bool isLastAttempt =
-    this->progress.tracker.AttemptCount() >= this->call.route->mostServers;
-  if (isLastAttempt || this->call.route->MayRepeat() == Repeatability::OnlyOnce) {
-    return remaining;
-  }
   const Duration timeout =
     std::max(this->call.route->targetLatency * kHeadTimeoutFactor, kMinHeadTimeout);
   return std::min(timeout, remaining);
@@ -114,6 +136,9 @@
   target.server = aCandidate.server;
   target.endpoint = aCandidate.endpoint;
   target.headTimeout = this->HeadTimeout();
+  target.extend = [this, &aCandidate] {
+    return this->ExtendWait(aCandidate, BootClock::now());
+  };
   this->serverWaits = false;
   const auto asked = this->state.directory.RunOf(aCandidate.server);
   auto opened = co_await this->sender.Open(std::move(target));
--- a/programs/toucanstand-server/CallProgress.cpp
+++ b/programs/toucanstand-server/CallProgress.cpp
@@ -53,6 +53,19 @@
   return !this->responseStarted && !this->state.MayEndInTime(this->call, aNow);
 }
 
+bool CallProgress::LeavesTimeToContinue(Duration aFirstEvent, TimePoint aNow) const
+{
+  const auto beginsAt = aNow + aFirstEvent;
+  if (beginsAt >= this->call.deadline) {
+    return false;
+  }
+  if (!this->lastEventsAt) {
+    return this->state.MayEndInTime(this->call, aNow);
+  }
+  return this->state.MayEndInTime(
+    this->call, beginsAt, *this->lastEventsAt - this->call.arrivedAt);
+}
+
 void CallProgress::RecordEvents(std::size_t aCount, TimePoint aNow)
 {
   this->eventCount = aCount;
--- a/programs/toucanstand-server/CallProgress.h
+++ b/programs/toucanstand-server/CallProgress.h
@@ -29,6 +29,10 @@
   /// a whole answer instead of a part of the stream.
   [[nodiscard]] bool IsTooLateToStream(TimePoint aNow) const;
 
+  /// True if another server that begins to answer after this time could end the answer
+  /// before the deadline and the end of a planned stop.
+  [[nodiscard]] bool LeavesTimeToContinue(Duration aFirstEvent, TimePoint aNow) const;
+
   /// Records the arrival of complete stream events. The first call sets the time to first
   /// byte.
   /// @param aCount events of all attempts so far
--- a/programs/toucanstand-server/CallSender.cpp
+++ b/programs/toucanstand-server/CallSender.cpp
@@ -30,6 +30,7 @@
   deadlines.connect = std::min(kConnectTimeout, remaining);
   deadlines.head = std::min(aTarget.headTimeout, remaining);
   deadlines.progress = remaining;
+  deadlines.extend = std::move(aTarget.extend);
   co_return co_await this->state.backendClient.Open(aTarget.endpoint,
                                                     std::move(request),
                                                     deadlines,
--- a/programs/toucanstand-server/CallSender.h
+++ b/programs/toucanstand-server/CallSender.h
@@ -32,8 +32,10 @@
     std::optional<std::string> lastEventId;
     /// From 0 to 9; the engine admits requests with smaller numbers first.
     int urgency = 5;
-    /// Maximum wait for the head of the response.
+    /// Wait for the head of the response after which `extend` is asked.
     Duration headTimeout{ 0 };
+    /// See HttpDeadlines; also asked about the response's further progress.
+    WaitExtension extend = nullptr;
   };
 
   /// Sends the request and reads the head of the response, limited by the deadline of
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -62,8 +62,10 @@
         this->progress.IsTooLateToStream(now)) {
       co_return co_await this->progress.GiveUp("stopping", this->state.stopRetryAfter);
     }
-    const auto choice =
-      this->placement.Choose(this->MakePlacementQuery(), BootClock::now());
+    Result<PlacementChoice, RefusedPlacement> choice =
+      this->plannedMove ? Result<PlacementChoice, RefusedPlacement>(*this->plannedMove)
+                        : this->placement.Choose(this->MakePlacementQuery(), now);
+    this->plannedMove.reset();
     if (!choice) {
       auto delay = choice.LastReason();
       if (delay.reason == PlacementRefusalReason::NoGroup) {
@@ -116,7 +118,7 @@
   return query;
 }
 
-CallSender::Target GenerationCall::MakeTarget(const PlacementChoice& aChoice) const
+CallSender::Target GenerationCall::MakeTarget(const PlacementChoice& aChoice)
 {
   CallSender::Target target;
   target.server = aChoice.group.head;
@@ -129,6 +131,7 @@
     std::clamp(kMostUrgent + this->call.priority, kMostUrgent, kLeastUrgent);
   target.headTimeout =
     this->EffectiveTimeout(std::max(kFirstEventTimeout, aChoice.predicted * 2));
+  target.extend = [this] { return this->ExtendWait(BootClock::now()); };
   return target;
 }
 
@@ -136,13 +139,68 @@
 {
   const auto remaining =
     std::max(this->call.deadline - BootClock::now(), Duration::zero());
-  // A run that can't be repeated is awaited until the deadline, even if it is silent.
-  const bool repeatable = this->call.route->MayRepeat() == Repeatability::Idempotent;
-  return repeatable ? std::min(aTimeout, remaining) : remaining;
+  return std::min(aTimeout, remaining);
+}
+
+Duration GenerationCall::ExtendWait(TimePoint aNow)
+{
+  if (aNow >= this->call.deadline) {
+    return Duration::zero();
+  }
+  const char* const reasonToStay = this->PlanMove(aNow);
+  this->LogSilence(reasonToStay, aNow);
+  return reasonToStay == nullptr ? Duration::zero()
+                                 : this->EffectiveTimeout(kSilenceCheckInterval);
+}
+
+const char* GenerationCall::PlanMove(TimePoint aNow)
+{
+  if (this->state.promptPartQuarantine.FindQuarantined(this->call.facts.sharedPromptParts,
+                                                       aNow)) {
+    return "crashing_prompt_part";
+  }
+  auto query = this->MakePlacementQuery();
+  query.excluded.push_back(this->group);
+  query.mustPlace = true;
+  // A group that is suspected itself is no better than this one.
+  query.isResumed = false;
+  auto choice = this->placement.Choose(query, aNow);
+  if (!choice) {
+    return "no_other_group";
+  }
+  if (!this->progress.LeavesTimeToContinue(choice->predicted, aNow)) {
+    return "no_time";
+  }
+  const auto reason =
+    this->progress.tracker.ReserveRetry(AttemptFailure::SilentConnection, aNow);
+  if (reason != GiveUpReason::None) {
+    return Name(reason);
+  }
+  this->plannedMove = std::move(*choice);
+  return nullptr;
+}
+
+void GenerationCall::LogSilence(const char* aReasonToStay, TimePoint aNow)
+{
+  if (aReasonToStay != nullptr && this->loggedReasonToStay == aReasonToStay) {
+    return;
+  }
+  this->loggedReasonToStay = aReasonToStay;
+  const auto lastSignOfLife = this->progress.lastEventsAt.value_or(this->call.arrivedAt);
+  this->state.log.Write(
+    LogWeight::Notable,
+    "server_silent",
+    { { "request", this->call.facts.id.Value() },
+      { "group", this->group.Value() },
+      { "silent_ms", ToMilliseconds(aNow - lastSignOfLife).count() },
+      { "stays", aReasonToStay == nullptr ? "" : aReasonToStay },
+      { "next", this->plannedMove ? this->plannedMove->group.id.Value() : "" } });
 }
 
 Task<std::optional<FailedAttempt>> GenerationCall::Attempt(const PlacementChoice& aChoice)
 {
+  this->group = aChoice.group.id;
+  this->loggedReasonToStay = nullptr;
   this->framer.BeginAttempt();
   this->eventsBeforeAttempt = this->framer.EventCount();
   this->groupUnusable = false;
@@ -182,10 +240,11 @@
 {
   // Only complete events extend the timeout: bytes that never complete an event must not
   // keep a run open.
-  auto nextEventDue = BootClock::now() + this->EffectiveTimeout(kFirstEventTimeout);
+  this->nextEventDue = BootClock::now() + this->EffectiveTimeout(kFirstEventTimeout);
+  std::size_t bytesWithoutEvent = 0;
   while (true) {
     aStream.SetProgressTimeout(
-      std::max(nextEventDue - BootClock::now(), Duration::zero()));
+      std::max(this->nextEventDue - BootClock::now(), Duration::zero()));
     auto chunk = co_await aStream.Read(this->sender.Cancellation());
     if (!chunk) {
       co_return FailedAttempt{ this->sender.ClassifyFailure(chunk.LastReason()),
@@ -200,8 +259,8 @@
       co_return FailedAttempt{ AttemptFailure::BrokenInBody, std::nullopt };
     }
     const bool hasNewEvents = this->framer.EventCount() > eventsBefore;
-    // A read that finds bytes waiting succeeds although its time is up.
-    if (!hasNewEvents && BootClock::now() >= nextEventDue) {
+    bytesWithoutEvent = hasNewEvents ? 0 : bytesWithoutEvent + chunk->size();
+    if (!hasNewEvents && !this->MayWaitForEvent(bytesWithoutEvent)) {
       co_return FailedAttempt{ this->sender.ClassifyFailure(HttpFailure::BodyTimedOut),
                                std::nullopt };
     }
@@ -221,7 +280,8 @@
     if (hasNewEvents) {
       // Restart the timeout only after the write to the caller, so that the time a slow
       // caller takes to read is not charged to the engine.
-      nextEventDue = BootClock::now() + this->EffectiveTimeout(kEventGapTimeout);
+      this->nextEventDue = BootClock::now() + this->EffectiveTimeout(kEventGapTimeout);
+      this->loggedReasonToStay = nullptr;
     }
   }
   if (!this->IsPlausibleEnd()) {
@@ -235,6 +295,20 @@
   co_return std::nullopt;
 }
 
+bool GenerationCall::MayWaitForEvent(std::size_t aBytesWithoutEvent)
+{
+  const auto now = BootClock::now();
+  // A read that finds bytes waiting succeeds although its time is up.
+  if (now < this->nextEventDue) {
+    return true;
+  }
+  if (aBytesWithoutEvent > kMaxBytesWithoutEvent) {
+    return false;
+  }
+  this->nextEventDue = now + this->ExtendWait(now);
+  return this->nextEventDue > now;
+}
+
 bool GenerationCall::IsPlausibleEnd() const
 {
   if (this->framer.HasPartialEvent()) {
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -342,10 +342,18 @@
          this->stopSchedule->LeavesTimeFor(this->ExpectAnswer(aCall, aNow), aNow);
 }
 
-bool ServingState::MayEndInTime(const Call& aCall, TimePoint aNow) const
+bool ServingState::MayEndInTime(const Call& aCall, TimePoint aNow, Duration aDone) const
 {
-  return !this->stopSchedule ||
-         this->stopSchedule->MayEndInTime(this->ExpectAnswer(aCall, aNow), aNow);
+  if (!this->stopSchedule) {
+    return true;
+  }
+  auto answer = this->ExpectAnswer(aCall, aNow);
+  for (auto* expected : { &answer.byLatest, &answer.byLargestSize }) {
+    if (*expected) {
+      *expected = std::max(**expected - aDone, Duration::zero());
+    }
+  }
+  return this->stopSchedule->MayEndInTime(answer, aNow);
 }
 
 ExpectedAnswer ServingState::ExpectAnswer(const Call& aCall, TimePoint aNow) const
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -99,7 +99,10 @@
 
   /// The same for a call that may have run, so that it can't be left to another VM: true
   /// unless the answer would have to be quicker than expected.
-  [[nodiscard]] bool MayEndInTime(const Call& aCall, TimePoint aNow) const;
+  /// @param aDone part of the answer's time that need not be spent again
+  [[nodiscard]] bool MayEndInTime(const Call& aCall,
+                                  TimePoint aNow,
+                                  Duration aDone = Duration::zero()) const;
 
   /// A backend server and its address.
   struct Destination
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -364,6 +364,7 @@
   const int eventsBeforeAbort = this->faults.abortAfterEvents;
   const auto lastEventId = std::string(aExchange.Request().headers.Find("Last-Event-Id"));
   int number = lastEventId.empty() ? 0 : std::stoi(lastEventId);
+  co_await this->Sleep(this->pauseBeforeStream);
   HttpHeaders headers = this->ResponseHeaders(aExchange.Request());
   headers.Add("Content-Type", "text/event-stream");
   co_await aExchange.BeginStream(200, std::move(headers));
@@ -381,6 +382,9 @@
     if (eventsSent == this->eventCount / 2 && this->pauseInStream.count() > 0) {
       co_await this->Sleep(this->pauseInStream);
     }
+    while (std::chrono::steady_clock::now() < this->silentUntil && this->alive) {
+      co_await this->Sleep(this->eventInterval);
+    }
     if (!this->alive || aExchange.CallerGone()) {
       if (!this->alive) {
         this->NoteRunFailed(aExchange);
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -134,6 +134,10 @@
   int eventCount = kEventCount;
   /// Time without any byte in the middle of each stream.
   std::chrono::milliseconds pauseInStream{ 0 };
+  /// Time without any byte before each stream.
+  std::chrono::milliseconds pauseBeforeStream{ 0 };
+  /// No stream sends an event before this time.
+  std::chrono::steady_clock::time_point silentUntil{};
   /// Time until a plain service answers.
   std::chrono::milliseconds answerDelay{ 0 };
   /// Null until PutBehindFront() is called.
--- a/tests/unit/toucanstand_delivery/TestAttemptTracker.cpp
+++ b/tests/unit/toucanstand_delivery/TestAttemptTracker.cpp
@@ -143,3 +143,49 @@
   }
   CHECK(spent == kAccounts + 1);
 }
+
+TEST_CASE("A retry is reserved once, and only if the call could be retried", "[attempts]")
+{
+  // Guards against calls that leave their servers for retries that the budget refuses.
+  RetryBudgetSettings settings;
+  settings.initialCredit = 2.0;
+  settings.creditPerFirstAttempt = 0.0;
+  settings.maxOverdraft = 0.0;
+  RetryBudget budget(settings);
+  const auto silent = AttemptFailure::SilentConnection;
+  const TimePoint now{ 1s };
+  auto first = MakeTracker(budget, Repeatability::Idempotent);
+  auto second = MakeTracker(budget, Repeatability::Idempotent);
+  auto third = MakeTracker(budget, Repeatability::Idempotent);
+  for (auto* tracker : { &first, &second, &third }) {
+    tracker->OnAttemptStarted("c0");
+  }
+  CHECK(first.ReserveRetry(silent, now) == GiveUpReason::None);
+  CHECK(first.ReserveRetry(silent, now) == GiveUpReason::None);
+  CHECK(second.ReserveRetry(silent, now) == GiveUpReason::None);
+  CHECK(third.ReserveRetry(silent, now) == GiveUpReason::BudgetExhausted);
+  CHECK(first.OnFailure(silent, "c0", now).kind == RetryAction::Retry);
+  CHECK(second.OnFailure(silent, "c0", now).kind == RetryAction::Retry);
+  CHECK(budget.Spent() == 2);
+  first.OnAttemptStarted("c1");
+  CHECK(first.OnFailure(silent, "c1", now).reason == GiveUpReason::BudgetExhausted);
+}
+
+TEST_CASE("No retry is reserved that a call must not make", "[attempts]")
+{
+  // Guards against a reservation that OnFailure() would not grant.
+  RetryBudget budget;
+  const auto silent = AttemptFailure::SilentConnection;
+  const TimePoint now{ 1s };
+  AttemptTracker onlyOnce = MakeTracker(budget, Repeatability::OnlyOnce);
+  onlyOnce.OnAttemptStarted("c0");
+  CHECK(onlyOnce.ReserveRetry(silent, now) == GiveUpReason::MayHaveRun);
+  AttemptTracker single(
+    Repeatability::Idempotent, kAccount, kPool, TimePoint{} + 10s, budget, 1);
+  single.OnAttemptStarted("c0");
+  CHECK(single.ReserveRetry(silent, now) == GiveUpReason::TooManyAttempts);
+  AttemptTracker late = MakeTracker(budget, Repeatability::Idempotent);
+  late.OnAttemptStarted("c0");
+  CHECK(late.ReserveRetry(silent, TimePoint{} + 11s) == GiveUpReason::DeadlinePassed);
+  CHECK(budget.Spent() == 0);
+}
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -398,3 +398,49 @@
   }());
   CHECK(bodies == std::vector<std::string>{ "one", "two" });
 }
+
+TEST_CASE("A wait for a server lasts as long as it is extended", "[http]")
+{
+  // Guards against a connection that is closed before its owner has decided to leave it,
+  // and against one that is kept after that.
+  const int extensions = GENERATE(0, 2, 20);
+  INFO("extensions " << extensions);
+  asio::io_context loop;
+  MetricsRegistry metrics;
+  HttpServer server(
+    loop,
+    HttpServerLimits{},
+    [&loop](HttpExchange& aExchange) -> Task<> {
+      asio::steady_timer timer(loop, std::chrono::milliseconds(200));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await aExchange.BeginStream(200, {});
+      co_await aExchange.WriteChunk("first ");
+      timer.expires_after(std::chrono::milliseconds(200));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await aExchange.WriteChunk("second");
+      co_await aExchange.FinishStream();
+    },
+    metrics);
+  const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
+  HttpClient client(loop, metrics);
+  Result<HttpResponse, HttpFailure> result(HttpFailure::Cancelled);
+  int asked = 0;
+  RunUntilDone(loop, [&]() -> Task<> {
+    HttpDeadlines deadlines;
+    deadlines.head = deadlines.progress = std::chrono::milliseconds(50);
+    deadlines.extend = [&] {
+      return ++asked > extensions ? Duration::zero() : std::chrono::milliseconds(50);
+    };
+    result = co_await client.Fetch(endpoint, HttpRequest(), deadlines);
+  }());
+  server.Abort();
+  const bool isLongEnough = extensions == 20;
+  CHECK(result.HasValue() == isLongEnough);
+  CHECK(asked <= extensions + 1);
+  if (isLongEnough) {
+    CHECK(result->body == "first second");
+    CHECK(asked > 4);
+  } else {
+    CHECK(result.LastReason() == HttpFailure::HeadTimedOut);
+  }
+}
