--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -282,6 +282,17 @@
   }
 }
 
+void GroupPlacement::OnSilent(Ticket aTicket, TimePoint aNow)
+{
+  const auto found = this->requestsInProgress.find(aTicket);
+  auto* state =
+    found == this->requestsInProgress.end() ? nullptr : this->Find(found->second.group);
+  if (state != nullptr) {
+    state->suspectedUntil = aNow + kStallBackoff;
+    this->ReportSilence(*state, aNow);
+  }
+}
+
 void GroupPlacement::OnFirstEvents(RequestInProgress& aRequest,
                                    GroupState& aState,
                                    TimePoint aNow)
@@ -477,16 +488,22 @@
 
 std::vector<GroupId> GroupPlacement::TakeSuspicions(TimePoint aNow)
 {
-  for (auto& [id, state] : this->groups) {
-    if (this->AreStreamsSilent(state, aNow) &&
-        aNow - state.silenceReportedAt > kSuspicionReportInterval) {
-      state.silenceReportedAt = aNow;
-      this->suspicions.push_back(id);
+  for (auto& state : this->groups | std::views::values) {
+    if (this->AreStreamsSilent(state, aNow)) {
+      this->ReportSilence(state, aNow);
     }
   }
   return std::exchange(this->suspicions, {});
 }
 
+void GroupPlacement::ReportSilence(GroupState& aState, TimePoint aNow)
+{
+  if (aNow - aState.silenceReportedAt > kSuspicionReportInterval) {
+    aState.silenceReportedAt = aNow;
+    this->suspicions.push_back(aState.group.id);
+  }
+}
+
 bool GroupPlacement::IsSuspected(const GroupId& aGroup, TimePoint aNow) const
 {
   const auto found = this->groups.find(aGroup);
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -167,6 +167,9 @@
   Ticket OnSent(const PlacementChoice& aChoice, double aPromptTokens, TimePoint aNow);
   /// Records that events of a request arrived.
   void OnEvents(Ticket aTicket, TimePoint aNow);
+  /// Records that a request has waited for an event for longer than a healthy group
+  /// takes, and still does.
+  void OnSilent(Ticket aTicket, TimePoint aNow);
   /// Records the end of a request. Call exactly once for each ticket.
   void OnEnded(Ticket aTicket, GroupRequestOutcome aOutcome, TimePoint aNow);
 
@@ -302,6 +305,8 @@
                                       const ArrivalDistribution& aDistribution);
   [[nodiscard]] GroupState* Find(const GroupId& aGroup);
   [[nodiscard]] bool AreStreamsSilent(const GroupState& aState, TimePoint aNow) const;
+  /// Reports a group as silent, at most once in kSuspicionReportInterval.
+  void ReportSilence(GroupState& aState, TimePoint aNow);
 
   ZoneId ownZone;
   Random random;
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -147,6 +147,7 @@
   if (aNow >= this->call.deadline) {
     return Duration::zero();
   }
+  this->placement.OnSilent(this->ticket, aNow);
   const char* const reasonToStay = this->PlanMove(aNow);
   this->LogSilence(reasonToStay, aNow);
   return reasonToStay == nullptr ? Duration::zero()
--- a/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
+++ b/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
@@ -609,3 +609,22 @@
   placement.SetUnreportedPeerRequests("m", 4);
   CHECK(placement.Choose(query, kStart).HasValue());
 }
+
+TEST_CASE("A group is reported while requests wait for its first event", "[placement]")
+{
+  // Guards against a group that has lost a member and that nobody examines, because the
+  // requests which notice it stay with it.
+  auto placement = Placement(1);
+  const auto choice = placement.Choose(Query(), kStart);
+  REQUIRE(choice.HasValue());
+  const auto ticket = placement.OnSent(*choice, 1000, kStart);
+  const auto silent = kStart + milliseconds(1200);
+  CHECK(placement.TakeSuspicions(silent).empty());
+  placement.OnSilent(ticket, silent);
+  CHECK(placement.IsSuspected(choice->group.id, silent));
+  CHECK(placement.TakeSuspicions(silent) == std::vector<GroupId>{ choice->group.id });
+  placement.OnSilent(ticket, silent + milliseconds(200));
+  CHECK(placement.TakeSuspicions(silent + milliseconds(200)).empty());
+  placement.OnEvents(ticket, silent + milliseconds(400));
+  CHECK_FALSE(placement.IsSuspected(choice->group.id, silent + milliseconds(400)));
+}
