Keep a serving group with an unregistered member when the leader changes

Cause: GroupLifecycle::Adopt took over what was registered at that moment; a group with an unregistered member was retired after 2.5 s, and the member was never probed. Ruled out: a failed probe (no member_examined), a reassignment (group_plan).

Change: ServerDirectory remembers the entries of members that have no registration any more while their group has others, so that each VM can probe them as the next leader. A leader that has just started, and does not know them, keeps a group whose head serves: it was opened with all members ready and breaks by itself when one is lost.

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <ranges>
 #include <utility>
 
@@ -42,14 +43,34 @@
 
 void RememberMembers(GroupRecord& aRecord, const ObservedGroup& aObservedGroup)
 {
-  aRecord.wasComplete = true;
+  auto members = aObservedGroup.members;
+  std::ranges::copy(aObservedGroup.unregisteredMembers, std::back_inserter(members));
+  std::ranges::sort(
+    members, {}, [](const ServerEntry* aMember) { return aMember->membership->rank; });
   aRecord.members.clear();
-  for (const auto* member : aObservedGroup.members) {
+  for (const auto* member : members) {
     aRecord.members.push_back(member->id);
     aRecord.endpoints[member->id] = member->endpoint;
   }
 }
 
+/// Whether the head accepts requests or finishes those it has. Then all members were
+/// ready once: no head is opened before.
+bool HeadServes(const ObservedGroup& aObservedGroup)
+{
+  const auto* head = aObservedGroup.Head();
+  return head != nullptr && (head->membership->state == MembershipState::Open ||
+                             head->membership->state == MembershipState::Closing);
+}
+
+/// Whether the registered members have been ready.
+bool AreReady(const ObservedGroup& aObservedGroup)
+{
+  return std::ranges::none_of(aObservedGroup.members, [](const ServerEntry* aMember) {
+    return aMember->membership->state == MembershipState::Joining;
+  });
+}
+
 } // namespace
 
 void GroupLifecycle::StartTerm(std::int64_t aTerm)
@@ -175,17 +196,22 @@
     RememberHead(aRecord, *head);
   }
   const bool complete = this->IsComplete(aRecord, aContext);
-  if (!complete && !aRecord.wasComplete) {
+  if (complete || !aRecord.wasComplete) {
+    RememberMembers(aRecord, aContext.observed);
+    aRecord.wasComplete =
+      complete || (HeadServes(aContext.observed) && AreReady(aContext.observed) &&
+                   aRecord.members.size() == aRecord.size);
+  }
+  const bool alive = this->AreMembersAlive(aRecord, aContext);
+  const bool mayLackMember =
+    !HeadServes(aContext.observed) || aRecord.members.size() >= aRecord.size || !alive;
+  if (!aRecord.wasComplete && mayLackMember) {
     if (aContext.now - aRecord.phaseEnteredAt >= kAdoptionGrace) {
       this->Retire(aRecord, aContext);
     }
     return;
   }
-  if (complete) {
-    RememberMembers(aRecord, aContext.observed);
-  }
-  if (!this->AreMembersAlive(aRecord, aContext) ||
-      (head != nullptr && head->membership->state == MembershipState::Broken)) {
+  if (!alive || (head != nullptr && head->membership->state == MembershipState::Broken)) {
     this->Retire(aRecord, aContext);
     return;
   }
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -21,7 +21,9 @@
 ///    head does not answer, its members leave and are reused after `headStallTimeout`,
 ///    when the head has abandoned its requests;
 ///  - a group with an unregistered member stays active while that member answers probes:
-///    an engine that is partitioned from the store still serves;
+///    an engine that is partitioned from the store still serves. If this process has not
+///    seen the member's registration, the head decides: it was opened when all members
+///    were ready, and it breaks after `headStallTimeout` when one is lost;
 ///  - generations and fencing tokens increase with the lease term, so that an engine
 ///    rejects orders of an earlier lease holder once it has one of the present holder.
 class GroupLifecycle
@@ -31,7 +33,7 @@
   static constexpr Duration kOrderRetryInterval = std::chrono::milliseconds(700);
   /// Retry interval for an engine that does not answer.
   static constexpr Duration kUnresponsiveRetryInterval = std::chrono::milliseconds(2000);
-  /// Time that an adopted group with missing members has to become complete.
+  /// Time that an adopted group whose head does not serve has to become complete.
   static constexpr Duration kAdoptionGrace = std::chrono::milliseconds(2500);
   /// Added to `headStallTimeout`, to allow for the delivery of the order that made the
   /// member leave.
--- a/modules/toucanstand_groups/formation/GroupRecord.h
+++ b/modules/toucanstand_groups/formation/GroupRecord.h
@@ -44,9 +44,10 @@
   /// Set once the head was observed or this process formed the group.
   ServerId head;
   Endpoint headEndpoint;
-  /// Members in order of rank; for an adopted group set once it was observed complete.
+  /// Members in order of rank; those of an adopted group that are known.
   std::vector<ServerId> members;
   std::map<ServerId, Endpoint> endpoints;
+  /// All members are known, and all were ready.
   bool wasComplete = false;
   Duration drainTimeout = kDefaultDrainTimeout;
   /// The model that the engines are reassigned to; empty otherwise. Until the group is
--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -18,6 +18,7 @@
 bool ServerDirectory::Put(ServerEntry aEntry)
 {
   const bool restored = this->removals.Cancel(aEntry.id);
+  this->unregisteredMembers.erase(aEntry.id);
   auto& known = this->servers[aEntry.id];
   // Leaving is final for one run of a server: an older entry may be written late.
   const bool sameRun = known.startedAtUnixMs == aEntry.startedAtUnixMs;
@@ -89,6 +90,7 @@
   for (const auto& server : this->removals.TakeDue(aNow)) {
     this->RemoveNow(server);
   }
+  this->ForgetUnregisteredMembers();
   for (auto& [server, run] : this->leavingRuns) {
     if (this->Find(server) != nullptr || run.lastRegisteredAt == TimePoint{}) {
       run.lastRegisteredAt = aNow;
@@ -107,10 +109,26 @@
 void ServerDirectory::RemoveNow(const ServerId& aServer)
 {
   this->outdatedInStore.erase(aServer);
+  const auto known = this->servers.find(aServer);
+  if (known != this->servers.end() && known->second.membership &&
+      !known->second.leaving) {
+    this->unregisteredMembers[aServer] = std::move(known->second);
+  }
   this->servers.erase(aServer);
   ++this->revision;
 }
 
+void ServerDirectory::ForgetUnregisteredMembers()
+{
+  std::erase_if(this->unregisteredMembers, [this](const auto& aMember) {
+    const auto& group = aMember.second.membership->group;
+    return std::ranges::none_of(
+      this->servers | std::views::values, [&group](const ServerEntry& aEntry) {
+        return aEntry.membership && aEntry.membership->group == group;
+      });
+  });
+}
+
 const ServerEntry* ServerDirectory::Find(const ServerId& aServer) const
 {
   const auto found = this->servers.find(aServer);
@@ -129,6 +147,13 @@
     group.generation = std::max(group.generation, entry.membership->generation);
     group.members.push_back(&entry);
   }
+  for (const auto& entry : this->unregisteredMembers | std::views::values) {
+    const auto group = groups.find(entry.membership->group);
+    if (group != groups.end() && entry.pool == aPool &&
+        entry.membership->generation == group->second.generation) {
+      group->second.unregisteredMembers.push_back(&entry);
+    }
+  }
   for (auto& group : groups | std::views::values) {
     std::ranges::sort(group.members, {}, [](const ServerEntry* aMember) {
       return aMember->membership->rank;
--- a/modules/toucanstand_world/serving/ServerDirectory.h
+++ b/modules/toucanstand_world/serving/ServerDirectory.h
@@ -22,6 +22,9 @@
   /// By rank. Members whose entries are missing are left out. The pointers are valid
   /// until the directory changes.
   std::vector<const ServerEntry*> members;
+  /// Members without an entry that have not said that they leave, as last registered: an
+  /// engine that is partitioned from the store still serves. Valid as long as `members`.
+  std::vector<const ServerEntry*> unregisteredMembers;
 
   /// The member with rank 0; null when its entry is missing.
   [[nodiscard]] const ServerEntry* Head() const;
@@ -87,9 +90,12 @@
   };
 
   void RemoveNow(const ServerId& aServer);
+  void ForgetUnregisteredMembers();
   [[nodiscard]] bool SaidThatItLeaves(const ServerEntry& aEntry) const;
 
   std::map<ServerId, ServerEntry> servers;
+  /// Last entries of members of groups that have other members with an entry.
+  std::map<ServerId, ServerEntry> unregisteredMembers;
   DeferredRemovals<ServerId> removals;
   /// Servers whose entry in the store is older than the known one.
   std::set<ServerId> outdatedInStore;
--- a/tests/unit/toucanstand_groups/FormationSimulation.cpp
+++ b/tests/unit/toucanstand_groups/FormationSimulation.cpp
@@ -108,12 +108,27 @@
                               std::chrono::seconds(1 + this->random.Below(15)));
   }
   if (OccursThisTick(this->options.leaseHolderChanges)) {
-    this->term += 1 + static_cast<std::int64_t>(this->random.Below(50));
-    this->controller = FormationController(PoolId("engines"));
-    this->controller.StartTerm(this->term);
+    this->ChangeLeaseHolder();
   }
 }
 
+void FormationSimulation::ChangeLeaseHolder()
+{
+  this->term += 1 + static_cast<std::int64_t>(this->random.Below(50));
+  this->controller = FormationController(PoolId("engines"));
+  this->controller.StartTerm(this->term);
+}
+
+void FormationSimulation::StartNewLeaseHolder()
+{
+  const auto known = this->directory.Servers();
+  this->directory = ServerDirectory();
+  for (const auto& entry : known | std::views::values) {
+    this->directory.Put(entry);
+  }
+  this->ChangeLeaseHolder();
+}
+
 void FormationSimulation::Kill(const ServerId& aEngine, bool aUnreachable)
 {
   auto& engine = this->engines.at(aEngine);
@@ -362,6 +377,14 @@
     }));
 }
 
+bool FormationSimulation::IsOpenHead(const ServerId& aEngine) const
+{
+  const auto& engine = this->engines.at(aEngine);
+  const auto& membership = engine.entry.membership;
+  return engine.alive && membership && membership->rank == 0 &&
+         membership->state == MembershipState::Open;
+}
+
 std::vector<ServerId> FormationSimulation::MembersOf(const std::string& aModel) const
 {
   for (const auto& engine : this->engines | std::views::values) {
--- a/tests/unit/toucanstand_groups/FormationSimulation.h
+++ b/tests/unit/toucanstand_groups/FormationSimulation.h
@@ -48,7 +48,14 @@
   [[nodiscard]] int OpenGroups(const std::string& aModel) const;
   void Kill(const ServerId& aEngine, bool aUnreachable);
   void DisconnectFromStore(const ServerId& aEngine, Duration aDuration);
+
+  /// Gives the lease to a process that has read the store all the while.
+  void ChangeLeaseHolder();
+  /// Gives the lease to a process that has just started and read the store as it is.
+  void StartNewLeaseHolder();
   [[nodiscard]] std::vector<ServerId> MembersOf(const std::string& aModel) const;
+  /// Whether the engine is the open head of a group.
+  [[nodiscard]] bool IsOpenHead(const ServerId& aEngine) const;
   [[nodiscard]] TimePoint Now() const { return this->now; }
   /// Stops all faults and reconnects all engines that are alive.
   void EndFaults();
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -71,6 +71,76 @@
   CHECK(simulation.OpenGroups("large") == before);
 }
 
+TEST_CASE("A new lease holder keeps a serving group whose member is not registered",
+          "[formation]")
+{
+  // Guards against a healthy group that is dissolved because the process that knew its
+  // unregistered member no longer holds the lease.
+  const bool isNewProcess = GENERATE(false, true);
+  const int changes = GENERATE(1, 2);
+  INFO("new process " << isNewProcess << ", changes " << changes);
+  FormationSimulation simulation({ .domains = 1, .enginesPerDomain = 8 }, 4);
+  simulation.Run(seconds(5));
+  simulation.StartTraffic();
+  const auto members = simulation.MembersOf("large");
+  REQUIRE(members.size() == 4);
+  simulation.DisconnectFromStore(members.back(), seconds(14));
+  simulation.Run(std::chrono::milliseconds(4600));
+  for (int change = 0; change < changes; ++change) {
+    isNewProcess ? simulation.StartNewLeaseHolder() : simulation.ChangeLeaseHolder();
+    simulation.Run(std::chrono::milliseconds(3200));
+  }
+  CHECK(simulation.IsOpenHead(members.front()));
+  CHECK(simulation.MembersOf("large") == members);
+  simulation.Run(seconds(10));
+  CHECK(simulation.MembersOf("large") == members);
+  CHECK(simulation.membersTakenFromServingHead == 0);
+}
+
+TEST_CASE("A member that is lost around a change of the lease holder is replaced",
+          "[formation]")
+{
+  // Guards against a group that is kept although its missing member has crashed.
+  const bool isNewProcess = GENERATE(false, true);
+  const bool isUnreachable = GENERATE(false, true);
+  const auto untilChange = GENERATE(200, 2000, 4600);
+  INFO("new process " << isNewProcess << ", unreachable " << isUnreachable << ", change "
+                      << untilChange << " ms after the loss");
+  FormationSimulation simulation({ .domains = 1, .enginesPerDomain = 9 }, 5);
+  simulation.Run(seconds(5));
+  const int before = simulation.OpenGroups("large");
+  const auto members = simulation.MembersOf("large");
+  REQUIRE(members.size() == 4);
+  simulation.Kill(members.back(), isUnreachable);
+  simulation.Run(std::chrono::milliseconds(untilChange));
+  isNewProcess ? simulation.StartNewLeaseHolder() : simulation.ChangeLeaseHolder();
+  simulation.Run(std::chrono::milliseconds(9000 - untilChange));
+  CHECK(simulation.OpenGroups("large") == before);
+  CHECK(simulation.membersTakenFromServingHead == 0);
+  CHECK(simulation.partialGroups == 0);
+}
+
+TEST_CASE("A member that is lost while it is not registered is replaced", "[formation]")
+{
+  // Guards against a group that waits for a member which nobody can see any more.
+  const bool isNewProcess = GENERATE(false, true);
+  INFO("new process " << isNewProcess);
+  FormationSimulation simulation({ .domains = 1, .enginesPerDomain = 9 }, 6);
+  simulation.Run(seconds(5));
+  const int before = simulation.OpenGroups("large");
+  const auto members = simulation.MembersOf("large");
+  REQUIRE(members.size() == 4);
+  simulation.DisconnectFromStore(members.back(), seconds(60));
+  simulation.Run(std::chrono::milliseconds(4600));
+  isNewProcess ? simulation.StartNewLeaseHolder() : simulation.ChangeLeaseHolder();
+  simulation.Run(std::chrono::milliseconds(3200));
+  REQUIRE(simulation.IsOpenHead(members.front()));
+  simulation.Kill(members.back(), false);
+  simulation.Run(seconds(10));
+  CHECK(simulation.OpenGroups("large") == before);
+  CHECK(simulation.membersTakenFromServingHead == 0);
+}
+
 TEST_CASE("No head serves with a member missing or loses one to another group",
           "[formation]")
 {
--- a/tests/unit/toucanstand_world/TestServerDirectory.cpp
+++ b/tests/unit/toucanstand_world/TestServerDirectory.cpp
@@ -1,3 +1,6 @@
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "serving/ServerDirectory.h"
@@ -170,3 +173,42 @@
   CHECK(directory.Put(restarted));
   CHECK_FALSE(directory.Find(ServerId("a"))->membership);
 }
+
+TEST_CASE("A member without a registration is known while its group has others",
+          "[directory]")
+{
+  // Guards against a process that can't tell a partitioned member from one that left.
+  const auto member = [](const char* aId, std::size_t aRank) {
+    auto entry = Entry(aId);
+    entry.membership = GroupMembership{ GroupId("g"), 7, aRank, MembershipState::Ready };
+    return entry;
+  };
+  const auto unregistered = [](const ServerDirectory& aDirectory) {
+    std::vector<std::string> ids;
+    for (const auto& [id, group] : aDirectory.GroupsOf(PoolId("engines"))) {
+      for (const auto* entry : group.unregisteredMembers) {
+        ids.push_back(entry->id.Value());
+      }
+    }
+    return ids;
+  };
+  ServerDirectory directory;
+  directory.Put(member("a", 0));
+  directory.Put(member("b", 1));
+  auto leaving = member("c", 2);
+  leaving.leaving = true;
+  directory.Put(leaving);
+  directory.Remove(ServerId("b"), kStart);
+  directory.Remove(ServerId("c"), kStart);
+  directory.OnTime(kStart);
+  CHECK(unregistered(directory) == std::vector<std::string>{ "b" });
+  CHECK(directory.Find(ServerId("b")) == nullptr);
+
+  directory.Put(member("b", 1));
+  CHECK(unregistered(directory).empty());
+  directory.Remove(ServerId("b"), kStart);
+  directory.Put(Entry("a"));
+  directory.OnTime(kStart);
+  directory.Put(member("a", 0));
+  CHECK(unregistered(directory).empty());
+}
