Use more of the stop period for answers, and count streams that break in it

Callers saw: the last, longest stream of a VM was cut by the end of its drain ("the drain left 1 requests").

Cause: the drain ended 0.8 s before the stop period, and the answers that were cut lacked 0.1 to 0.9 s. Ruled out for the cases seen here: requests later than 3 s after the signal, which had their margin.

Change: 0.4 s are left for the exit. Requests that another VM can serve leave the time won as a reserve; short drains (up to 3.6 s) have none. Streams that break off during a stop for other reasons are counted in the log (streams_broken_during_stop).

--- a/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
@@ -22,6 +22,8 @@
     std::min(ToSeconds(aDrainPeriod) * kClosingShare, ToSeconds(kMaxClosingTime));
   this->closingAt = this->end - FromSeconds(closingSeconds);
   this->finalAnswersAt = this->end - FromSeconds(closingSeconds * kFinalAnswersShare);
+  const auto longPart = std::max(aDrainPeriod - kShortDrain, Duration::zero());
+  this->reserve = std::min(FromSeconds(ToSeconds(longPart) * kReserveShare), kMaxReserve);
 }
 
 void StopSchedule::Shorten(TimePoint aNow, Duration aPeriod)
@@ -39,7 +41,8 @@
     return true;
   }
   const bool isUnknown = !aAnswer.byLatest && !aAnswer.byLargestSize;
-  if (isUnknown || !this->MayEndInTime(aAnswer, aNow)) {
+  const auto timeLeft = this->finalAnswersAt - this->reserve - aNow;
+  if (isUnknown || !Fits(aAnswer, timeLeft)) {
     return false;
   }
   if (this->PhaseAt(aNow) == StopPhase::LeavingRotation) {
@@ -47,7 +50,7 @@
   }
   const auto longest = std::max(aAnswer.byLatest.value_or(Duration::zero()),
                                 aAnswer.byLargestSize.value_or(Duration::zero()));
-  return longest + this->MarginFor(longest, aNow) <= this->finalAnswersAt - aNow;
+  return longest + this->MarginFor(longest, aNow) <= timeLeft;
 }
 
 Duration StopSchedule::MarginFor(Duration aExpected, TimePoint aNow) const
@@ -59,11 +62,14 @@
 
 bool StopSchedule::MayEndInTime(const ExpectedAnswer& aAnswer, TimePoint aNow) const
 {
-  if (aAnswer.deadline <= this->finalAnswersAt) {
-    return true;
-  }
+  return aAnswer.deadline <= this->finalAnswersAt ||
+         Fits(aAnswer, this->finalAnswersAt - aNow);
+}
+
+bool StopSchedule::Fits(const ExpectedAnswer& aAnswer, Duration aTimeLeft)
+{
   const auto expected = aAnswer.byLatest ? aAnswer.byLatest : aAnswer.byLargestSize;
-  return !expected || *expected <= this->finalAnswersAt - aNow;
+  return !expected || *expected <= aTimeLeft;
 }
 
 StopPhase StopSchedule::PhaseAt(TimePoint aNow) const
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -48,6 +48,13 @@
   /// The last part of that time, in which final answers reach their callers.
   static constexpr double kFinalAnswersShare = 0.2;
 
+  /// Time before the final answers that is kept for answers which take longer than
+  /// expected: a share of what the drain has beyond a short one, and at most this long. A
+  /// short drain has no time to spare.
+  static constexpr Duration kShortDrain = std::chrono::milliseconds(3600);
+  static constexpr double kReserveShare = 0.1;
+  static constexpr Duration kMaxReserve = std::chrono::milliseconds(400);
+
   /// Factor on the expected time once the load balancer sends callers elsewhere: a server
   /// may slow down, and a rejected caller loses little by then.
   static constexpr double kAnswerTimeMargin = 1.5;
@@ -67,8 +74,8 @@
   /// later.
   void Shorten(TimePoint aNow, Duration aPeriod);
 
-  /// True if the answer can be expected to end in time. While callers still reach this VM
-  /// only, the latest answers decide; later there must be a margin.
+  /// True if the answer can be expected to end in time, with a reserve. While callers
+  /// still reach this VM only, the latest answers decide; later there must be a margin.
   [[nodiscard]] bool LeavesTimeFor(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
 
   /// False if the answer can't end in time unless it is quicker than expected. For a
@@ -84,9 +91,14 @@
   /// Time that an answer is assumed to need beyond what is expected.
   [[nodiscard]] Duration MarginFor(Duration aExpected, TimePoint aNow) const;
 
+  /// Time that is left for the expected answer.
+  [[nodiscard]] static bool Fits(const ExpectedAnswer& aAnswer, Duration aTimeLeft);
+
   TimePoint rotationEnd;
   TimePoint closingAt;
   TimePoint finalAnswersAt;
+  /// Before finalAnswersAt.
+  Duration reserve{ 0 };
   TimePoint end;
 };
 
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -181,6 +181,11 @@
   if (aResult.outcome == CallOutcome::Unknown && isEndedByStop) {
     ++this->state.requestsEndedByStop;
   }
+  const bool isBrokenStream = aResult.outcome == CallOutcome::Unknown &&
+                              aResult.status == 200 && !aCall.exchange.CallerGone();
+  if (this->state.stopSchedule && isBrokenStream && !isEndedByStop) {
+    ++this->state.streamsBrokenDuringStop;
+  }
   const auto& stop = this->state.stopSchedule;
   const std::int64_t timeBeforeStop =
     stop ? ToMilliseconds(stop->End() - aCall.arrivedAt).count() : -1;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -24,9 +24,9 @@
 /// it ends no earlier than that.
 constexpr Duration kBalancerRemovalTime = std::chrono::milliseconds(2500);
 /// Part of the stop period, and the most of it, that is left for the process itself to
-/// exit.
+/// exit. A process that is killed meanwhile loses nothing that it would not have cut.
 constexpr double kExitFraction = 0.1;
-constexpr Duration kMaxExitTime = std::chrono::seconds(1);
+constexpr Duration kMaxExitTime = std::chrono::milliseconds(400);
 /// Minimum Retry-After of requests that a stop rejects: other VMs are ready, or the load
 /// balancer needs a moment to notice.
 constexpr Duration kRetryAfterAtPeers = std::chrono::milliseconds(50);
@@ -157,6 +157,12 @@
   this->Tick();
   this->loop.run();
   const auto& schedule = this->shutdown.Schedule();
+  if (this->state.streamsBrokenDuringStop > 0) {
+    this->state.log.Write(
+      LogWeight::Notable,
+      "streams_broken_during_stop",
+      { { "count", static_cast<std::int64_t>(this->state.streamsBrokenDuringStop) } });
+  }
   this->LogConnections(
     "stop", schedule ? schedule->PhaseAt(BootClock::now()) : StopPhase::Serving);
   return this->shutdown.Outcome();
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -148,6 +148,8 @@
   Duration stopRetryAfter{ 0 };
   /// Requests that may have run and whose answer the stop did not wait for.
   std::size_t requestsEndedByStop = 0;
+  /// Streams that broke off during the stop for another reason, such as a lost server.
+  std::size_t streamsBrokenDuringStop = 0;
   /// True once all registrations of backend servers have been read.
   bool hasReadServers = false;
   /// Groups that this process, as the leader, is about to close.
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -132,6 +132,8 @@
   BackendServerFaults faults;
   std::chrono::milliseconds eventInterval = kEventInterval;
   int eventCount = kEventCount;
+  /// Number of events of the stream for a request; `eventCount` for all if empty.
+  std::function<int(const std::string& aAttemptId)> eventCountOf;
   /// Time without any byte in the middle of each stream.
   std::chrono::milliseconds pauseInStream{ 0 };
   /// Time without any byte before each stream.
