Reject responses with a transfer coding that is not chunked

Reported by other operators as a class: a 200 with an empty body, framed as whole, from an engine that broke off. Heads that are cut off were never believed, but one with an empty Transfer-Encoding was: the parser takes its body for empty, even if the connection is reset.

Evidence: TestTruncatedHeads now plays each head of a plain service: 2 of 982 assertions failed (an empty transfer coding, closed and reset), none with the change.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -343,6 +343,13 @@
          http::status_class::informational;
 }
 
+/// True for a transfer coding that says nothing of where the body ends. Without one, the
+/// end of the connection might; but the parser takes some of these bodies for empty.
+bool HasUnknownCoding(const OpenStream::Parser& aParser)
+{
+  return aParser.get().count(http::field::transfer_encoding) > 0 && !aParser.chunked();
+}
+
 Task<Result<ConnectionPointer, HttpFailure>> Connect(asio::io_context& aLoop,
                                                      const Endpoint& aEndpoint,
                                                      Duration aTimeout,
@@ -563,6 +570,9 @@
       }
     }
   }
+  if (HasUnknownCoding(*parser)) {
+    co_return HttpFailure::Malformed;
+  }
   std::weak_ptr<Implementation> weak = shared;
   auto giveBack = [weak, aEndpoint, reusable](ConnectionPointer aConnection) {
     if (const auto strong = reusable ? weak.lock() : nullptr) {
--- a/tests/platform/TestTruncatedHeads.cpp
+++ b/tests/platform/TestTruncatedHeads.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -32,18 +35,17 @@
 {
   std::vector<std::string> heads;
   const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
-  for (const std::string framing :
-       { "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n", "" }) {
-    for (auto& prefix : Prefixes(kSignedFields + aMoreFields + framing + "\r\n")) {
-      heads.push_back(std::move(prefix));
-    }
-  }
-  for (auto& prefix : Prefixes(interim + kSignedFields)) {
-    heads.push_back(std::move(prefix));
-  }
-  heads.push_back(kSignedFields + aMoreFields + "Content-Length: \r\n\r\n");
-  heads.push_back(kSignedFields + aMoreFields + "Content-Length: 12\r\n\r\n");
-  heads.push_back(kSignedFields + aMoreFields + "Transfer-Encoding: \r\n\r\n");
+  const auto addPrefixes = [&heads](const std::string& aHead) {
+    std::ranges::move(Prefixes(aHead), std::back_inserter(heads));
+  };
+  const std::string fields = kSignedFields + aMoreFields;
+  addPrefixes(fields + "Content-Length: 12\r\n\r\n");
+  addPrefixes(fields + "Transfer-Encoding: chunked\r\n\r\n");
+  addPrefixes(fields + "\r\n");
+  addPrefixes(interim + kSignedFields);
+  heads.push_back(fields + "Content-Length: \r\n\r\n");
+  heads.push_back(fields + "Content-Length: 12\r\n\r\n");
+  heads.push_back(fields + "Transfer-Encoding: \r\n\r\n");
   return heads;
 }
 
@@ -106,7 +108,9 @@
   Fixture fixture;
   const auto heads =
     TruncatedHeads(isStream ? "Content-Type: text/event-stream\r\n" : "");
-  for (std::size_t number = 0; number < heads.size(); number += 3) {
+  // A stream takes longer, so only a third of the heads is played.
+  const std::size_t step = isStream ? 3 : 1;
+  for (std::size_t number = 0; number < heads.size(); number += step) {
     const auto answer = fixture.Meet(heads[number], end, isStream);
     INFO(heads[number]);
     INFO("status " << answer.status << " body " << answer.body);
