Clear a planned move when the server answers after all

A read can succeed in the moment in which its wait ends. The next attempt of the call would then use a choice that may be old. Also: names in GroupLifecycle::StepActive, log lines in OPERATIONS.md.

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -203,9 +203,10 @@
                    aRecord.members.size() == aRecord.size);
   }
   const bool alive = this->AreMembersAlive(aRecord, aContext);
-  const bool mayLackMember =
-    !HeadServes(aContext.observed) || aRecord.members.size() >= aRecord.size || !alive;
-  if (!aRecord.wasComplete && mayLackMember) {
+  // Members that this process has never seen registered can't be probed.
+  const bool isKeptByHead =
+    alive && HeadServes(aContext.observed) && aRecord.members.size() < aRecord.size;
+  if (!aRecord.wasComplete && !isKeptByHead) {
     if (aContext.now - aRecord.phaseEnteredAt >= kAdoptionGrace) {
       this->Retire(aRecord, aContext);
     }
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -146,6 +146,8 @@
     co_return FailedAttempt{ this->sender.ClassifyFailure(opened.LastReason()),
                              std::nullopt };
   }
+  // The response may have come while the move was planned.
+  this->plannedMove.reset();
   co_return co_await this->ReceiveResponse(asked, **opened);
 }
 
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -269,6 +269,8 @@
       continue;
     }
     if (hasNewEvents) {
+      // The events may have come while the move was planned.
+      this->plannedMove.reset();
       const auto now = BootClock::now();
       this->placement.OnEvents(this->ticket, now);
       this->state.OnRunEvents(
