Log each request that a VM cuts, and say what the warning of a stop counts

The record has one line, 'the drain left 1 requests', which added connections, tunnels of peers and requests that got a final answer, and named none.

Each request whose connection a VM ends before its caller has a whole answer now leaves one line request_cut: id, state of the connection, first and last byte, last attempt and its destination, last event, bytes of the server that lie unread, bytes that the caller has not acknowledged, time since the signal, and what ended it. HttpSession reports it in one place; the calls record the server's part in HttpExchange::Progress(). It goes to standard error, without the budget of other lines: the users' records have warnings of that stream and no line of the decision log.

The warning of a stop counts four things apart. toucanstandctl explain knows the line.

No decision is changed.

--- a/modules/toucanstand_core/logging/DecisionLog.cpp
+++ b/modules/toucanstand_core/logging/DecisionLog.cpp
@@ -5,9 +5,11 @@
 #include <cerrno>
 #include <charconv>
 #include <chrono>
+#include <climits>
 #include <cmath>
 
 #include <fcntl.h>
+#include <poll.h>
 #include <unistd.h>
 
 namespace toucanstand {
@@ -16,6 +18,8 @@
 
 /// Lines that wait for a slow reader; the rest is dropped.
 constexpr std::size_t kMostWaitingBytes = 32U << 10U;
+/// A pipe that is ready takes a line up to this size whole, without blocking.
+constexpr std::size_t kMostWarningBytes = PIPE_BUF;
 /// Longer values, such as an id that fills a caller's header, are cut: a line must not
 /// take the place of all others that wait.
 constexpr std::size_t kMostValueBytes = 400;
@@ -68,16 +72,16 @@
 
 } // namespace
 
-DecisionLog::DecisionLog(std::string aVm, int aDescriptor, Budget aBudget)
+DecisionLog::DecisionLog(std::string aVm, Descriptors aDescriptors, Budget aBudget)
   : vm(std::move(aVm))
-  , descriptor(aDescriptor)
+  , descriptors(aDescriptors)
   , routine{ aBudget.routine, aBudget.routine, BootClock::now() }
   , notable{ aBudget.notable, aBudget.notable, BootClock::now() }
 {
-  if (this->descriptor >= 0) {
-    const int flags = ::fcntl(this->descriptor, F_GETFL);
+  if (this->descriptors.decisions >= 0) {
+    const int flags = ::fcntl(this->descriptors.decisions, F_GETFL);
     if (flags >= 0) {
-      ::fcntl(this->descriptor, F_SETFL, flags | O_NONBLOCK);
+      ::fcntl(this->descriptors.decisions, F_SETFL, flags | O_NONBLOCK);
     }
   }
 }
@@ -99,7 +103,11 @@
                         std::string_view aEvent,
                         std::initializer_list<LogField> aFields)
 {
-  if (this->descriptor < 0) {
+  if (aWeight == LogWeight::Warning) {
+    this->WriteWarning(aEvent, aFields);
+    return;
+  }
+  if (this->descriptors.decisions < 0) {
     return;
   }
   auto& credit = aWeight == LogWeight::Routine ? this->routine : this->notable;
@@ -108,34 +116,60 @@
     ++this->leftOutTotal;
     return;
   }
+  this->AppendLine(this->buffer, aEvent, aFields);
+  this->Flush();
+}
+
+void DecisionLog::AppendLine(std::string& aOutput,
+                             std::string_view aEvent,
+                             std::initializer_list<LogField> aFields)
+{
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-  this->buffer += "{\"unix_ms\":";
-  AppendNumber(this->buffer,
+  aOutput += "{\"unix_ms\":";
+  AppendNumber(aOutput,
                std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-  this->buffer += ",\"vm\":";
-  AppendQuoted(this->buffer, this->vm);
-  this->buffer += ",\"event\":";
-  AppendQuoted(this->buffer, aEvent);
+  aOutput += ",\"vm\":";
+  AppendQuoted(aOutput, this->vm);
+  aOutput += ",\"event\":";
+  AppendQuoted(aOutput, aEvent);
   for (const auto& field : aFields) {
-    this->buffer += ',';
-    AppendQuoted(this->buffer, field.name);
-    this->buffer += ':';
-    std::visit(AppendValue{ this->buffer }, field.value);
+    aOutput += ',';
+    AppendQuoted(aOutput, field.name);
+    aOutput += ':';
+    std::visit(AppendValue{ aOutput }, field.value);
   }
   if (this->leftOut > 0) {
-    this->buffer += ",\"left_out\":";
-    AppendNumber(this->buffer, this->leftOut);
+    aOutput += ",\"left_out\":";
+    AppendNumber(aOutput, this->leftOut);
     this->leftOut = 0;
   }
-  this->buffer += "}\n";
-  this->Flush();
+  aOutput += "}\n";
+}
+
+void DecisionLog::WriteWarning(std::string_view aEvent,
+                               std::initializer_list<LogField> aFields)
+{
+  if (this->descriptors.warnings < 0) {
+    return;
+  }
+  const auto leftOutBefore = this->leftOut;
+  std::string line;
+  this->AppendLine(line, aEvent, aFields);
+  pollfd writable{ this->descriptors.warnings, POLLOUT, 0 };
+  const bool isTaken = line.size() <= kMostWarningBytes && ::poll(&writable, 1, 0) == 1 &&
+                       (writable.revents & POLLOUT) != 0 &&
+                       ::write(this->descriptors.warnings, line.data(), line.size()) > 0;
+  if (!isTaken) {
+    this->leftOut = leftOutBefore + 1;
+    ++this->leftOutTotal;
+  }
 }
 
 void DecisionLog::Flush()
 {
   while (!this->buffer.empty()) {
     const auto written =
-      ::write(this->descriptor, this->buffer.data(), this->buffer.size());
+      ::write(this->descriptors.decisions, this->buffer.data(), this->buffer.size());
     if (written > 0) {
       this->buffer.erase(0, static_cast<std::size_t>(written));
       continue;
@@ -145,7 +179,7 @@
     }
     // EAGAIN: the reader is slow, and the bytes wait. Any other error ends the log.
     if (errno != EAGAIN && errno != EWOULDBLOCK) {
-      this->descriptor = -1;
+      this->descriptors.decisions = -1;
       this->buffer.clear();
     }
     return;
--- a/modules/toucanstand_core/logging/DecisionLog.h
+++ b/modules/toucanstand_core/logging/DecisionLog.h
@@ -18,6 +18,9 @@
   Routine,
   /// A failure, a refusal or a change of belief.
   Notable,
+  /// A request that this process lost. Has no budget, and goes to standard error, where
+  /// the warnings of the program are.
+  Warning,
 };
 
 /// One named value of a log line.
@@ -27,7 +30,8 @@
   std::variant<std::string_view, std::int64_t, double, bool> value;
 };
 
-/// Structured log of decisions: one JSON object a line on standard output.
+/// Structured log of decisions: one JSON object a line on standard output, and on
+/// standard error for warnings.
 ///
 /// It never blocks: a line that the reader of a full pipe does not take is dropped. The
 /// number of lines a second is bounded; what was left out is counted and stated in the
@@ -42,8 +46,16 @@
     double notable = 100;
   };
 
-  /// @param aDescriptor is set to non-blocking; -1 writes nothing
-  DecisionLog(std::string aVm, int aDescriptor, Budget aBudget);
+  /// Where the lines go; -1 writes nothing.
+  struct Descriptors
+  {
+    /// Is set to non-blocking.
+    int decisions = -1;
+    /// Other parts of the program may write to it, so its flags are left alone.
+    int warnings = -1;
+  };
+
+  DecisionLog(std::string aVm, Descriptors aDescriptors, Budget aBudget);
 
   void Write(LogWeight aWeight,
              std::string_view aEvent,
@@ -61,10 +73,14 @@
   };
 
   static bool Take(Credit& aCredit, TimePoint aNow);
+  void AppendLine(std::string& aOutput,
+                  std::string_view aEvent,
+                  std::initializer_list<LogField> aFields);
+  void WriteWarning(std::string_view aEvent, std::initializer_list<LogField> aFields);
   void Flush();
 
   std::string vm;
-  int descriptor;
+  Descriptors descriptors;
   Credit routine;
   Credit notable;
   std::string buffer;
--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -281,6 +281,14 @@
   [[nodiscard]] const HttpHeaders& Headers() const override { return this->headers; }
   void SetProgressTimeout(Duration aTimeout) override { this->progress = aTimeout; }
 
+  [[nodiscard]] std::size_t UnreadBytes() const override
+  {
+    boost::system::error_code error;
+    return this->connection ? this->connection->buffer.size() +
+                                this->connection->stream.socket().available(error)
+                            : 0;
+  }
+
   Task<Result<std::string, HttpFailure>> Read(CancelSwitch& aCancel) override
   {
     if (this->parser->need_eof() && this->unframed == UnframedBody::Refuse) {
--- a/modules/toucanstand_transport/http/HttpClient.h
+++ b/modules/toucanstand_transport/http/HttpClient.h
@@ -91,6 +91,9 @@
   /// Replaces how long each further Read() may take.
   virtual void SetProgressTimeout(Duration aTimeout) = 0;
 
+  /// Bytes that have arrived from the server and were not read.
+  [[nodiscard]] virtual std::size_t UnreadBytes() const = 0;
+
   /// Next bytes of the body; empty once the body is complete by its own framing.
   virtual Task<Result<std::string, HttpFailure>> Read(CancelSwitch& aCancel) = 0;
 };
--- a/modules/toucanstand_transport/http/HttpExchange.h
+++ b/modules/toucanstand_transport/http/HttpExchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include "http/HttpMessage.h"
+#include "http/ServerProgress.h"
 #include "http/Task.h"
 #include "network/Endpoint.h"
 #include "time/BootClock.h"
@@ -60,6 +61,17 @@
 
   /// Closes the connection so that the caller sees that the answer is not complete.
   virtual void BreakOff() = 0;
+
+  /// What the handler has recorded of the backend server's part.
+  [[nodiscard]] ServerProgress& Progress() { return this->progress; }
+  [[nodiscard]] const ServerProgress& Progress() const { return this->progress; }
+
+protected:
+  /// Forgets what was recorded of the request before.
+  void ClearProgress() { this->progress = {}; }
+
+private:
+  ServerProgress progress;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -51,12 +51,13 @@
                  MetricsRegistry& aMetrics)
     : loop(aLoop)
     , acceptor(aLoop)
-    , context(std::make_shared<HttpSession::Context>(
-        HttpSession::Context{ aLimits,
-                              std::move(aHandler),
-                              aMetrics,
-                              {},
-                              DefaultStopRejection }))
+    , context(
+        std::make_shared<HttpSession::Context>(HttpSession::Context{ aLimits,
+                                                                     std::move(aHandler),
+                                                                     aMetrics,
+                                                                     {},
+                                                                     DefaultStopRejection,
+                                                                     nullptr }))
   {
   }
 
@@ -219,11 +220,28 @@
   return this->implementation->acceptor.is_open() || this->OpenConnections() > 0;
 }
 
-std::size_t HttpServer::UnfinishedConnections() const
+void HttpServer::SetCutListener(CutListener aListener)
 {
-  return static_cast<std::size_t>(
-    std::ranges::count_if(this->implementation->LiveSessions(),
-                          [](const auto& aSession) { return aSession->IsUnfinished(); }));
+  this->implementation->context->onCut = std::move(aListener);
+}
+
+UnfinishedConnections HttpServer::CountUnfinished() const
+{
+  UnfinishedConnections count;
+  for (const auto& session : this->implementation->LiveSessions()) {
+    count.withoutAnswer += session->LacksAnswer() ? 1 : 0;
+    count.notReceived += session->IsAnswerUnreceived() ? 1 : 0;
+  }
+  return count;
+}
+
+void HttpServer::ReportUnreceivedAnswers()
+{
+  for (const auto& session : this->implementation->LiveSessions()) {
+    if (session->IsAnswerUnreceived()) {
+      session->ReportCut("stop");
+    }
+  }
 }
 
 void HttpServer::Abort()
--- a/modules/toucanstand_transport/http/HttpServer.h
+++ b/modules/toucanstand_transport/http/HttpServer.h
@@ -8,6 +8,7 @@
 
 #include "errors/Result.h"
 #include "http/ConnectionState.h"
+#include "http/CutRequest.h"
 #include "http/HttpExchange.h"
 #include "lifecycle/StopSchedule.h"
 #include "metrics/MetricsRegistry.h"
@@ -31,6 +32,15 @@
   Duration writeTimeout = std::chrono::seconds(20);
 };
 
+/// Connections on which the end of the process would lose something.
+struct UnfinishedConnections
+{
+  /// A request that is arriving, or whose answer is not written to its end.
+  std::size_t withoutAnswer = 0;
+  /// An answer that was written and that the caller has not received.
+  std::size_t notReceived = 0;
+};
+
 /// Why an endpoint can't be listened on.
 enum class ListenFailure
 {
@@ -68,11 +78,18 @@
   /// Sets the answer to requests that a planned stop rejects while they are arriving.
   void SetStopRejection(RejectionFactory aFactory);
 
+  /// Sets who is told of each request that is cut off.
+  void SetCutListener(CutListener aListener);
+
   /// True while a planned stop must wait: the listener or a connection is open.
   [[nodiscard]] bool IsBusy() const;
 
   /// Connections on which a part of a request or of an answer would be lost now.
-  [[nodiscard]] std::size_t UnfinishedConnections() const;
+  [[nodiscard]] UnfinishedConnections CountUnfinished() const;
+
+  /// Tells the listener of each answer that was written and is not received, as the
+  /// process ends.
+  void ReportUnreceivedAnswers();
 
   /// Closes everything now.
   void Abort();
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -50,6 +50,18 @@
   aResponse.keep_alive(!aClose);
 }
 
+/// Returns a request without its body.
+HttpRequest ReadHead(const http::request<http::string_body>& aMessage)
+{
+  HttpRequest request;
+  request.method = std::string(aMessage.method_string());
+  request.target = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.headers.Add(std::string(field.name_string()), std::string(field.value()));
+  }
+  return request;
+}
+
 } // namespace
 
 HttpSession::HttpSession(asio::ip::tcp::socket aSocket, std::shared_ptr<Context> aContext)
@@ -70,6 +82,7 @@
   while (co_await this->ReadRequest()) {
     co_await this->RunHandler();
     if (!this->answerFinished || this->callerGone) {
+      this->ReportUnanswered();
       break;
     }
     if (!this->keepAlive) {
@@ -107,6 +120,7 @@
       this->AskForFinalAnswer();
       return;
     case StopAction::BreakOff:
+      this->ReportCut("stop");
       this->AskForFinalAnswer();
       this->Abort();
       return;
@@ -120,15 +134,46 @@
   this->stream.close();
 }
 
-bool HttpSession::IsUnfinished()
+bool HttpSession::LacksAnswer() const
+{
+  return this->state == ConnectionState::ReceivingRequest ||
+         this->state == ConnectionState::AwaitingAnswer ||
+         this->state == ConnectionState::SendingAnswer;
+}
+
+bool HttpSession::IsAnswerUnreceived()
 {
   const bool isAnswered = this->state == ConnectionState::AwaitingClose ||
                           this->state == ConnectionState::AwaitingRequest;
-  if (!isAnswered) {
-    return this->state.has_value();
-  }
   // The handler counts a request that got its final answer.
-  return !this->finalAnswerDue && UnacknowledgedBytes(this->stream.socket()) > 0;
+  return isAnswered && !this->finalAnswerDue &&
+         UnacknowledgedBytes(this->stream.socket()) > 0;
+}
+
+void HttpSession::ReportUnanswered()
+{
+  const bool isCallersChoice = this->callerGone && !this->writeTimedOut;
+  if (this->answerFinished || this->isAborted || isCallersChoice) {
+    return;
+  }
+  const auto& reason = this->Progress().endReason;
+  this->ReportCut(this->writeTimedOut ? "write_timeout"
+                                      : (reason.empty() ? "handler_failed" : reason));
+}
+
+void HttpSession::ReportCut(std::string aEndedBy)
+{
+  if (this->isCutReported || !this->state || !this->context->onCut) {
+    return;
+  }
+  this->isCutReported = true;
+  this->context->onCut(CutRequest{ this->request,
+                                   this->Progress(),
+                                   *this->state,
+                                   this->firstByteAt,
+                                   this->readAt,
+                                   UnacknowledgedBytes(this->stream.socket()),
+                                   std::move(aEndedBy) });
 }
 
 bool HttpSession::IsLastAnswerOnItsWay()
@@ -174,6 +219,11 @@
   return error ? Endpoint{} : Endpoint{ remote.address().to_string(), remote.port() };
 }
 
+Duration HttpSession::ReceiveTime() const
+{
+  return this->readAt ? *this->readAt - this->firstByteAt : Duration::zero();
+}
+
 void HttpSession::OnCallerGone(std::function<void()> aListener)
 {
   if (this->callerGone) {
@@ -212,6 +262,10 @@
     co_await this->RejectUnread(headError);
     co_return false;
   }
+  if (!parser.is_done()) {
+    // Names the request in the log if its body does not come to its end.
+    this->request = ReadHead(parser.get());
+  }
   if (this->context->stopPhase >= StopPhase::Closing) {
     co_await this->RejectForStop();
     co_return false;
@@ -232,17 +286,11 @@
     co_await this->RejectUnread(bodyError);
     co_return false;
   }
-  this->receiveTime = BootClock::now() - this->firstByteAt;
+  this->readAt = BootClock::now();
   auto message = parser.release();
   this->httpVersion = message.version();
   this->keepAlive = message.keep_alive();
-  this->request = HttpRequest{};
-  this->request.method = std::string(message.method_string());
-  this->request.target = std::string(message.target());
-  for (const auto& field : message) {
-    this->request.headers.Add(std::string(field.name_string()),
-                              std::string(field.value()));
-  }
+  this->request = ReadHead(message);
   this->request.body = std::move(message.body());
   this->headOnly = message.method() == http::verb::head;
   // RFC 9112, section 3.2: a request without exactly one Host field is rejected.
@@ -344,7 +392,7 @@
   // Closing with unread input makes the kernel reset the connection, and the caller
   // could lose the end of the answer.
   this->EnterState(ConnectionState::AwaitingClose);
-  this->request = HttpRequest();
+  this->request.body = std::string();
   auto& socket = this->stream.socket();
   beast::error_code ignored;
   socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -375,6 +423,7 @@
 Task<> HttpSession::RunHandler()
 {
   this->callerGone = false;
+  this->writeTimedOut = false;
   this->answerFinished = false;
   this->goneListener = nullptr;
   this->finalAnswerListener = nullptr;
@@ -414,7 +463,7 @@
   }
   this->answerFinished = !error;
   if (error) {
-    this->NoteCallerGone();
+    this->NoteWriteFailed(error);
   }
   co_return !error;
 }
@@ -436,7 +485,7 @@
   auto [error, bytes] =
     co_await http::async_write_header(this->stream, serializer, kAwait);
   if (error) {
-    this->NoteCallerGone();
+    this->NoteWriteFailed(error);
   }
   co_return !error;
 }
@@ -452,7 +501,7 @@
     http::make_chunk(asio::const_buffer(aBytes.data(), aBytes.size())),
     kAwait);
   if (error) {
-    this->NoteCallerGone();
+    this->NoteWriteFailed(error);
   }
   co_return !error;
 }
@@ -464,7 +513,7 @@
     co_await asio::async_write(this->stream, http::make_chunk_last(), kAwait);
   this->answerFinished = !error;
   if (error) {
-    this->NoteCallerGone();
+    this->NoteWriteFailed(error);
   }
   co_return !error;
 }
@@ -514,6 +563,12 @@
   this->stream.socket().cancel(ignored);
 }
 
+void HttpSession::NoteWriteFailed(beast::error_code aError)
+{
+  this->writeTimedOut = aError == beast::error::timeout;
+  this->NoteCallerGone();
+}
+
 void HttpSession::NoteCallerGone()
 {
   if (this->callerGone || this->isAborted) {
@@ -528,6 +583,10 @@
 void HttpSession::OnFirstByte()
 {
   this->firstByteAt = BootClock::now();
+  this->readAt.reset();
+  this->request = HttpRequest{};
+  this->isCutReported = false;
+  this->ClearProgress();
   this->EnterState(ConnectionState::ReceivingRequest);
 }
 
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -32,6 +32,8 @@
     ConnectionCounts connections;
     /// Answer to a request that a planned stop rejects before it is complete.
     HttpServer::RejectionFactory makeStopRejection;
+    /// Told of each request that is cut off; may be empty.
+    CutListener onCut;
     StopPhase stopPhase = StopPhase::Serving;
   };
 
@@ -47,12 +49,18 @@
   /// Closes the connection now.
   void Abort();
 
-  /// True if the end of the process would lose a part of a request or of an answer.
-  [[nodiscard]] bool IsUnfinished();
+  /// True if a request is arriving or its answer is not written to its end.
+  [[nodiscard]] bool LacksAnswer() const;
+  /// True if an answer was written and the caller has not received it.
+  [[nodiscard]] bool IsAnswerUnreceived();
+
+  /// Tells the listener that the present request, or the last one, is cut off; once a
+  /// request.
+  void ReportCut(std::string aEndedBy);
 
   [[nodiscard]] const HttpRequest& Request() const override { return this->request; }
   [[nodiscard]] Endpoint Caller() const override;
-  [[nodiscard]] Duration ReceiveTime() const override { return this->receiveTime; }
+  [[nodiscard]] Duration ReceiveTime() const override;
   [[nodiscard]] bool CallerGone() const override { return this->callerGone; }
   void OnCallerGone(std::function<void()> aListener) override;
   void OnFinalAnswerDue(std::function<void()> aListener) override;
@@ -91,6 +99,10 @@
   void WatchCaller();
   void StopWatching();
   void NoteCallerGone();
+  /// A write to the caller failed.
+  void NoteWriteFailed(boost::beast::error_code aError);
+  /// Reports a request whose handler ended without a whole answer.
+  void ReportUnanswered();
   /// Decides, for the head of an answer, whether the connection stays open after it.
   [[nodiscard]] bool DecideToClose();
   [[nodiscard]] Duration QuietTime(TimePoint aNow) const;
@@ -110,7 +122,8 @@
   /// stop, at which the caller had received that answer.
   TimePoint quietSince = BootClock::now();
   TimePoint firstByteAt{};
-  Duration receiveTime{ 0 };
+  /// When the whole request had been read.
+  std::optional<TimePoint> readAt;
   std::uint64_t watchSerial = 0;
   unsigned httpVersion = 11;
   /// The answer to a HEAD request has no body.
@@ -121,6 +134,9 @@
   bool finalAnswerDue = false;
   bool isAborted = false;
   bool callerGone = false;
+  /// The caller did not take the bytes of its answer in time.
+  bool writeTimedOut = false;
+  bool isCutReported = false;
   bool answerFinished = false;
 };
 
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -95,10 +95,21 @@
 
 void ShutdownSequence::RecordCutOff()
 {
-  const std::size_t unfinished = this->IsBusy() ? 1 : 0;
-  const auto count = this->hooks.countCutOff ? this->hooks.countCutOff() : unfinished;
-  if (count > 0) {
-    spdlog::warn("the drain left {} requests without a whole answer", count);
+  UnfinishedWork unfinished;
+  if (this->hooks.countUnfinished) {
+    unfinished = this->hooks.countUnfinished();
+  } else {
+    unfinished.cutOff = this->IsBusy() ? 1 : 0;
+  }
+  if (unfinished.Total() > 0) {
+    spdlog::warn("the drain left {} requests without a whole answer: {} cut off, {} "
+                 "answered with an error, {} answers not received, {} tunnels of other "
+                 "VMs",
+                 unfinished.Total(),
+                 unfinished.cutOff,
+                 unfinished.answeredWithError,
+                 unfinished.notReceived,
+                 unfinished.tunnels);
     this->outcome = ExitCode::Failure;
   }
 }
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
@@ -13,6 +13,24 @@
 
 namespace toucanstand {
 
+/// What the end of a planned stop leaves undone.
+struct UnfinishedWork
+{
+  /// Requests that are arriving, or whose answers are not written to their end.
+  std::size_t cutOff = 0;
+  /// Requests that may have run and got an error as their final answer.
+  std::size_t answeredWithError = 0;
+  /// Answers that were written and that their callers have not received.
+  std::size_t notReceived = 0;
+  /// Connections of other VMs to backend servers that lead through this one.
+  std::size_t tunnels = 0;
+
+  [[nodiscard]] std::size_t Total() const
+  {
+    return this->cutOff + this->answeredWithError + this->notReceived + this->tunnels;
+  }
+};
+
 /// What a program does during its planned stop. Any hook may be empty.
 struct ShutdownHooks
 {
@@ -22,9 +40,9 @@
   std::function<void(StopPhase aPhase, TimePoint aNow)> advance;
   /// True while work is in flight.
   std::function<bool()> isBusy;
-  /// Requests that the stop has left without a whole answer, or would now. Called once,
-  /// at the end; any work in flight counts when empty.
-  std::function<std::size_t()> countCutOff;
+  /// What the stop has left without a whole answer, or would now. Called once, at the
+  /// end; any work in flight counts as one request when empty.
+  std::function<UnfinishedWork()> countUnfinished;
 };
 
 /// What a second signal does to a stop in progress.
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.cpp
@@ -15,7 +15,8 @@
 StopSchedule::StopSchedule(TimePoint aBegin,
                            Duration aDrainPeriod,
                            Duration aRotationTime)
-  : rotationEnd(aBegin + aRotationTime)
+  : begin(aBegin)
+  , rotationEnd(aBegin + aRotationTime)
   , end(aBegin + aDrainPeriod)
 {
   const double closingSeconds =
--- a/modules/toucanstand_transport/lifecycle/StopSchedule.h
+++ b/modules/toucanstand_transport/lifecycle/StopSchedule.h
@@ -83,6 +83,7 @@
   [[nodiscard]] bool MayEndInTime(const ExpectedAnswer& aAnswer, TimePoint aNow) const;
 
   [[nodiscard]] StopPhase PhaseAt(TimePoint aNow) const;
+  [[nodiscard]] TimePoint Begin() const { return this->begin; }
   [[nodiscard]] TimePoint ClosingAt() const { return this->closingAt; }
   [[nodiscard]] TimePoint FinalAnswersAt() const { return this->finalAnswersAt; }
   [[nodiscard]] TimePoint End() const { return this->end; }
@@ -94,6 +95,7 @@
   /// Time that is left for the expected answer.
   [[nodiscard]] static bool Fits(const ExpectedAnswer& aAnswer, Duration aTimeLeft);
 
+  TimePoint begin;
   TimePoint rotationEnd;
   TimePoint closingAt;
   TimePoint finalAnswersAt;
--- a/programs/toucanstand-entry/EntryProcess.cpp
+++ b/programs/toucanstand-entry/EntryProcess.cpp
@@ -47,7 +47,12 @@
     [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
     [this] { return this->server.IsBusy(); },
     [this] {
-      return this->server.UnfinishedConnections() + this->context.callsEndedByStop;
+      const auto connections = this->server.CountUnfinished();
+      UnfinishedWork unfinished;
+      unfinished.cutOff = connections.withoutAnswer;
+      unfinished.answeredWithError = this->context.callsEndedByStop;
+      unfinished.notReceived = connections.notReceived;
+      return unfinished;
     } });
   this->nodeLink.Start();
   this->loop.run();
--- a/programs/toucanstand-server/BufferedCall.cpp
+++ b/programs/toucanstand-server/BufferedCall.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 
+#include "UnreadBytesScope.h"
 #include "attempts/AttemptClassification.h"
 #include "platform/HeaderTranslation.h"
 
@@ -46,8 +47,7 @@
                                                this->RetryAfter());
     }
     const auto sentAt = BootClock::now();
-    this->progress.destination = candidate->id;
-    this->progress.tracker.OnAttemptStarted(candidate->id);
+    this->progress.BeginAttempt(candidate->id, sentAt);
     this->state.router.OnSent(candidate->id, sentAt);
     const auto run = this->state.OnRunStarted(this->call, candidate->server);
     auto failedAttempt = co_await this->Attempt(*candidate);
@@ -156,6 +156,7 @@
   HttpClientStream& aStream)
 {
   this->progress.timeToFirstByte = BootClock::now() - this->call.arrivedAt;
+  const UnreadBytesScope unreadBytes(this->call.exchange, aStream);
   const int status = aStream.Status();
   const auto facts =
     platform::ReadResponseHead(status, aStream.Headers(), this->call.facts.id);
--- a/programs/toucanstand-server/CallProgress.cpp
+++ b/programs/toucanstand-server/CallProgress.cpp
@@ -66,9 +66,21 @@
     this->call, beginsAt, *this->lastEventsAt - this->call.arrivedAt);
 }
 
+void CallProgress::BeginAttempt(const std::string& aDestination, TimePoint aNow)
+{
+  this->destination = aDestination;
+  this->tracker.OnAttemptStarted(aDestination);
+  auto& server = this->call.exchange.Progress();
+  server.destination = aDestination;
+  server.sentAt = aNow;
+}
+
 void CallProgress::RecordEvents(std::size_t aCount, TimePoint aNow)
 {
   this->eventCount = aCount;
+  auto& server = this->call.exchange.Progress();
+  server.events = aCount;
+  server.lastEventAt = aNow;
   if (!this->timeToFirstByte) {
     this->timeToFirstByte = aNow - this->call.arrivedAt;
   }
--- a/programs/toucanstand-server/CallProgress.h
+++ b/programs/toucanstand-server/CallProgress.h
@@ -33,6 +33,9 @@
   /// before the deadline and the end of a planned stop.
   [[nodiscard]] bool LeavesTimeToContinue(Duration aFirstEvent, TimePoint aNow) const;
 
+  /// Records that a request is about to be sent to a backend server or group.
+  void BeginAttempt(const std::string& aDestination, TimePoint aNow);
+
   /// Records the arrival of complete stream events. The first call sets the time to first
   /// byte.
   /// @param aCount events of all attempts so far
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <ranges>
 
+#include "UnreadBytesScope.h"
 #include "platform/HeaderTranslation.h"
 #include "text/Hexadecimal.h"
 
@@ -75,8 +76,7 @@
       this->LogRefusal(delay);
       co_return co_await this->progress.GiveUp(Name(delay.reason), delay.retryAfter);
     }
-    this->progress.destination = choice->group.id.Value();
-    this->progress.tracker.OnAttemptStarted(this->progress.destination);
+    this->progress.BeginAttempt(choice->group.id.Value(), now);
     this->run = this->state.OnRunStarted(this->call, choice->group.head);
     auto failedAttempt = co_await this->Attempt(*choice);
     this->state.OnRunEnded(this->run,
@@ -217,6 +217,7 @@
       FailedAttempt{ this->sender.ClassifyFailure(opened.LastReason()), std::nullopt };
   } else {
     auto& stream = **opened;
+    const UnreadBytesScope unreadBytes(this->call.exchange, stream);
     const auto facts =
       platform::ReadResponseHead(stream.Status(), stream.Headers(), this->call.facts.id);
     this->statedRateLimit = facts.rateLimit;
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -167,6 +167,7 @@
 
 void RequestHandler::RecordResult(const Call& aCall, const CallResult& aResult)
 {
+  aCall.exchange.Progress().endReason = aResult.reason;
   const auto took = BootClock::now() - aCall.arrivedAt;
   const bool isSuccess = aResult.outcome == CallOutcome::Answered &&
                          aResult.status >= 200 && aResult.status < 300;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "ErrorResponder.h"
+#include "platform/HeaderTranslation.h"
 #include "text/Hexadecimal.h"
 
 namespace toucanstand {
@@ -115,7 +116,9 @@
     [this] { this->BeginStop(); },
     [this](StopPhase aPhase, TimePoint aNow) { this->AdvanceStop(aPhase, aNow); },
     [this] { return this->IsBusy(); },
-    [this] { return this->UnansweredRequests(); } });
+    [this] { return this->CountUnfinished(); } });
+  this->callerServer.SetCutListener(
+    [this](const CutRequest& aCut) { this->LogCut(aCut); });
   this->callerServer.SetStopRejection([this] {
     return ErrorResponder::MakeNotRunResponse(
       this->state, RequestId(), "stopping", this->state.stopRetryAfter);
@@ -304,10 +307,45 @@
   return this->callerServer.IsBusy() || this->tunnels.TunnelCount() > 0;
 }
 
-std::size_t ServerProcess::UnansweredRequests() const
+UnfinishedWork ServerProcess::CountUnfinished()
 {
-  return this->callerServer.UnfinishedConnections() + this->tunnels.TunnelCount() +
-         this->state.requestsEndedByStop;
+  const auto connections = this->callerServer.CountUnfinished();
+  this->callerServer.ReportUnreceivedAnswers();
+  UnfinishedWork unfinished;
+  unfinished.cutOff = connections.withoutAnswer;
+  unfinished.answeredWithError = this->state.requestsEndedByStop;
+  unfinished.notReceived = connections.notReceived;
+  unfinished.tunnels = this->tunnels.TunnelCount();
+  return unfinished;
+}
+
+void ServerProcess::LogCut(const CutRequest& aCut)
+{
+  const auto now = BootClock::now();
+  const auto ago = [now](const std::optional<TimePoint>& aTime) {
+    return aTime ? ToMilliseconds(now - *aTime).count() : std::int64_t{ -1 };
+  };
+  const auto& schedule = this->shutdown.Schedule();
+  const auto& server = aCut.server;
+  const auto unread = server.countUnreadBytes
+                        ? static_cast<std::int64_t>(server.countUnreadBytes())
+                        : std::int64_t{ -1 };
+  this->state.metrics.Count("requests_cut_total{by=\"" + aCut.endedBy + "\"}");
+  this->state.log.Write(LogWeight::Warning,
+                        "request_cut",
+                        { { "request", platform::RequestIdOf(aCut.request).Value() },
+                          { "ended_by", aCut.endedBy },
+                          { "connection", Name(aCut.state) },
+                          { "first_byte_ago_ms", ago(aCut.firstByteAt) },
+                          { "read_ago_ms", ago(aCut.readAt) },
+                          { "sent_ago_ms", ago(server.sentAt) },
+                          { "destination", server.destination },
+                          { "events", static_cast<std::int64_t>(server.events) },
+                          { "last_event_ago_ms", ago(server.lastEventAt) },
+                          { "server_bytes_unread", unread },
+                          { "caller_bytes_unacknowledged",
+                            static_cast<std::int64_t>(aCut.unacknowledgedBytes) },
+                          { "stop_ago_ms", schedule ? ago(schedule->Begin()) : -1 } });
 }
 
 void ServerProcess::BeginStop()
--- a/programs/toucanstand-server/ServerProcess.h
+++ b/programs/toucanstand-server/ServerProcess.h
@@ -39,9 +39,8 @@
   bool Listen();
   void BeginStop();
   void AdvanceStop(StopPhase aPhase, TimePoint aNow);
-  /// Requests of callers, and tunnels of peers, that a stop leaves without a whole
-  /// answer.
-  [[nodiscard]] std::size_t UnansweredRequests() const;
+  [[nodiscard]] UnfinishedWork CountUnfinished();
+  void LogCut(const CutRequest& aCut);
   /// Logs an event of the stop with the number of connections in each state.
   void LogConnections(std::string_view aEvent, StopPhase aPhase);
   void WaitForReload();
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -63,7 +63,7 @@
   : loop(aLoop)
   , settings(std::move(aSettings))
   , log(this->settings.id.Value(),
-        STDOUT_FILENO,
+        { STDOUT_FILENO, STDERR_FILENO },
         { this->settings.routineLinesPerSecond, this->settings.notableLinesPerSecond })
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
--- a/programs/toucanstandctl/RequestTimeline.cpp
+++ b/programs/toucanstandctl/RequestTimeline.cpp
@@ -75,6 +75,26 @@
          aLine.Text("configuration") + ")";
 }
 
+/// A time before the line, such as `last_event_ago_ms`; it may be unknown.
+std::string FormatAgo(const LogLine& aLine, const char* aField)
+{
+  const bool isKnown = aLine.IntegerOrZero(aField) >= 0;
+  return isKnown ? aLine.Text(aField) + " ms before" : "never";
+}
+
+std::string FormatCut(const LogLine& aLine)
+{
+  return "cut off by " + aLine.Text("ended_by") + ", connection " +
+         aLine.Text("connection") + ": first byte " +
+         FormatAgo(aLine, "first_byte_ago_ms") + ", read whole " +
+         FormatAgo(aLine, "read_ago_ms") + ", sent to " + aLine.Text("destination") +
+         " " + FormatAgo(aLine, "sent_ago_ms") + ", last of " + aLine.Text("events") +
+         " events " + FormatAgo(aLine, "last_event_ago_ms") + ", signal to stop " +
+         FormatAgo(aLine, "stop_ago_ms") +
+         "; bytes of the server not read: " + aLine.Text("server_bytes_unread") +
+         ", of the answer not acknowledged: " + aLine.Text("caller_bytes_unacknowledged");
+}
+
 std::string FormatEngineOrder(const LogLine& aLine)
 {
   return "the leader ordered engine " + aLine.Text("server") + " to " +
@@ -124,6 +144,7 @@
     { "route_refused", &FormatRouteRefusal },
     { "attempt_end", &FormatAttempt },
     { "request_end", &FormatRequestEnd },
+    { "request_cut", &FormatCut },
     { "engine_order", &FormatEngineOrder },
     { "member_examined", &FormatMemberExamination },
     { "group_plan", &FormatGroupPlan },
--- a/tests/platform/support/PlannedStop.cpp
+++ b/tests/platform/support/PlannedStop.cpp
@@ -20,7 +20,11 @@
                          const Options& aOptions)
   : platform(aOptions.engines)
   , stopPeriod(this->PrepareServers(aOptions, aStopPeriod))
-  , server(this->platform, "vm-1", this->platform.Store().Address(), aStopPeriod)
+  , server(this->platform,
+           "vm-1",
+           this->platform.Store().Address(),
+           aStopPeriod,
+           ServerUnderTest::Program{ "toucanstand-server", aOptions.logFile })
 {
   this->eventCount = static_cast<int>(aStreamDuration / kInterval);
   this->ForEachEngine([this](BackendServerStandin& aEngine) {
--- a/tests/platform/support/PlannedStop.h
+++ b/tests/platform/support/PlannedStop.h
@@ -31,6 +31,8 @@
     std::size_t groups = 2;
     std::chrono::milliseconds routeTimeout = kPatience;
     bool putsServersBehindFronts = false;
+    /// Receives all output of the VM; the test reads standard output if empty.
+    std::string logFile = {};
   };
 
   /// @param aStreamDuration time from the first to the last event of each stream
--- a/tests/unit/toucanstand_core/TestDecisionLog.cpp
+++ b/tests/unit/toucanstand_core/TestDecisionLog.cpp
@@ -39,7 +39,7 @@
 TEST_CASE("A log line is one JSON object with its fields", "[log]")
 {
   const Pipe pipe;
-  DecisionLog log("vm-1", pipe.ends[1], {});
+  DecisionLog log("vm-1", { pipe.ends[1], -1 }, {});
   log.Write(LogWeight::Notable,
             "request_end",
             { { "request", "a\"\n\xff" },
@@ -59,7 +59,7 @@
 {
   // Guards against a caller whose id takes the place of all lines that wait.
   const Pipe pipe;
-  DecisionLog log("vm-1", pipe.ends[1], {});
+  DecisionLog log("vm-1", { pipe.ends[1], -1 }, {});
   log.Write(
     LogWeight::Notable, "request_end", { { "request", std::string(1U << 20U, '\x01') } });
   const auto text = pipe.Read();
@@ -73,7 +73,7 @@
   // Guards against a log that grows with the load, and against answered requests that
   // crowd out failures.
   const Pipe pipe;
-  DecisionLog log("vm-1", pipe.ends[1], { 3, 2 });
+  DecisionLog log("vm-1", { pipe.ends[1], -1 }, { 3, 2 });
   for (int number = 0; number < 100; ++number) {
     log.Write(LogWeight::Routine, "answered", {});
   }
@@ -89,10 +89,41 @@
 {
   // Guards against a process that stands still because its log is not read.
   const Pipe pipe;
-  DecisionLog log("vm-1", pipe.ends[1], { 1'000'000, 1'000'000 });
+  DecisionLog log("vm-1", { pipe.ends[1], -1 }, { 1'000'000, 1'000'000 });
   const std::string large(1000, 'x');
   for (int number = 0; number < 1000; ++number) {
     log.Write(LogWeight::Routine, "filler", { { "text", large } });
   }
   CHECK(log.LeftOut() > 0);
 }
+
+TEST_CASE(
+  "A warning is written although the budget is used up and nobody reads decisions",
+  "[log]")
+{
+  // Guards against lost requests that leave no line on a busy VM.
+  const Pipe decisions;
+  const Pipe warnings;
+  DecisionLog log("vm-1", { decisions.ends[1], warnings.ends[1] }, { 1, 1 });
+  const std::string large(400, 'x');
+  for (int number = 0; number < 1000; ++number) {
+    log.Write(LogWeight::Notable, "filler", { { "text", large } });
+  }
+  log.Write(LogWeight::Warning, "request_cut", { { "request", "r-1" } });
+  const auto line = json::parse(warnings.Read());
+  CHECK(line.at("event") == "request_cut");
+  CHECK(line.at("request") == "r-1");
+  CHECK(line.at("left_out") > 0);
+}
+
+TEST_CASE("Warnings that nobody reads never block the writer", "[log]")
+{
+  // Guards against a stop that stands still because standard error is a full pipe.
+  const Pipe pipe;
+  DecisionLog log("vm-1", { -1, pipe.ends[1] }, {});
+  const std::string large(400, 'x');
+  for (int number = 0; number < 1000; ++number) {
+    log.Write(LogWeight::Warning, "request_cut", { { "text", large } });
+  }
+  CHECK(log.LeftOut() > 0);
+}
