--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -152,6 +152,12 @@
   co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
 }
 
+Task<> BackendServerStandin::SleepUntil(std::chrono::steady_clock::time_point aTime)
+{
+  boost::asio::steady_timer timer(this->loop, aTime);
+  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
 Task<> BackendServerStandin::SetGroupStateAfterDelay(std::string aState,
                                                      std::string aGroup)
 {
@@ -380,8 +386,11 @@
     co_return;
   }
   int eventsSent = 0;
+  auto due = std::chrono::steady_clock::now();
   while (number < events) {
-    co_await this->Sleep(this->eventInterval);
+    // Timers that fire late on a busy machine do not add up.
+    due = std::max(due + this->eventInterval, std::chrono::steady_clock::now());
+    co_await this->SleepUntil(due);
     if (eventsSent == events / 2 && this->pauseInStream.count() > 0) {
       co_await this->Sleep(this->pauseInStream);
     }
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -160,6 +160,7 @@
   Task<> RejectWithRetryAfter(HttpExchange& aExchange);
   Task<> RespondToCall(HttpExchange& aExchange);
   Task<> Sleep(std::chrono::milliseconds aDuration);
+  Task<> SleepUntil(std::chrono::steady_clock::time_point aTime);
   /// Does nothing when the server crashed or left the group during the delay.
   Task<> SetGroupStateAfterDelay(std::string aState, std::string aGroup);
   /// @returns the HTTP status of the reply
