Answer a request that arrives while its quiet connection is being closed

The connection of a VM that stops is closed when no byte has arrived; the read is then cancelled, and the connection closed when the loop comes to the cancelled read. Bytes that came in between were dropped unread, and the more ready work a late loop has, the longer that time is. Now a read that was cancelled so looks once more.

TestHttpServerStop: the new case failed before (no answer), passes after.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -315,6 +315,11 @@
   while (this->buffer.size() == 0) {
     auto [error, bytes] =
       co_await this->stream.async_read_some(this->buffer.prepare(kFirstRead), kAwait);
+    // The bytes may have come after CloseIfQuiet() had found none.
+    if (error == asio::error::operation_aborted && !this->isAborted &&
+        HasUnreadBytes(this->stream.socket())) {
+      continue;
+    }
     if (error) {
       co_return false;
     }
--- a/tests/unit/toucanstand_transport/TestHttpServerStop.cpp
+++ b/tests/unit/toucanstand_transport/TestHttpServerStop.cpp
@@ -82,6 +82,18 @@
   CHECK(stopping.server.IsBusy());
 }
 
+TEST_CASE("A request that arrives while its quiet connection is being closed is answered",
+          "[stop]")
+{
+  // Guards against a request that is lost between the decision to close and the close.
+  StoppingServer stopping;
+  std::this_thread::sleep_for(kQuietTime);
+  stopping.Advance(StopPhase::Draining);
+  stopping.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  stopping.loop.run_for(50ms);
+  CHECK(stopping.Receive().starts_with("HTTP/1.1 200"));
+}
+
 TEST_CASE("A rejection of a request that arrives after a HEAD request has its body",
           "[stop]")
 {
