--- a/programs/toucanstand-ledger/LedgerProcess.cpp
+++ b/programs/toucanstand-ledger/LedgerProcess.cpp
@@ -54,7 +54,11 @@
   this->shutdown.SetHooks(ShutdownHooks{ [this] { this->claims.StopGranting(); },
                                          nullptr,
                                          [this] { return this->claims.Open() > 0; },
-                                         [this] { return this->claims.Open(); } });
+                                         [this] {
+                                           UnfinishedWork unfinished;
+                                           unfinished.cutOff = this->claims.Open();
+                                           return unfinished;
+                                         } });
   this->owners.Start();
   this->claims.Start();
   this->loop.run();
