Give ready work of a stop its processor time when the processor is taken away

Cause: RunReadyHandlers() was bounded by the clock alone. A process that is taken off its processor for as long as the overrun, after it woke and before it had read its sockets, began the next phase with the rest unread: the same loss as before, although much of the stop period was left.

Ruled out: a longer overrun for all. A loop that is never idle would use it in every phase.

Change: ready handlers get at least 25 ms of processor time, but no more than a quarter of the overrun beyond the former end.

--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 
 #include <spdlog/spdlog.h>
 
@@ -13,11 +14,22 @@
 constexpr Duration kShortenedPeriod = std::chrono::milliseconds(250);
 /// Interval at which a drain looks for its next phase and for the end of its work.
 constexpr auto kCheckInterval = std::chrono::milliseconds(20);
-/// Least time for ready handlers in a process that wakes after its drain.
+/// Least time for ready handlers: in a process that wakes after its drain, and as
+/// processor time where the processor is taken away meanwhile.
 constexpr Duration kMinReadyTime = std::chrono::milliseconds(25);
+/// Most of the overrun, as a factor, that ready handlers get in the latter case.
+constexpr double kStalledOverrun = 1.25;
 /// Time after the end of the drain in which requests that were cut off are logged.
 constexpr Duration kCutOffTime = std::chrono::milliseconds(50);
 
+/// Processor time that this thread has used.
+Duration ProcessorTime()
+{
+  timespec used{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 } // namespace
 
 ShutdownSequence::ShutdownSequence(boost::asio::io_context& aLoop,
@@ -76,7 +88,17 @@
   const auto latest = this->schedule->End() + this->periods.overrun;
   const auto until =
     std::max(std::min(begin + this->periods.overrun, latest), begin + kMinReadyTime);
-  while (BootClock::now() < until && this->loop.poll_one() > 0) {
+  const auto lastUntil =
+    std::max(until,
+             this->schedule->End() +
+               FromSeconds(ToSeconds(this->periods.overrun) * kStalledOverrun));
+  const auto usedBefore = ProcessorTime();
+  const auto mayGoOn = [&] {
+    const auto now = BootClock::now();
+    return now < until ||
+           (now < lastUntil && ProcessorTime() - usedBefore < kMinReadyTime);
+  };
+  while (mayGoOn() && this->loop.poll_one() > 0) {
   }
 }
 
--- a/tests/unit/toucanstand_transport/TestShutdownSequence.cpp
+++ b/tests/unit/toucanstand_transport/TestShutdownSequence.cpp
@@ -51,6 +51,8 @@
 
   asio::io_context loop;
   int remaining;
+  /// Work that is left when the process does not run for a while.
+  int stallAt = -1;
   /// Work that was left when the phase began.
   std::map<StopPhase, int> remainingAt;
   ShutdownSequence shutdown;
@@ -60,7 +62,8 @@
   {
     if (this->remaining > 0) {
       // Takes some time, so that the steps outlast the interval of the phases.
-      std::this_thread::sleep_for(200us);
+      const bool isStalled = this->remaining == this->stallAt;
+      std::this_thread::sleep_for(isStalled ? Duration(kPeriods.overrun) : 200us);
       --this->remaining;
       asio::post(this->loop, [this] { this->Step(); });
     }
@@ -89,6 +92,18 @@
   CHECK(late.shutdown.Outcome() == ExitCode::Success);
 }
 
+TEST_CASE("Work that is ready ends although the processor is taken away meanwhile",
+          "[stop]")
+{
+  // Guards against a time for ready work that passes while the process does not run.
+  constexpr int kFewSteps = kSteps / 4;
+  LateStop late(kFewSteps);
+  late.stallAt = kFewSteps - 2;
+  late.Run(200ms, 395ms);
+  CHECK(late.remainingAt.at(StopPhase::FinalAnswers) == 0);
+  CHECK(late.shutdown.Outcome() == ExitCode::Success);
+}
+
 TEST_CASE("A loop that is never idle does not keep a stop from its end", "[stop]")
 {
   // Guards against a process that outlives its stop period because it is busy.
