End a stop in time in a process that saw its signal late

Cause: the stop period was counted from when the loop saw the signal. A process that did not run when the signal came ended its drain later by as much, and after 0.4 s the platform killed it first: no final answers, no whole answers for requests accepted for the time that was not left, and no line request_cut.

Ruled out: the request itself. Its deadline was after the stop period, so that a VM that is on time rejects it as not run.

Change: ShutdownSequence records every 100 ms that the loop runs. Other programs than toucanstand-server are as before.

--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -14,6 +15,8 @@
 constexpr Duration kShortenedPeriod = std::chrono::milliseconds(250);
 /// Interval at which a drain looks for its next phase and for the end of its work.
 constexpr auto kCheckInterval = std::chrono::milliseconds(20);
+/// Interval at which a process that serves records that its loop runs.
+constexpr auto kServingInterval = std::chrono::milliseconds(100);
 /// Least time for ready handlers: in a process that wakes after its drain, and as
 /// processor time where the processor is taken away meanwhile.
 constexpr Duration kMinReadyTime = std::chrono::milliseconds(25);
@@ -43,6 +46,7 @@
 {
   std::signal(SIGPIPE, SIG_IGN);
   this->WaitForSignal();
+  this->ArmServingCheck();
 }
 
 void ShutdownSequence::SetHooks(ShutdownHooks aHooks)
@@ -55,9 +59,10 @@
   if (this->schedule) {
     return;
   }
-  this->schedule.emplace(BootClock::now(), this->periods.drain, this->periods.rotation);
-  spdlog::info("draining, deadline in {} ms",
-               ToMilliseconds(this->periods.drain).count());
+  const auto now = BootClock::now();
+  const auto drain = this->periods.drain - this->SignalDelay(now);
+  this->schedule.emplace(now, drain, this->periods.rotation);
+  spdlog::info("draining, deadline in {} ms", ToMilliseconds(drain).count());
   if (this->hooks.beginDrain) {
     this->hooks.beginDrain();
   }
@@ -198,4 +203,25 @@
   });
 }
 
+void ShutdownSequence::ArmServingCheck()
+{
+  this->checkTimer.expires_after(kServingInterval);
+  this->checkTimer.async_wait([this](const boost::system::error_code& aError) {
+    if (aError || this->schedule) {
+      return;
+    }
+    this->ranBefore = std::exchange(this->ranAt, BootClock::now());
+    this->ArmServingCheck();
+  });
+}
+
+Duration ShutdownSequence::SignalDelay(TimePoint aNow) const
+{
+  if (!this->ranBefore) {
+    return Duration::zero();
+  }
+  const Duration late = aNow - *this->ranBefore - 2 * kServingInterval;
+  return std::clamp(late, Duration::zero(), this->periods.signalDelay);
+}
+
 } // namespace toucanstand
--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.h
@@ -71,6 +71,9 @@
     Duration rotation{ 0 };
     /// Longest time beyond the drain for work that is ready, in a process that runs late.
     Duration overrun = std::chrono::milliseconds(50);
+    /// The drain is shortened by the time that a signal may have waited for a late loop,
+    /// and by this much at most.
+    Duration signalDelay{ 0 };
   };
 
   ShutdownSequence(boost::asio::io_context& aLoop,
@@ -108,6 +111,10 @@
   void RecordCutOff();
   [[nodiscard]] bool IsBusy() const;
   void ArmCheck();
+  /// Records, until the stop begins, when the loop ran.
+  void ArmServingCheck();
+  /// Longest time for which the signal may have waited.
+  [[nodiscard]] Duration SignalDelay(TimePoint aNow) const;
 
   boost::asio::io_context& loop;
   boost::asio::signal_set signals;
@@ -118,6 +125,10 @@
   ShutdownHooks hooks;
   StopPhase phase = StopPhase::Serving;
   std::optional<TimePoint> overSince;
+  /// The last two times at which the loop ran before the stop. The later one may be of
+  /// the same turn as the signal.
+  std::optional<TimePoint> ranAt;
+  std::optional<TimePoint> ranBefore;
   ExitCode outcome = ExitCode::Success;
 };
 
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -30,6 +30,9 @@
 constexpr Duration kMaxExitTime = std::chrono::milliseconds(400);
 /// Part of that time in which a process that runs late passes on what servers have sent.
 constexpr int kOverrunDivisor = 2;
+/// Callers of answers that are cut off in the last part of the stop period do not count
+/// as lost: a drain that is shortened for a late signal does not end before it.
+constexpr int kLastPartDivisor = 6;
 /// Minimum Retry-After of requests that a stop rejects: other VMs are ready, or the load
 /// balancer needs a moment to notice.
 constexpr Duration kRetryAfterAtPeers = std::chrono::milliseconds(50);
@@ -44,7 +47,8 @@
     std::min(FromSeconds(ToSeconds(aSettings.stopPeriod) * kExitFraction), kMaxExitTime);
   return { aSettings.stopPeriod - exitTime,
            kBalancerRemovalTime,
-           exitTime / kOverrunDivisor };
+           exitTime / kOverrunDivisor,
+           aSettings.stopPeriod / kLastPartDivisor - exitTime };
 }
 
 HttpServerLimits MakeHttpLimits(const ServerSettings& aSettings)
--- a/tests/platform/TestPlannedStopPaused.cpp
+++ b/tests/platform/TestPlannedStopPaused.cpp
@@ -153,3 +153,42 @@
   paused.Run(&PlannedStop::StreamRequest, pauses);
   paused.Check(paused.wholeStream);
 }
+
+TEST_CASE("Calls are answered although the process was paused when the signal came",
+          "[stop]")
+{
+  // Guards against a stop period that is counted from when a late process sees the
+  // signal.
+  constexpr auto kLongPeriod = 8000ms;
+  constexpr auto kWakesAt = 1300ms;
+  // Too late after the signal to be excused, with a deadline beyond the stop period.
+  constexpr auto kSentAt = 3200ms;
+  PlannedStop stop(kLongPeriod, 1000ms);
+  stop.ForEachService([](BackendServerStandin& aService) {
+    aService.answerDelay = PlannedStop::kPatience;
+  });
+  const HttpHeaders headers = { { "Host", "api.example" },
+                                { "X-Attempt-Id", "late" },
+                                { "X-Deadline-Ms", "5000" },
+                                { "Authorization", "Bearer key-1" } };
+  const auto call = RequestText("POST", "/holds/1", headers, "body");
+  stop.PlanSignal(500ms);
+  stop.WaitUntil(-50ms);
+  stop.server.process->Signal(SIGSTOP);
+  stop.SendPlannedSignal();
+  stop.WaitUntil(kWakesAt);
+  stop.server.process->Signal(SIGCONT);
+  stop.WaitUntil(kSentAt);
+  CallerConnection caller(stop.server.listenEndpoint);
+  ParallelCallers platform;
+  platform.Start([&stop] {
+    stop.WaitUntil(kLongPeriod);
+    stop.server.process->Signal(SIGKILL);
+  });
+  REQUIRE(caller.Send(call));
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience);
+  platform.WaitForAll();
+  INFO("status " << answer.status << " end " << static_cast<int>(answer.end));
+  CHECK(answer.isComplete);
+  CHECK((answer.status != 503 || !stop.HasRun("late")));
+}
--- a/tests/unit/toucanstand_transport/TestShutdownSequence.cpp
+++ b/tests/unit/toucanstand_transport/TestShutdownSequence.cpp
@@ -116,3 +116,24 @@
   CHECK(took < kPeriods.drain + kPeriods.overrun + 150ms);
   CHECK(late.shutdown.Outcome() == ExitCode::Failure);
 }
+
+TEST_CASE("The drain of a process that saw its signal late ends earlier", "[stop]")
+{
+  // Guards against a process that is killed before it gives its final answers.
+  auto periods = kPeriods;
+  periods.signalDelay = 300ms;
+  asio::io_context loop;
+  ShutdownSequence shutdown(loop, periods, RepeatedSignal::IsIgnored);
+  loop.run_for(500ms);
+  const bool isLate = GENERATE(true, false);
+  if (isLate) {
+    std::this_thread::sleep_for(1s);
+    // The loop's own timers may be seen before the signal.
+    loop.poll();
+  }
+  const auto begin = BootClock::now();
+  shutdown.Begin();
+  const auto expected = kPeriods.drain - (isLate ? periods.signalDelay : Duration(0));
+  CHECK(shutdown.Schedule()->End() <= begin + expected + 20ms);
+  CHECK(shutdown.Schedule()->End() >= begin + expected - 20ms);
+}
