Let the kernel take what a slow caller of a stopping VM has not read

Callers that read large answers steadily lost the end, although the engines had ended early in the stop.

Cause: a stream is passed on as fast as its caller reads. When the drain ends, the rest lies in the VM's sockets (request_cut: sending_answer, last_event_ago_ms 546 to 3346, server_bytes_unread up to 1.4 MB) and is cut. The kernel delivers what was written before the end of the process, but its send buffer grows with the window of the caller only, to 4 MB at most.

Ruled out: what is in the send buffer is not lost. With 50 events of 10 to 200 kB, receive buffers of 4 to 64 kB, a line end or a further request after the body, all tails came up to 12 s after the end of the process.

Change: from the phase Closing on, the send buffer of a connection whose answer is being sent gets the largest size that a program may ask for (net.core.wmem_max, counted twice; never less than it was). The stream then ends in the VM, and its rest is delivered by the kernel.

A system with a small wmem_max gains nothing; not run there.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -107,6 +107,9 @@
     // The caller can't send its next request before it has the end of the last answer.
     this->quietSince = aNow;
   }
+  if (aPhase >= StopPhase::Closing && this->state == ConnectionState::SendingAnswer) {
+    this->PassAnswerToKernel();
+  }
   switch (ActionDuringStop(aPhase, *this->state, this->QuietTime(aNow))) {
     case StopAction::None:
       return;
@@ -127,6 +130,13 @@
   }
 }
 
+void HttpSession::PassAnswerToKernel()
+{
+  if (!std::exchange(this->hasLargeSendBuffer, true)) {
+    EnlargeSendBuffer(this->stream.socket());
+  }
+}
+
 void HttpSession::Abort()
 {
   this->isAborted = true;
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -93,6 +93,9 @@
   Task<> AwaitClose(Duration aSilence);
   /// True while a connection that was kept has not brought the last answer to the caller.
   [[nodiscard]] bool IsLastAnswerOnItsWay();
+  /// Takes from the server what a slow caller has not read yet. The kernel delivers it,
+  /// also after the end of the process.
+  void PassAnswerToKernel();
   void CloseIfQuiet();
   void RejectArrivingRequest();
   void AskForFinalAnswer();
@@ -137,6 +140,7 @@
   /// The caller did not take the bytes of its answer in time.
   bool writeTimedOut = false;
   bool isCutReported = false;
+  bool hasLargeSendBuffer = false;
   bool answerFinished = false;
 };
 
--- a/modules/toucanstand_transport/http/SocketOptions.cpp
+++ b/modules/toucanstand_transport/http/SocketOptions.cpp
@@ -1,11 +1,13 @@
 #include "http/SocketOptions.h"
 
 #include <cerrno>
+#include <limits>
 
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace toucanstand {
 
@@ -21,6 +23,30 @@
   (void)::setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
 }
 
+int SendBufferOf(int aDescriptor)
+{
+  int bytes = 0;
+  socklen_t size = sizeof(bytes);
+  const int result = ::getsockopt(aDescriptor, SOL_SOCKET, SO_SNDBUF, &bytes, &size);
+  return result == 0 ? bytes : 0;
+}
+
+/// The kernel lowers a size that is too large.
+constexpr int kLargestSize = std::numeric_limits<int>::max() / 2;
+
+/// Largest send buffer that a program may ask for, as the kernel counts it.
+int LargestSendBuffer()
+{
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    return 0;
+  }
+  SetOption(descriptor, SOL_SOCKET, SO_SNDBUF, kLargestSize);
+  const int bytes = SendBufferOf(descriptor);
+  ::close(descriptor);
+  return bytes;
+}
+
 } // namespace
 
 void SetLivenessOptions(boost::asio::ip::tcp::socket& aSocket, Duration aUserTimeout)
@@ -62,6 +88,16 @@
   return ::recv(aSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void EnlargeSendBuffer(boost::asio::ip::tcp::socket& aSocket)
+{
+  // A buffer that the kernel has enlarged itself may be larger than a program may ask
+  // for.
+  const int descriptor = aSocket.native_handle();
+  if (SendBufferOf(descriptor) < LargestSendBuffer()) {
+    SetOption(descriptor, SOL_SOCKET, SO_SNDBUF, kLargestSize);
+  }
+}
+
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
 {
   int bytes = 0;
--- a/modules/toucanstand_transport/http/SocketOptions.h
+++ b/modules/toucanstand_transport/http/SocketOptions.h
@@ -20,6 +20,9 @@
 /// True when bytes have arrived that were not read.
 [[nodiscard]] bool HasUnreadBytes(boost::asio::ip::tcp::socket& aSocket);
 
+/// Lets the kernel hold as many bytes that were written as the system allows one socket.
+void EnlargeSendBuffer(boost::asio::ip::tcp::socket& aSocket);
+
 /// Bytes that the other end has not acknowledged; 0 when the kernel can't tell.
 [[nodiscard]] std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket);
 
