Log requests whose callers take no bytes, and keep room on standard error

Causes, each shown by a test or trial on: - A write that failed by its timeout was forgotten when a later write failed. - The kernel's timeout of 15 s comes before the write timeout of 20 s; its error counted as a caller that left. Both left no line request_cut. - An answer that was written whole, with its handler still at work, counted as cut off at the end of a stop. - Warnings filled the pipe of standard error to its end, where the program's own log lines block: 'stopped' would keep a process from its exit. - A warning took the count of lines left out from the decisions.

Ruled out: a caller that closes its connection; it still leaves no line.

Change: write timeouts of both kinds are kept; a written answer is looked at for bytes that are not received; warnings fill half of a pipe at most and leave the count of the decisions alone.

Before: TestHttpServerStop 3 checks and TestDecisionLog 2 checks of the new cases fail.

--- a/modules/toucanstand_core/logging/DecisionLog.cpp
+++ b/modules/toucanstand_core/logging/DecisionLog.cpp
@@ -10,6 +10,7 @@
 
 #include <fcntl.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 namespace toucanstand {
@@ -20,6 +21,9 @@
 constexpr std::size_t kMostWaitingBytes = 32U << 10U;
 /// A pipe that is ready takes a line up to this size whole, without blocking.
 constexpr std::size_t kMostWarningBytes = PIPE_BUF;
+/// Part of a pipe that warnings may fill. Other parts of the program write to it as well,
+/// and would block.
+constexpr std::size_t kWarningShareDivisor = 2;
 /// Longer values, such as an id that fills a caller's header, are cut: a line must not
 /// take the place of all others that wait.
 constexpr std::size_t kMostValueBytes = 400;
@@ -54,6 +58,18 @@
   aOutput.append(text.data(), result.ptr);
 }
 
+/// False for a pipe whose reader has left too much in it.
+bool HasRoomFor(int aDescriptor, std::size_t aBytes)
+{
+  const int capacity = ::fcntl(aDescriptor, F_GETPIPE_SZ);
+  int waiting = 0;
+  if (capacity < 0 || ::ioctl(aDescriptor, FIONREAD, &waiting) != 0) {
+    return true;
+  }
+  return static_cast<std::size_t>(waiting) + aBytes <=
+         static_cast<std::size_t>(capacity) / kWarningShareDivisor;
+}
+
 struct AppendValue
 {
   std::string& output;
@@ -116,13 +132,14 @@
     ++this->leftOutTotal;
     return;
   }
-  this->AppendLine(this->buffer, aEvent, aFields);
+  this->AppendLine(this->buffer, aEvent, aFields, this->leftOut);
   this->Flush();
 }
 
 void DecisionLog::AppendLine(std::string& aOutput,
                              std::string_view aEvent,
-                             std::initializer_list<LogField> aFields)
+                             std::initializer_list<LogField> aFields,
+                             std::uint64_t& aLeftOut)
 {
   const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
   aOutput += "{\"unix_ms\":";
@@ -138,10 +155,10 @@
     aOutput += ':';
     std::visit(AppendValue{ aOutput }, field.value);
   }
-  if (this->leftOut > 0) {
+  if (aLeftOut > 0) {
     aOutput += ",\"left_out\":";
-    AppendNumber(aOutput, this->leftOut);
-    this->leftOut = 0;
+    AppendNumber(aOutput, aLeftOut);
+    aLeftOut = 0;
   }
   aOutput += "}\n";
 }
@@ -152,17 +169,22 @@
   if (this->descriptors.warnings < 0) {
     return;
   }
-  const auto leftOutBefore = this->leftOut;
+  // Lines that were left out of the decisions are stated there as well.
+  auto leftOutOfBoth = this->leftOut + this->warningsLeftOut;
   std::string line;
-  this->AppendLine(line, aEvent, aFields);
+  this->AppendLine(line, aEvent, aFields, leftOutOfBoth);
   pollfd writable{ this->descriptors.warnings, POLLOUT, 0 };
-  const bool isTaken = line.size() <= kMostWarningBytes && ::poll(&writable, 1, 0) == 1 &&
+  const bool isTaken = line.size() <= kMostWarningBytes &&
+                       HasRoomFor(this->descriptors.warnings, line.size()) &&
+                       ::poll(&writable, 1, 0) == 1 &&
                        (writable.revents & POLLOUT) != 0 &&
                        ::write(this->descriptors.warnings, line.data(), line.size()) > 0;
-  if (!isTaken) {
-    this->leftOut = leftOutBefore + 1;
-    ++this->leftOutTotal;
+  if (isTaken) {
+    this->warningsLeftOut = 0;
+    return;
   }
+  ++this->warningsLeftOut;
+  ++this->leftOutTotal;
 }
 
 void DecisionLog::Flush()
--- a/modules/toucanstand_core/logging/DecisionLog.h
+++ b/modules/toucanstand_core/logging/DecisionLog.h
@@ -35,7 +35,7 @@
 ///
 /// It never blocks: a line that the reader of a full pipe does not take is dropped. The
 /// number of lines a second is bounded; what was left out is counted and stated in the
-/// next line that is written.
+/// next decision and in the next warning.
 class DecisionLog
 {
 public:
@@ -75,7 +75,8 @@
   static bool Take(Credit& aCredit, TimePoint aNow);
   void AppendLine(std::string& aOutput,
                   std::string_view aEvent,
-                  std::initializer_list<LogField> aFields);
+                  std::initializer_list<LogField> aFields,
+                  std::uint64_t& aLeftOut);
   void WriteWarning(std::string_view aEvent, std::initializer_list<LogField> aFields);
   void Flush();
 
@@ -85,6 +86,7 @@
   Credit notable;
   std::string buffer;
   std::uint64_t leftOut = 0;
+  std::uint64_t warningsLeftOut = 0;
   std::uint64_t leftOutTotal = 0;
 };
 
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -123,7 +123,9 @@
       this->AskForFinalAnswer();
       return;
     case StopAction::BreakOff:
-      this->ReportCut("stop");
+      if (this->LacksAnswer()) {
+        this->ReportCut("stop");
+      }
       this->AskForFinalAnswer();
       this->Abort();
       return;
@@ -148,13 +150,12 @@
 {
   return this->state == ConnectionState::ReceivingRequest ||
          this->state == ConnectionState::AwaitingAnswer ||
-         this->state == ConnectionState::SendingAnswer;
+         (this->state == ConnectionState::SendingAnswer && !this->answerFinished);
 }
 
 bool HttpSession::IsAnswerUnreceived()
 {
-  const bool isAnswered = this->state == ConnectionState::AwaitingClose ||
-                          this->state == ConnectionState::AwaitingRequest;
+  const bool isAnswered = this->state && !this->LacksAnswer();
   // The handler counts a request that got its final answer.
   return isAnswered && !this->finalAnswerDue &&
          UnacknowledgedBytes(this->stream.socket()) > 0;
@@ -456,6 +457,7 @@
 
 Task<bool> HttpSession::Respond(HttpResponse aResponse)
 {
+  this->answerFinished = false;
   this->EnterState(ConnectionState::SendingAnswer);
   http::response<http::string_body> message;
   FillHead(message,
@@ -580,7 +582,9 @@
 
 void HttpSession::NoteWriteFailed(beast::error_code aError)
 {
-  this->writeTimedOut = aError == beast::error::timeout;
+  // The kernel's own timeout may come first. Later writes fail for another reason.
+  this->writeTimedOut = this->writeTimedOut || aError == beast::error::timeout ||
+                        aError == asio::error::timed_out;
   this->NoteCallerGone();
 }
 
--- a/tests/unit/toucanstand_core/TestDecisionLog.cpp
+++ b/tests/unit/toucanstand_core/TestDecisionLog.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <unistd.h>
 
 #include "logging/DecisionLog.h"
@@ -127,3 +128,29 @@
   }
   CHECK(log.LeftOut() > 0);
 }
+
+TEST_CASE("Warnings that nobody reads leave room for other lines of the program", "[log]")
+{
+  // Guards against a full pipe in which the program's own warning blocks the loop.
+  const Pipe pipe;
+  DecisionLog log("vm-1", { -1, pipe.ends[1] }, {});
+  const std::string large(400, 'x');
+  for (int number = 0; number < 1000; ++number) {
+    log.Write(LogWeight::Warning, "request_cut", { { "text", large } });
+  }
+  pollfd writable{ pipe.ends[1], POLLOUT, 0 };
+  CHECK(::poll(&writable, 1, 0) == 1);
+  CHECK(log.LeftOut() > 0);
+}
+
+TEST_CASE("Lines left out of the decisions are stated among the decisions", "[log]")
+{
+  // Guards against a count that a warning on another stream takes away.
+  const Pipe decisions;
+  const Pipe warnings;
+  DecisionLog log("vm-1", { decisions.ends[1], warnings.ends[1] }, { 0, 1 });
+  log.Write(LogWeight::Routine, "left_out", {});
+  log.Write(LogWeight::Warning, "request_cut", {});
+  log.Write(LogWeight::Notable, "decision", {});
+  CHECK(json::parse(decisions.Read()).value("left_out", 0) == 1);
+}
--- a/tests/unit/toucanstand_transport/TestHttpServerStop.cpp
+++ b/tests/unit/toucanstand_transport/TestHttpServerStop.cpp
@@ -1,7 +1,11 @@
+#include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
@@ -134,3 +138,62 @@
   }
   CHECK(stopping.Receive().starts_with("HTTP/1.1 503"));
 }
+
+TEST_CASE("An answer that its caller does not take leaves one line, whatever is written "
+          "after it",
+          "[http]")
+{
+  // Guards against a write that fails later and looks like a caller that left.
+  asio::io_context loop;
+  MetricsRegistry metrics;
+  HttpServerLimits limits;
+  limits.writeTimeout = 100ms;
+  HttpServer server(
+    loop,
+    limits,
+    [](HttpExchange& aExchange) -> Task<> {
+      co_await aExchange.BeginStream(200, {});
+      co_await aExchange.WriteChunk(std::string(32U << 20U, 'x'));
+      co_await aExchange.FinishStream();
+    },
+    metrics);
+  std::vector<std::string> cuts;
+  server.SetCutListener(
+    [&cuts](const CutRequest& aCut) { cuts.push_back(aCut.endedBy); });
+  const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
+  asio::io_context callerLoop;
+  asio::ip::tcp::socket caller(callerLoop);
+  caller.connect({ asio::ip::make_address("127.0.0.1"), endpoint.port });
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  loop.run_for(500ms);
+  CHECK(cuts == std::vector<std::string>{ "write_timeout" });
+}
+
+TEST_CASE("An answer that is written whole is not cut off by the end of a stop", "[stop]")
+{
+  // Guards against a line about a lost request that is not lost.
+  asio::io_context loop;
+  MetricsRegistry metrics;
+  HttpServer server(
+    loop,
+    HttpServerLimits{},
+    [&loop](HttpExchange& aExchange) -> Task<> {
+      co_await Succeed(aExchange);
+      asio::steady_timer work(loop, 200ms);
+      co_await work.async_wait(asio::use_awaitable);
+    },
+    metrics);
+  int cuts = 0;
+  server.SetCutListener([&cuts](const CutRequest&) { ++cuts; });
+  const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
+  asio::io_context callerLoop;
+  asio::ip::tcp::socket caller(callerLoop);
+  caller.connect({ asio::ip::make_address("127.0.0.1"), endpoint.port });
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+  loop.run_for(50ms);
+  CHECK(caller.available() > 0);
+  CHECK(server.CountUnfinished().withoutAnswer == 0);
+  server.AdvanceStop(StopPhase::Over, BootClock::now());
+  loop.run_for(50ms);
+  CHECK(cuts == 0);
+}
