--- a/tests/platform/TestPlannedStopPaused.cpp
+++ b/tests/platform/TestPlannedStopPaused.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr auto kStopPeriod = 4000ms;
+constexpr auto kLongPeriod = 8000ms;
 constexpr auto kEventInterval = 40ms;
 constexpr int kCallers = 24;
 /// Callers send their requests this long before the signal.
@@ -159,7 +160,6 @@
 {
   // Guards against a stop period that is counted from when a late process sees the
   // signal.
-  constexpr auto kLongPeriod = 8000ms;
   constexpr auto kWakesAt = 1300ms;
   // Too late after the signal to be excused, with a deadline beyond the stop period.
   constexpr auto kSentAt = 3200ms;
