--- a/tests/platform/TestPlannedStopLostAnswers.cpp
+++ b/tests/platform/TestPlannedStopLostAnswers.cpp
@@ -83,3 +83,36 @@
                   << ", sent at " << reading.sentAt.count());
   PlaySlowReaders(reading);
 }
+
+TEST_CASE("A large answer is whole although its caller sends on after the process ended",
+          "[.long][stop]")
+{
+  // Guards against a kernel that resets a connection whose process has ended.
+  constexpr int kEvents = 50;
+  constexpr std::size_t kPadding = 50'000;
+  const std::string further =
+    GENERATE(std::string("\r\n"), PlannedStop::StreamRequest("after"));
+  PlannedStop stop(kStopPeriod, kEventInterval * kEvents);
+  stop.ForEachEngine([](BackendServerStandin& aEngine) {
+    aEngine.eventCount = kEvents;
+    aEngine.eventInterval = kEventInterval;
+    aEngine.eventPadding = kPadding;
+  });
+  stop.PlanSignal(1500ms);
+  ParallelCallers callers;
+  CallerConnection caller(stop.server.listenEndpoint, 65536);
+  stop.WaitUntil(-1000ms);
+  REQUIRE(caller.Send(PlannedStop::StreamRequest("slow")));
+  callers.Start([&stop, &caller, &further] {
+    stop.WaitUntil(kStopPeriod + 500ms);
+    caller.Send(further);
+  });
+  callers.Start([&stop] { stop.SendPlannedSignal(); });
+  const auto answer = caller.ReadAnswer(PlannedStop::kPatience, 60ms);
+  callers.WaitForAll();
+  INFO("status " << answer.status << " bytes " << answer.body.size() << " end "
+                 << static_cast<int>(answer.end) << " sent " << further.size());
+  CHECK(answer.isComplete);
+  CHECK((answer.body == BackendServerStandin::CompleteStream(kEvents, kPadding)));
+  CHECK(stop.server.process->Wait() == 1);
+}
