--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -436,6 +436,9 @@
       co_return;
     }
   }
+  if (this->onLastEvent) {
+    this->onLastEvent(attemptId);
+  }
   co_await aExchange.FinishStream();
 }
 
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -128,6 +128,8 @@
   RunStartedHandler onRunStarted;
   /// A run breaks off or stalls, or its answer has a falsified head.
   std::function<void(const std::string& aAttemptId)> onRunFailed;
+  /// An engine has written the last event of a stream.
+  std::function<void(const std::string& aAttemptId)> onLastEvent;
   GroupCompletenessCheck isGroupComplete;
   BackendServerFaults faults;
   std::chrono::milliseconds eventInterval = kEventInterval;
