Watch for a late signal only where a stop uses it, and end a stop once

The record of when the loop ran woke every program ten times a second, though only toucanstand-server shortens its drain by it. A handler that ended the stop while ready handlers ran was followed by one more step, which could count and log the end twice; by reading, in toucanstand-ledger and -groups.

--- a/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
+++ b/modules/toucanstand_transport/lifecycle/ShutdownSequence.cpp
@@ -46,7 +46,9 @@
 {
   std::signal(SIGPIPE, SIG_IGN);
   this->WaitForSignal();
-  this->ArmServingCheck();
+  if (this->periods.signalDelay > Duration::zero()) {
+    this->ArmServingCheck();
+  }
 }
 
 void ShutdownSequence::SetHooks(ShutdownHooks aHooks)
@@ -84,7 +86,10 @@
   if (this->NextPhase(BootClock::now()) != this->phase) {
     this->RunReadyHandlers();
   }
-  this->Advance();
+  // One of them may have ended the stop.
+  if (!this->loop.stopped()) {
+    this->Advance();
+  }
 }
 
 void ShutdownSequence::RunReadyHandlers()
