--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -30,8 +30,8 @@
 constexpr Duration kMaxExitTime = std::chrono::milliseconds(400);
 /// Part of that time in which a process that runs late passes on what servers have sent.
 constexpr int kOverrunDivisor = 2;
-/// Callers of answers that are cut off in the last part of the stop period do not count
-/// as lost: a drain that is shortened for a late signal does not end before it.
+/// A drain that is shortened for a late signal still lasts until this last part of the
+/// stop period: the signal may have come at the end of the time that the loop missed.
 constexpr int kLastPartDivisor = 6;
 /// Minimum Retry-After of requests that a stop rejects: other VMs are ready, or the load
 /// balancer needs a moment to notice.
