Let a group finish its requests when its head is not registered or a member leaves

Callers saw: a head that is cut off from the store, and a group one of whose members leaves, got the order to close and 1.5 s later the order to leave, which cuts all streams that still run. Both are healthy: the head serves without its registration, and a leaving member stays while the head has work.

Cause: both entered the closing phase with GroupRecord's default of 1.5 s; only reassigned groups had the longest timeout under which calls were accepted. Ruled out: reading from the head's reply to the order to close that it has finished; a second order may be answered before that.

Change: both phases begin with the longest timeout. A group still leaves at once when its head has finished or a member is lost; members without a registration are now probed while the group closes, so that a head that dies then does not hold its members.

Before: 2 of 3 new cases of TestGroupLifecycle fail (3 assertions: 16, 8 and 8 orders to leave within 8 s).

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -225,8 +225,10 @@
     return;
   }
   // An unregistered head must not receive requests, and a leaving member ends the group.
+  // The head may be healthy and cut off from the store, and a leaving member stays while
+  // the head has work, so the requests in progress may finish.
   if (head == nullptr || HasLeavingMember(aContext.observed)) {
-    EnterPhase(aRecord, GroupPhase::Closing, aContext.now);
+    BeginDrain(aRecord, aContext.inputs.longestRequest, aContext.now);
     this->StepClosing(aRecord, aContext);
     return;
   }
@@ -249,11 +251,10 @@
   const bool finished =
     head != nullptr && (head->membership->state == MembershipState::Ready ||
                         head->membership->state == MembershipState::Broken);
-  const bool memberLost =
-    std::ranges::any_of(aRecord.members, [this](const ServerId& aMember) {
-      return this->unresponsive.contains(aMember);
-    });
-  if (finished || memberLost ||
+  // A head without a registration does not show that it has finished, so it is probed
+  // until the longest request has ended.
+  const bool alive = this->AreMembersAlive(aRecord, aContext);
+  if (finished || !alive ||
       aContext.now - aRecord.phaseEnteredAt >= aRecord.drainTimeout) {
     this->Retire(aRecord, aContext);
     return;
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -98,8 +98,8 @@
     Endpoint endpoint;
   };
 
-  /// Members of active groups whose registrations expired after the group was complete,
-  /// to be probed for liveness. Valid after Step().
+  /// Members of active and closing groups whose registrations expired after the group was
+  /// complete, to be probed for liveness. Valid after Step().
   [[nodiscard]] const std::vector<EngineAddress>& MembersToProbe() const
   {
     return this->membersToProbe;
--- a/modules/toucanstand_groups/formation/GroupRecord.h
+++ b/modules/toucanstand_groups/formation/GroupRecord.h
@@ -32,10 +32,6 @@
 /// State that the lease holder keeps of one group.
 struct GroupRecord
 {
-  /// Maximum time that a group with a leaving member may take to finish its requests.
-  /// Below 2 s, because the member may exit 2 s after it announced that it leaves.
-  static constexpr Duration kDefaultDrainTimeout = std::chrono::milliseconds(1500);
-
   Generation generation = 0;
   std::string model;
   std::size_t size = 1;
@@ -49,7 +45,8 @@
   std::map<ServerId, Endpoint> endpoints;
   /// All members are known, and all were ready.
   bool wasComplete = false;
-  Duration drainTimeout = kDefaultDrainTimeout;
+  /// Maximum time that a closing group may take to finish its requests.
+  Duration drainTimeout{ 0 };
   /// The model that the engines are reassigned to; empty otherwise. Until the group is
   /// dissolved, the free engines of its domain are reserved for that model.
   std::string reassignedTo;
--- a/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,11 +33,20 @@
   /// Takes the model out of the configuration, as a new version does.
   void RemoveModel() { this->cost.models.erase(this->cost.models.begin()); }
 
-  void Register(MembershipState aHeadState)
+  /// Lets the registration of a member lapse, as when it is cut off from the store.
+  void Unregister(std::size_t aRank)
+  {
+    this->directory.Remove(MemberId(aRank), this->now);
+  }
+
+  /// Registers the members, of which the one with aLeavingRank leaves.
+  void Register(MembershipState aHeadState,
+                std::optional<std::size_t> aLeavingRank = std::nullopt)
   {
     for (std::size_t rank = 0; rank < 2; ++rank) {
       ServerEntry entry;
-      entry.id = ServerId("engine-" + std::to_string(rank));
+      entry.leaving = rank == aLeavingRank;
+      entry.id = MemberId(rank);
       entry.pool = kPool;
       entry.domain = kDomain;
       entry.startedAtUnixMs = 1;
@@ -74,6 +84,11 @@
   std::int64_t sequence = 0;
 
 private:
+  static ServerId MemberId(std::size_t aRank)
+  {
+    return ServerId("engine-" + std::to_string(aRank));
+  }
+
   static std::size_t Count(const std::vector<EngineOrder>& aOrders, OrderKind aKind)
   {
     return static_cast<std::size_t>(
@@ -114,3 +129,37 @@
   CHECK(rig.closes > 0);
   CHECK(rig.Advance(2s) > 0);
 }
+
+TEST_CASE("A group whose head is not registered finishes its longest request", "[groups]")
+{
+  // Guards against streams of a sound head that an order to leave cuts 1.5 s after the
+  // store has removed its registration: an engine that is cut off from the store serves.
+  ServingGroupRig rig;
+  rig.Unregister(0);
+  CHECK(rig.Advance(8s) == 0);
+  CHECK(rig.closes > 0);
+  CHECK(rig.Advance(1s) > 0);
+}
+
+TEST_CASE("A group with a leaving member finishes its longest request", "[groups]")
+{
+  // Guards against streams that an order to leave cuts while the leaving member stays: it
+  // does so as long as the head has work.
+  const std::size_t leaving = GENERATE(0U, 1U);
+  ServingGroupRig rig;
+  rig.Register(MembershipState::Open, leaving);
+  CHECK(rig.Advance(8s) == 0);
+  CHECK(rig.closes > 0);
+  CHECK(rig.Advance(1s) > 0);
+}
+
+TEST_CASE("A group with a leaving member that has finished leaves at once", "[groups]")
+{
+  // Guards against sound members that stay idle until the longest request would have
+  // ended.
+  ServingGroupRig rig;
+  rig.Register(MembershipState::Open, 1);
+  CHECK(rig.Advance(1s) == 0);
+  rig.Register(MembershipState::Ready, 1);
+  CHECK(rig.Advance(kTick) > 0);
+}
