Evacuate an availability zone by an order in the store

Change: ZoneEvacuations holds a VM's copy of the orders, filled from the feed of the store, also by full reads. ServerAvailability has the obstacle Evacuated, and MayBeContacted for all that is no request. Servers of the zone and groups with a member there are no destinations; CallSender asks again before it connects and reports ServerEvacuated, which proves that nothing ran and blames nobody. Tunnels, crash probes, trial connections, orders and probes of group formation obey as well. Group formation leaves the zone's groups and engines as they are and plans with the others.

--- a/modules/toucanstand_admission/limits/ServerAvailability.cpp
+++ b/modules/toucanstand_admission/limits/ServerAvailability.cpp
@@ -10,14 +10,18 @@
 const char* ServerAvailability::Name(Obstacle aObstacle)
 {
   // In the order of the enumeration.
-  constexpr std::array kNames = { "none", "leaving", "retry_after", "rate_limit" };
+  constexpr std::array kNames = {
+    "none", "leaving", "evacuated", "retry_after", "rate_limit"
+  };
   return kNames.at(static_cast<std::size_t>(aObstacle));
 }
 
 ServerAvailability::ServerAvailability(const ServerDirectory& aDirectory,
-                                       const ServerRateLimits& aRateLimits)
+                                       const ServerRateLimits& aRateLimits,
+                                       const ZoneEvacuations& aEvacuations)
   : directory(aDirectory)
   , rateLimits(aRateLimits)
+  , evacuations(aEvacuations)
 {
 }
 
@@ -54,6 +58,12 @@
          this->RemainingWait(aServer, found->second, aNow) > Duration::zero();
 }
 
+bool ServerAvailability::IsEvacuated(const ServerId& aServer) const
+{
+  const auto* entry = this->directory.Find(aServer);
+  return entry != nullptr && this->evacuations.IsEvacuated(entry->zone);
+}
+
 ServerAvailability::Answer ServerAvailability::WhenMayBeSent(const ServerId& aServer,
                                                              TimePoint aNow) const
 {
@@ -61,6 +71,9 @@
   if (entry != nullptr && entry->leaving) {
     return { Obstacle::Leaving, std::nullopt };
   }
+  if (this->IsEvacuated(aServer)) {
+    return { Obstacle::Evacuated, std::nullopt };
+  }
   const auto limited = this->rateLimits.TimeUntilNextRequest(aServer, aNow);
   const auto found = this->waits.find(aServer);
   const auto waiting = found == this->waits.end()
--- a/modules/toucanstand_admission/limits/ServerAvailability.h
+++ b/modules/toucanstand_admission/limits/ServerAvailability.h
@@ -9,15 +9,17 @@
 #include "limits/ServerRateLimits.h"
 #include "serving/ServerDirectory.h"
 #include "serving/ServerRun.h"
+#include "serving/ZoneEvacuations.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
 
 /// Answers when this VM may send a server a request, and if not now, why not.
 ///
-/// It joins what ServerDirectory knows of servers that leave and ServerRateLimits of
-/// their limits with the times for which servers want nothing. Ejection is not part of
-/// it: it prefers other candidates, and forbids none.
+/// It joins what ServerDirectory knows of servers that leave, ZoneEvacuations of zones
+/// whose servers get nothing and ServerRateLimits of their limits with the times for
+/// which servers want nothing. Ejection is not part of it: it prefers other candidates,
+/// and forbids none.
 class ServerAvailability
 {
 public:
@@ -31,6 +33,8 @@
     None,
     /// It finishes what it has.
     Leaving,
+    /// Its availability zone is evacuated.
+    Evacuated,
     /// It wants nothing for a time that it named.
     Waiting,
     /// This VM has used up its share of the server's rate limit.
@@ -39,9 +43,10 @@
 
   [[nodiscard]] static const char* Name(Obstacle aObstacle);
 
-  /// Both must outlive this object.
+  /// All must outlive this object.
   ServerAvailability(const ServerDirectory& aDirectory,
-                     const ServerRateLimits& aRateLimits);
+                     const ServerRateLimits& aRateLimits,
+                     const ZoneEvacuations& aEvacuations);
 
   /// A run of a server wants nothing for this time. It does not shorten a longer one that
   /// the run named before: both were said, and answers overtake each other.
@@ -60,14 +65,23 @@
   /// True while the server wants nothing, orders included.
   [[nodiscard]] bool IsWaiting(const ServerId& aServer, TimePoint aNow) const;
 
+  /// True while the server's zone is evacuated.
+  [[nodiscard]] bool IsEvacuated(const ServerId& aServer) const;
+
+  /// Whether anything may be sent to the server, such as an order or a probe.
+  [[nodiscard]] bool MayBeContacted(const ServerId& aServer, TimePoint aNow) const
+  {
+    return !this->IsEvacuated(aServer) && !this->IsWaiting(aServer, aNow);
+  }
+
   /// A server that must get no request now.
   struct SparedServer
   {
     ServerId server;
     Obstacle obstacle = Obstacle::None;
   };
-  /// Servers that must get no request now although they do not leave: those that leave
-  /// are no destinations.
+  /// Servers that must get no request now although they are destinations: those that
+  /// leave, or whose zone is evacuated, are none.
   [[nodiscard]] std::vector<SparedServer> Spared(TimePoint aNow) const;
 
   /// Forgets times that have ended and runs that are over. Call about once a second.
@@ -90,6 +104,7 @@
 
   const ServerDirectory& directory;
   const ServerRateLimits& rateLimits;
+  const ZoneEvacuations& evacuations;
   std::unordered_map<ServerId, Wait> waits;
 };
 
--- a/modules/toucanstand_delivery/attempts/AttemptFailure.cpp
+++ b/modules/toucanstand_delivery/attempts/AttemptFailure.cpp
@@ -16,7 +16,7 @@
 };
 
 // In the order of AttemptFailure.
-constexpr std::array<FailureTraits, 13> kTraits = { {
+constexpr std::array<FailureTraits, 14> kTraits = { {
   { "connect_refused", true, true, false },
   { "connect_timed_out", true, false, false },
   { "send_broken", false, true, false },
@@ -30,6 +30,7 @@
   { "stopping", false, false, true },
   { "superseded", false, false, true },
   { "no_memory", false, false, true },
+  { "server_evacuated", true, false, true },
 } };
 
 const FailureTraits& TraitsOf(AttemptFailure aFailure)
@@ -47,7 +48,8 @@
 bool FailedToConnect(AttemptFailure aFailure)
 {
   return aFailure == AttemptFailure::ConnectRefused ||
-         aFailure == AttemptFailure::ConnectTimedOut;
+         aFailure == AttemptFailure::ConnectTimedOut ||
+         aFailure == AttemptFailure::ServerEvacuated;
 }
 
 bool IndicatesLostServer(AttemptFailure aFailure)
--- a/modules/toucanstand_delivery/attempts/AttemptFailure.h
+++ b/modules/toucanstand_delivery/attempts/AttemptFailure.h
@@ -27,6 +27,8 @@
   Superseded,
   /// This process had no memory for the response.
   NoMemory,
+  /// The server's availability zone was evacuated before anything was sent.
+  ServerEvacuated,
 };
 
 /// True when no part of the request can have been executed. A connection that breaks
@@ -34,7 +36,7 @@
 /// bytes that it has received.
 [[nodiscard]] bool ProvesNotRun(AttemptFailure aFailure);
 
-/// True when no connection was established, so that the server received no bytes.
+/// True when no connection was used, so that the server received no bytes.
 [[nodiscard]] bool FailedToConnect(AttemptFailure aFailure);
 
 /// True when the failure points to a lost server or connection. Other failures also occur
--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -25,13 +25,18 @@
 {
   PlanContext context{ aInputs,
                        aInputs.directory.GroupsOf(this->pool),
-                       ModelDemand(aInputs, this->CountUsable(aInputs.directory)),
+                       ModelDemand(aInputs, this->CountUsable(aInputs)),
                        aNow };
   this->staging.Update(this->pool, aInputs, aNow);
   this->lifecycle.Step(aInputs, context.observed, aNow);
+  // The groups of an evacuated zone stay as they are, and take no part in the plan.
+  std::erase_if(context.observed, [&aInputs](const auto& aGroup) {
+    return aInputs.IsEvacuated(aGroup.second.members.front()->zone);
+  });
   auto free = this->FreeEngines(aInputs.directory);
   std::erase_if(free, [&aInputs](const ServerEntry* aEntry) {
-    return aInputs.isWaiting && aInputs.isWaiting(aEntry->id);
+    return aInputs.IsEvacuated(aEntry->zone) ||
+           (aInputs.isWaiting && aInputs.isWaiting(aEntry->id));
   });
   if (!aInputs.cost.models.empty()) {
     this->FormGroups(context, free);
@@ -54,11 +59,12 @@
   this->staging.OnReply(aOrder, aReply);
 }
 
-std::size_t FormationController::CountUsable(const ServerDirectory& aDirectory) const
+std::size_t FormationController::CountUsable(const FormationInputs& aInputs) const
 {
   return static_cast<std::size_t>(std::ranges::count_if(
-    aDirectory.Servers() | std::views::values, [this](const ServerEntry& aEntry) {
-      return aEntry.pool == this->pool && this->lifecycle.IsUsable(aEntry);
+    aInputs.directory.Servers() | std::views::values, [&](const ServerEntry& aEntry) {
+      return aEntry.pool == this->pool && !aInputs.IsEvacuated(aEntry.zone) &&
+             this->lifecycle.IsUsable(aEntry);
     }));
 }
 
@@ -178,7 +184,9 @@
                                           const Engines& aFree)
 {
   const bool reassigning = std::ranges::any_of(
-    this->lifecycle.Groups() | std::views::values, &GroupRecord::IsBeingReassigned);
+    this->lifecycle.Groups() | std::views::values, [](const GroupRecord& aRecord) {
+      return aRecord.IsBeingReassigned() && !aRecord.isEvacuated;
+    });
   if (reassigning) {
     return;
   }
@@ -212,8 +220,8 @@
   for (const auto& [id, record] : this->lifecycle.Groups()) {
     const auto* terms = aContext.inputs.cost.FindModel(record.model);
     const auto seen = aContext.observed.find(id);
-    const bool canDonate = record.phase == GroupPhase::Active && terms != nullptr &&
-                           seen != aContext.observed.end() &&
+    const bool canDonate = record.phase == GroupPhase::Active && !record.isEvacuated &&
+                           terms != nullptr && seen != aContext.observed.end() &&
                            seen->second.Head() != nullptr &&
                            record.model != aTarget.name &&
                            this->SupplyRatio(aContext, *terms, -1) >= targetRatioAfter;
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -81,7 +81,7 @@
     TimePoint now;
   };
 
-  [[nodiscard]] std::size_t CountUsable(const ServerDirectory& aDirectory) const;
+  [[nodiscard]] std::size_t CountUsable(const FormationInputs& aInputs) const;
   [[nodiscard]] Engines FreeEngines(const ServerDirectory& aDirectory) const;
 
   /// Present groups of a model divided by its target share; lower means more
--- a/modules/toucanstand_groups/formation/FormationInputs.h
+++ b/modules/toucanstand_groups/formation/FormationInputs.h
@@ -29,6 +29,14 @@
   Duration longestRequest = std::chrono::seconds(8);
   /// True for an engine that wants nothing for now; no group is formed with it.
   std::function<bool(const ServerId&)> isWaiting = nullptr;
+  /// True for a zone that the operator has evacuated: its engines get no orders and count
+  /// neither as engines nor as members of groups.
+  std::function<bool(const ZoneId&)> isEvacuatedZone = nullptr;
+
+  [[nodiscard]] bool IsEvacuated(const ZoneId& aZone) const
+  {
+    return this->isEvacuatedZone && this->isEvacuatedZone(aZone);
+  }
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -45,6 +45,7 @@
 {
   aRecord.head = aHead.id;
   aRecord.headEndpoint = aHead.endpoint;
+  aRecord.zone = aHead.zone;
 }
 
 void RememberMembers(GroupRecord& aRecord, const ObservedGroup& aObservedGroup)
@@ -99,6 +100,10 @@
   this->Adopt(aInputs, aObserved, aNow);
   const ObservedGroup notObserved;
   for (auto& [id, record] : this->groups) {
+    record.isEvacuated = aInputs.IsEvacuated(record.zone);
+    if (record.isEvacuated) {
+      continue;
+    }
     const auto observed = aObserved.find(id);
     const StepContext context{
       id, observed == aObserved.end() ? notObserved : observed->second, aInputs, aNow
@@ -125,6 +130,7 @@
     const auto* terms = aInputs.cost.FindModel(record.model);
     record.size = terms == nullptr ? 0 : terms->groupSize;
     record.phaseEnteredAt = aNow;
+    record.zone = observed.members.front()->zone;
     if (terms == nullptr) {
       BeginDrain(record, aInputs.longestRequest, aNow);
     }
@@ -392,8 +398,9 @@
 {
   return static_cast<std::size_t>(
     std::ranges::count_if(this->groups | std::views::values, [&](const auto& aRecord) {
-      return aRecord.model == aModel && (aRecord.phase == GroupPhase::Forming ||
-                                         aRecord.phase == GroupPhase::Active);
+      return aRecord.model == aModel && !aRecord.isEvacuated &&
+             (aRecord.phase == GroupPhase::Forming ||
+              aRecord.phase == GroupPhase::Active);
     }));
 }
 
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -45,7 +45,8 @@
   /// @param aTerm increases with each lease holder.
   void StartTerm(std::int64_t aTerm);
 
-  /// Adopts groups observed for the first time and advances the state of every group.
+  /// Adopts groups observed for the first time and advances the state of every group
+  /// whose zone is not evacuated.
   void Step(const FormationInputs& aInputs,
             const std::map<GroupId, ObservedGroup>& aObserved,
             TimePoint aNow);
--- a/modules/toucanstand_groups/formation/GroupRecord.h
+++ b/modules/toucanstand_groups/formation/GroupRecord.h
@@ -40,6 +40,9 @@
   /// Set once the head was observed or this process formed the group.
   ServerId head;
   Endpoint headEndpoint;
+  ZoneId zone;
+  /// Its zone is evacuated: the group gets no orders and does not count.
+  bool isEvacuated = false;
   /// Members in order of rank; those of an adopted group that are known.
   std::vector<ServerId> members;
   std::map<ServerId, Endpoint> endpoints;
--- a/programs/toucanstand-server/CallSender.cpp
+++ b/programs/toucanstand-server/CallSender.cpp
@@ -17,6 +17,11 @@
 Task<Result<std::unique_ptr<HttpClientStream>, HttpFailure>> CallSender::Open(
   Target aTarget)
 {
+  if (this->state.availability.IsEvacuated(aTarget.server)) {
+    this->isServerEvacuated = true;
+    this->state.metrics.Count("sends_withheld_total{reason=\"evacuated\"}");
+    co_return HttpFailure::Cancelled;
+  }
   const auto now = BootClock::now();
   const Duration remaining = std::max(this->call.deadline - now, Duration::zero());
   platform::ForwardingParameters terms;
@@ -118,6 +123,9 @@
 
 AttemptFailure CallSender::ClassifyFailure(HttpFailure aFailure) const
 {
+  if (this->isServerEvacuated) {
+    return AttemptFailure::ServerEvacuated;
+  }
   if (this->call.exchange.CallerGone()) {
     return AttemptFailure::CallerLeft;
   }
--- a/programs/toucanstand-server/CallSender.h
+++ b/programs/toucanstand-server/CallSender.h
@@ -46,7 +46,7 @@
   };
 
   /// Sends the request and reads the head of the response, limited by the deadline of
-  /// the call.
+  /// the call. Sends nothing if the server's zone was evacuated since it was chosen.
   Task<Result<std::unique_ptr<HttpClientStream>, HttpFailure>> Open(Target aTarget);
 
   /// Reads the rest of a response within kMaxResponseBytes and the memory budget.
@@ -89,6 +89,7 @@
   /// No wait for the server is extended any more.
   bool areWaitsFinal = false;
   bool hasNoMemory = false;
+  bool isServerEvacuated = false;
 };
 
 } // namespace toucanstand
--- a/programs/toucanstand-server/CrashDetector.cpp
+++ b/programs/toucanstand-server/CrashDetector.cpp
@@ -39,6 +39,9 @@
 
 void CrashDetector::OnConnectionBroke(const ServerId& aServer, const Endpoint& aEndpoint)
 {
+  if (this->state.availability.IsEvacuated(aServer)) {
+    return;
+  }
   const bool isNew =
     this->breaks
       .insert_or_assign(aServer,
@@ -73,6 +76,10 @@
     timer.expires_after(
       std::max(series.NextProbeAt() - BootClock::now(), Duration::zero()));
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (this->state.availability.IsEvacuated(aServer)) {
+      conclusion = CrashConclusion::Unknown;
+      break;
+    }
     observation.outcome = co_await this->state.engineClient.Probe(aServer, aEndpoint);
     observation.reachesOthers = this->state.paths.HasConnectedSince(aBreak.at);
     if (observation.outcome == ProbeOutcome::Refused && !observation.reachesOthers) {
@@ -91,7 +98,7 @@
 {
   std::vector<ServerEntry> others;
   for (const auto& entry : this->state.directory.Servers() | std::views::values) {
-    if (entry.id != aExcept) {
+    if (entry.id != aExcept && !this->state.availability.IsEvacuated(entry.id)) {
       others.push_back(entry);
     }
   }
--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -95,6 +95,9 @@
                           this->state.longestRequests.at(aPool),
                           [this, aNow](const ServerId& aServer) {
                             return this->state.availability.IsWaiting(aServer, aNow);
+                          },
+                          [this](const ZoneId& aZone) {
+                            return this->state.evacuations.IsEvacuated(aZone);
                           } };
   auto& controller = this->ControllerOf(aPool);
   for (auto& order : controller.Plan(inputs, aNow)) {
@@ -135,7 +138,7 @@
   for (const auto& [pool, controller] : this->controllers) {
     for (const auto& server : controller.UnresponsiveEngines()) {
       const auto* entry = this->state.directory.Find(server);
-      if (entry != nullptr && !this->state.availability.IsWaiting(server, aNow)) {
+      if (entry != nullptr && this->state.availability.MayBeContacted(server, aNow)) {
         asio::co_spawn(this->state.loop,
                        this->ProbeMember(pool, server, entry->endpoint),
                        asio::detached);
@@ -158,7 +161,7 @@
 
 Task<> GroupCoordinator::SendOrder(PoolId aPool, EngineOrder aOrder)
 {
-  if (this->state.availability.IsWaiting(aOrder.server, BootClock::now())) {
+  if (!this->state.availability.MayBeContacted(aOrder.server, BootClock::now())) {
     // The controller repeats what has no effect.
     co_return;
   }
@@ -202,7 +205,7 @@
     const auto entry = std::next(servers.begin(), position)->second;
     const bool answers =
       entry.id != aExcept && entry.membership &&
-      !this->state.availability.IsWaiting(entry.id, BootClock::now()) &&
+      this->state.availability.MayBeContacted(entry.id, BootClock::now()) &&
       co_await this->state.engineClient.Probe(entry.id, entry.endpoint) ==
         ProbeOutcome::Answered;
     if (answers) {
@@ -228,7 +231,8 @@
     return now - aProbed.second > kMinProbeInterval;
   });
   for (const auto& entry : this->state.directory.Servers() | std::views::values) {
-    if (entry.membership && entry.membership->group == aGroup) {
+    if (entry.membership && entry.membership->group == aGroup &&
+        !this->state.availability.IsEvacuated(entry.id)) {
       asio::co_spawn(this->state.loop,
                      this->ProbeMember(entry.pool, entry.id, entry.endpoint),
                      asio::detached);
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -269,15 +269,13 @@
     proxies.push_back({ peer.endpoint, peer.cpuShare });
   }
   paths.SetProxies(std::move(proxies));
-  const auto& servers = this->state.directory.Servers();
-  if (!servers.empty() && paths.TakeTrial(aNow)) {
-    const auto position =
-      static_cast<std::ptrdiff_t>(this->state.random.Below(servers.size()));
-    asio::co_spawn(
-      this->loop,
-      this->state.backendClient.TryDirectConnection(
-        std::next(servers.begin(), position)->second.endpoint, kTrialTimeout),
-      asio::detached);
+  if (paths.TakeTrial(aNow)) {
+    if (const auto server = this->state.PickContactableServer(aNow)) {
+      asio::co_spawn(
+        this->loop,
+        this->state.backendClient.TryDirectConnection(*server, kTrialTimeout),
+        asio::detached);
+    }
   }
   if (this->wasCutOff != paths.IsCutOff()) {
     this->wasCutOff = paths.IsCutOff();
@@ -468,6 +466,7 @@
            { "prompt_part_quarantine", this->state.promptPartQuarantine.Describe(now) },
            { "rate_limits", this->state.rateLimits.Describe(now) },
            { "waiting_servers", this->state.availability.Describe(now) },
+           { "evacuated_zones", this->state.evacuations.Describe(now) },
            { "retry_budget", this->state.retryBudget.Describe() },
            { "log_lines_left_out", this->state.log.LeftOut() } };
 }
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -35,10 +35,12 @@
 }
 
 /// Converts a group to a destination; returns nothing while a registered member is
-/// leaving or not yet ready. A member whose registration has expired may still be alive,
-/// so the group stays in use until its streams stall or the leader closes it.
+/// leaving or not yet ready, or in an evacuated zone. A member whose registration has
+/// expired may still be alive, so the group stays in use until its streams stall or the
+/// leader closes it.
 std::optional<ServingGroup> ToServingGroup(const ObservedGroup& aGroup,
-                                           const EngineCostModel& aCost)
+                                           const EngineCostModel& aCost,
+                                           const ZoneEvacuations& aEvacuations)
 {
   const auto model = ModelOfGroup(aGroup.id);
   const auto* head = aGroup.Head();
@@ -46,12 +48,13 @@
       head->membership->state != MembershipState::Open) {
     return std::nullopt;
   }
-  const bool allMembersReady =
-    std::ranges::all_of(aGroup.members, [&aGroup](const ServerEntry* aMember) {
-      return !aMember->leaving && aMember->membership->generation == aGroup.generation &&
+  const bool allMembersUsable =
+    std::ranges::all_of(aGroup.members, [&](const ServerEntry* aMember) {
+      return !aMember->leaving && !aEvacuations.IsEvacuated(aMember->zone) &&
+             aMember->membership->generation == aGroup.generation &&
              aMember->membership->state != MembershipState::Joining;
     });
-  if (!allMembersReady) {
+  if (!allMembersUsable) {
     return std::nullopt;
   }
   return ServingGroup{ aGroup.id, model, head->id, head->endpoint, head->zone };
@@ -72,7 +75,7 @@
   , responseMemory(this->settings.memoryBytes / kResponseMemoryDivisor)
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
-  , availability(this->directory, this->rateLimits)
+  , availability(this->directory, this->rateLimits, this->evacuations)
   , paths(Random(this->random.Engine()()))
   , backendClient(aLoop, this->metrics, UnframedBody::EndsWithConnection)
   , engineClient(aLoop, this->metrics)
@@ -118,6 +121,13 @@
   this->RefreshServices(aNow);
 }
 
+void ServingState::OnEvacuationsChanged(TimePoint aNow)
+{
+  this->metrics.Set("zones_evacuated", static_cast<double>(this->evacuations.Count()));
+  this->destinationsRevision.reset();
+  this->RefreshDestinations(aNow);
+}
+
 void ServingState::RefreshGroups(const ServingPool& aPool)
 {
   auto found = this->placements.find(aPool.id);
@@ -130,7 +140,7 @@
   }
   std::vector<ServingGroup> groups;
   for (const auto& group : this->directory.GroupsOf(aPool.id) | std::views::values) {
-    if (auto servable = ToServingGroup(group, *aPool.engine)) {
+    if (auto servable = ToServingGroup(group, *aPool.engine, this->evacuations)) {
       groups.push_back(std::move(*servable));
     }
   }
@@ -146,7 +156,8 @@
   view.configurationRevision = this->configuration->Version();
   for (const auto& entry : this->directory.Servers() | std::views::values) {
     const auto* pool = this->configuration->FindPool(entry.pool);
-    if (entry.leaving || pool == nullptr || pool->engine) {
+    const bool isUsable = !entry.leaving && !this->evacuations.IsEvacuated(entry.zone);
+    if (!isUsable || pool == nullptr || pool->engine) {
       continue;
     }
     Candidate candidate;
@@ -272,7 +283,7 @@
   };
   if (const auto* cost = this->FindCostModel(aCall.pool)) {
     for (const auto& group : this->directory.GroupsOf(aCall.pool) | std::views::values) {
-      const auto servable = ToServingGroup(group, *cost);
+      const auto servable = ToServingGroup(group, *cost, this->evacuations);
       if (servable && servable->model == aCall.facts.model) {
         consider(servable->head);
       }
@@ -309,6 +320,19 @@
     [&aPool](const auto& aEntry) { return aEntry.pool == aPool && aEntry.leaving; });
 }
 
+std::optional<Endpoint> ServingState::PickContactableServer(TimePoint aNow)
+{
+  std::vector<Endpoint> endpoints;
+  for (const auto& entry : this->directory.Servers() | std::views::values) {
+    if (this->availability.MayBeContacted(entry.id, aNow)) {
+      endpoints.push_back(entry.endpoint);
+    }
+  }
+  return endpoints.empty()
+           ? std::nullopt
+           : std::optional(endpoints[this->random.Below(endpoints.size())]);
+}
+
 void ServingState::OnRunEnded(const RequestId& aRun,
                               const Destination& aDestination,
                               std::optional<AttemptFailure> aFailure)
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -27,6 +27,7 @@
 #include "routing/Router.h"
 #include "serving/ServerDirectory.h"
 #include "serving/ServingConfiguration.h"
+#include "serving/ZoneEvacuations.h"
 
 namespace toucanstand {
 
@@ -54,6 +55,9 @@
   void UpdateUnseenRequests(const std::map<std::string, double>& aPeerDemand,
                             Duration aAge);
 
+  /// Applies that a zone was evacuated or taken back to the possible destinations.
+  void OnEvacuationsChanged(TimePoint aNow);
+
   /// Logs that this VM was cut off from the backend servers or reaches them again.
   /// Failures that the cut explains no longer count against the servers.
   void OnPathsChanged();
@@ -87,6 +91,10 @@
   [[nodiscard]] std::string DescribeSpared(const PoolId& aPool, TimePoint aNow) const;
   [[nodiscard]] std::int64_t CountLeaving(const PoolId& aPool) const;
 
+  /// Picks a registered server at random to which a connection may be opened; nothing if
+  /// there is none.
+  [[nodiscard]] std::optional<Endpoint> PickContactableServer(TimePoint aNow);
+
   /// The calls whose answers take about as long as that of this call.
   [[nodiscard]] AnswerDurations::Kind KindOf(const Call& aCall) const;
 
@@ -139,6 +147,7 @@
   CrashQuarantine quarantine;
   PromptPartQuarantine promptPartQuarantine;
   ServerRateLimits rateLimits;
+  ZoneEvacuations evacuations;
   ServerAvailability availability;
   WorkMeter workMeter;
   /// Ways from this VM to the backend servers.
--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 #include "platform/ConfigurationReader.h"
+#include "platform/EvacuationKey.h"
 #include "platform/ServerEntryReader.h"
 
 namespace toucanstand {
@@ -65,6 +67,8 @@
     isNew = this->ApplyServerEntry(*server, aChange);
   } else if (platform::IsServerKey(aChange.key)) {
     this->CountUnreadableEntry(aChange, platform::ServerEntryFailure::InvalidId);
+  } else if (platform::IsEvacuationKey(aChange.key)) {
+    isNew = this->ApplyEvacuation(aChange);
   } else if (aChange.key.starts_with(kSystemKeyPrefix)) {
     this->systemKeyListener(aChange);
   } else {
@@ -194,6 +198,62 @@
   return this->state.directory.Put(std::move(*entry));
 }
 
+bool StoreSynchronizer::ApplyEvacuation(const StoreChange& aChange)
+{
+  const auto zone = platform::EvacuatedZoneFromKey(aChange.key);
+  if (!zone) {
+    this->state.metrics.Count("evacuations_unreadable_total");
+    this->state.log.Write(LogWeight::Notable,
+                          "evacuation_rejected",
+                          { { "key", aChange.key.substr(0, kMaxLoggedKeyBytes) } });
+    return true;
+  }
+  const auto now = BootClock::now();
+  if (aChange.value) {
+    if (!this->state.evacuations.Begin(*zone, now)) {
+      return false;
+    }
+    this->state.metrics.Count("zone_evacuations_total");
+    this->state.log.Write(
+      LogWeight::Notable,
+      "zone_evacuated",
+      { { "zone", zone->Value() }, { "revision", RevisionText(aChange.revision) } });
+    if (this->state.hasReadServers) {
+      this->CheckEvacuation(*zone);
+    }
+  } else {
+    const auto lasted = this->state.evacuations.End(*zone, now);
+    if (!lasted) {
+      return false;
+    }
+    this->state.log.Write(LogWeight::Notable,
+                          "zone_taken_back",
+                          { { "zone", zone->Value() },
+                            { "evacuated_ms", ToMilliseconds(*lasted).count() },
+                            { "revision", RevisionText(aChange.revision) } });
+  }
+  this->state.OnEvacuationsChanged(now);
+  return true;
+}
+
+void StoreSynchronizer::CheckEvacuation(const ZoneId& aZone)
+{
+  std::set<ZoneId> zones;
+  std::ranges::transform(this->state.directory.Servers() | std::views::values,
+                         std::inserter(zones, zones.end()),
+                         &ServerEntry::zone);
+  const bool isUnknown = !zones.contains(aZone);
+  if (!isUnknown && !this->state.evacuations.AreAllEvacuated(zones)) {
+    return;
+  }
+  this->state.metrics.Count("evacuations_doubtful_total");
+  this->state.log.Write(
+    LogWeight::Warning,
+    "evacuation_doubtful",
+    { { "zone", aZone.Value() },
+      { "reason", isUnknown ? "no_server_in_zone" : "all_zones_evacuated" } });
+}
+
 void StoreSynchronizer::CountUnreadableEntry(const StoreChange& aChange,
                                              platform::ServerEntryFailure aFailure)
 {
@@ -234,6 +294,10 @@
     std::ranges::stable_sort(this->changesToPush, {}, &StoreChange::revision);
     this->PushChanges();
   }
+  if (isFirst) {
+    std::ranges::for_each(this->state.evacuations.Zones(),
+                          [this](const ZoneId& aZone) { this->CheckEvacuation(aZone); });
+  }
   this->state.log.Write(LogWeight::Notable,
                         "store_read_whole",
                         { { "keys", static_cast<std::int64_t>(aKeys.size()) },
--- a/programs/toucanstand-server/StoreSynchronizer.h
+++ b/programs/toucanstand-server/StoreSynchronizer.h
@@ -77,6 +77,12 @@
   bool ApplyConfiguration(const std::string& aText, StoreRevision aRevision);
   /// @returns false for a heartbeat that changes nothing
   bool ApplyServerEntry(const ServerId& aServer, const StoreChange& aChange);
+  /// Applies that the operator evacuated a zone or took it back.
+  /// @returns false if that was known
+  bool ApplyEvacuation(const StoreChange& aChange);
+  /// Logs an evacuation that the operator may not have meant: of a zone without servers,
+  /// or of all zones.
+  void CheckEvacuation(const ZoneId& aZone);
   /// Counts and logs a registration that names no server to use.
   void CountUnreadableEntry(const StoreChange& aChange,
                             platform::ServerEntryFailure aFailure);
--- a/programs/toucanstand-server/TunnelService.cpp
+++ b/programs/toucanstand-server/TunnelService.cpp
@@ -55,9 +55,13 @@
 std::optional<TunnelService::Rejection> TunnelService::Check(
   const std::optional<Endpoint>& aServer)
 {
-  if (!aServer || !this->IsRegistered(*aServer)) {
+  const auto* server = aServer ? this->FindServer(*aServer) : nullptr;
+  if (server == nullptr) {
     return Rejection{ 404, "unknown_server" };
   }
+  if (this->state.evacuations.IsEvacuated(server->zone)) {
+    return Rejection{ 503, "evacuated" };
+  }
   if (this->draining) {
     return Rejection{ 503, "stopping" };
   }
@@ -68,11 +72,11 @@
                                           : std::nullopt;
 }
 
-bool TunnelService::IsRegistered(const Endpoint& aServer) const
+const ServerEntry* TunnelService::FindServer(const Endpoint& aEndpoint) const
 {
-  return std::ranges::any_of(
-    this->state.directory.Servers() | std::views::values,
-    [&aServer](const ServerEntry& aEntry) { return aEntry.endpoint == aServer; });
+  const auto servers = this->state.directory.Servers() | std::views::values;
+  const auto found = std::ranges::find(servers, aEndpoint, &ServerEntry::endpoint);
+  return found == servers.end() ? nullptr : &*found;
 }
 
 Task<std::optional<HttpFailure>> TunnelService::Connect(tcp::socket& aSocket,
--- a/programs/toucanstand-server/TunnelService.h
+++ b/programs/toucanstand-server/TunnelService.h
@@ -36,7 +36,8 @@
   };
 
   [[nodiscard]] std::optional<Rejection> Check(const std::optional<Endpoint>& aServer);
-  [[nodiscard]] bool IsRegistered(const Endpoint& aServer) const;
+  /// Null if no server is registered with the endpoint.
+  [[nodiscard]] const ServerEntry* FindServer(const Endpoint& aEndpoint) const;
   /// @returns the failure; nothing if the socket is connected
   Task<std::optional<HttpFailure>> Connect(boost::asio::ip::tcp::socket& aSocket,
                                            Endpoint aServer);
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -88,11 +88,18 @@
   this->onRegistrationChanged(this->RegistrationText());
 }
 
+void BackendServerStandin::Place(const std::string& aZone)
+{
+  this->zone = aZone;
+  this->domain = this->domain.empty() ? "" : "domain-of-" + aZone;
+  this->onRegistrationChanged(this->RegistrationText());
+}
+
 std::string BackendServerStandin::RegistrationText() const
 {
   json entry = { { "Service", this->service },
                  { "Address", this->advertised.value_or(this->endpoint).Text() },
-                 { "Zone", "zone-a" },
+                 { "Zone", this->zone },
                  { "Version", "v1" },
                  { "Slots", 8 },
                  { "State", this->registrationState },
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -134,6 +134,9 @@
   [[nodiscard]] bool IsOpenHead() const { return this->groupState == "open"; }
   [[nodiscard]] bool IsAlive() const { return this->alive; }
 
+  /// Moves the server to a zone and, if it is an engine, to a fabric domain of its own.
+  /// Call it before any VM has read the registration.
+  void Place(const std::string& aZone);
   void SetDraining();
   /// Registers as another run of this server, as after a restart.
   void RegisterAnotherRun();
@@ -201,6 +204,7 @@
   std::string id;
   std::string service;
   std::string domain;
+  std::string zone = "zone-a";
   std::string registrationState = "ready";
   int openStreams = 0;
   std::unique_ptr<HttpServer> server;
--- a/tests/unit/toucanstand_admission/TestServerAvailability.cpp
+++ b/tests/unit/toucanstand_admission/TestServerAvailability.cpp
@@ -27,6 +27,7 @@
     ServerEntry entry;
     entry.id = ServerId(aServer);
     entry.startedAtUnixMs = aStart;
+    entry.zone = ZoneId("zone-" + std::string(aServer));
     this->directory.Put(entry);
   }
 
@@ -43,7 +44,8 @@
 
   ServerDirectory directory;
   ServerRateLimits limits;
-  ServerAvailability availability{ directory, limits };
+  ZoneEvacuations evacuations;
+  ServerAvailability availability{ directory, limits, evacuations };
 };
 
 } // namespace
@@ -151,3 +153,19 @@
   CHECK(servers.Ask(0ms).obstacle == Obstacle::Leaving);
   CHECK(!servers.Ask(0ms).wait);
 }
+
+TEST_CASE("Nothing is sent to the servers of an evacuated zone", "[availability]")
+{
+  // Guards against requests, orders and probes that reach a zone which the operator has
+  // emptied, and against servers of other zones that are left out.
+  Fixture servers;
+  servers.evacuations.Begin(ZoneId("zone-a"), kStart);
+  CHECK(servers.Ask(0ms).obstacle == Obstacle::Evacuated);
+  CHECK_FALSE(servers.Ask(0ms).wait.has_value());
+  CHECK_FALSE(servers.availability.MayBeContacted(ServerId("a"), kStart));
+  CHECK(servers.Ask(0ms, "b").obstacle == Obstacle::None);
+  CHECK(servers.availability.MayBeContacted(ServerId("b"), kStart));
+  servers.evacuations.End(ZoneId("zone-a"), kStart + 1s);
+  CHECK(servers.Ask(1s).obstacle == Obstacle::None);
+  CHECK(servers.availability.MayBeContacted(ServerId("a"), kStart + 1s));
+}
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -311,6 +311,61 @@
   CHECK(std::ranges::count(orders, OrderKind::Join, &EngineOrder::kind) == 2);
 }
 
+TEST_CASE("A plan during an evacuation uses the engines of the other zones only",
+          "[formation]")
+{
+  // Guards against orders to engines of an evacuated zone, against groups that end there
+  // although they will serve again, and against a mix of models that counts them. The
+  // leader changes once meanwhile.
+  ServerDirectory directory;
+  for (const std::string zone : { "a", "b" }) {
+    for (std::size_t number = 1; number <= 8; ++number) {
+      auto entry = FreeEngine(zone + std::to_string(number), zone, { "large" });
+      entry.zone = ZoneId(zone);
+      if (zone == "a" && number <= 4) {
+        // Its last member has no registration any more.
+        entry.membership =
+          GroupMembership{ GroupIdFor("large", 1),
+                           1,
+                           number - 1,
+                           number == 1 ? MembershipState::Open : MembershipState::Ready };
+      }
+      directory.Put(entry);
+    }
+  }
+  directory.Remove(ServerId("a4"), TimePoint{ seconds(99) });
+  const auto cost = TwoModels(1);
+  bool isEvacuated = true;
+  FormationInputs inputs{ directory, cost, {}, true };
+  inputs.isEvacuatedZone = [&isEvacuated](const ZoneId& aZone) {
+    return isEvacuated && aZone == ZoneId("a");
+  };
+  FormationController controller(PoolId("engines"));
+  TimePoint now{ seconds(100) };
+  std::size_t joins = 0;
+  for (int tick = 0; tick < 40; ++tick) {
+    if (tick % 20 == 0) {
+      controller.StartTerm(tick + 1);
+    }
+    for (const auto& order : controller.Plan(inputs, now)) {
+      CHECK(order.server.Value().starts_with("b"));
+      joins += order.kind == OrderKind::Join ? 1 : 0;
+    }
+    now += std::chrono::milliseconds(200);
+  }
+  CHECK(joins > 0);
+  CHECK(controller.Summary().find("a=") == std::string::npos);
+  CHECK(controller.MembersToProbe().empty());
+
+  isEvacuated = false;
+  bool ordersToZone = false;
+  for (const auto& order : controller.Plan(inputs, now)) {
+    ordersToZone = ordersToZone || order.server.Value().starts_with("a");
+    CHECK(order.kind != OrderKind::Leave);
+  }
+  CHECK(ordersToZone);
+}
+
 TEST_CASE("An engine with an unanswered join order is not given to another group",
           "[formation]")
 {
