--- a/modules/toucanstand_world/serving/ZoneEvacuations.h
+++ b/modules/toucanstand_world/serving/ZoneEvacuations.h
@@ -40,8 +40,6 @@
                                                      TimePoint aNow) const;
 
   [[nodiscard]] std::vector<ZoneId> Zones() const;
-  [[nodiscard]] std::size_t Count() const { return this->zones.size(); }
-
   /// Whether none of the zones may be used.
   [[nodiscard]] bool AreAllEvacuated(const std::set<ZoneId>& aZones) const;
 
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -123,7 +123,6 @@
 
 void ServingState::OnEvacuationsChanged(TimePoint aNow)
 {
-  this->metrics.Set("zones_evacuated", static_cast<double>(this->evacuations.Count()));
   this->destinationsRevision.reset();
   this->RefreshDestinations(aNow);
 }
