Reject a request whose last transfer coding is not chunked

Cause: the parser takes a body with Transfer-Encoding gzip, identity or 'chunked, gzip' for empty and its bytes for the next request; RFC 9112, section 6.3, asks for 400 and a close. ReadRequest did not look.

Before: the new case of TestHttp fails for all four codings (12 of 12 assertions).

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -50,6 +50,13 @@
   aResponse.keep_alive(!aClose);
 }
 
+/// Whether no end of the body is known. The parser takes it for empty then, and what
+/// follows for further requests.
+bool HasUnknownFraming(const http::request_parser<http::string_body>& aParser)
+{
+  return aParser.get().count(http::field::transfer_encoding) > 0 && !aParser.chunked();
+}
+
 /// Returns a request without its body.
 HttpRequest ReadHead(const http::request<http::string_body>& aMessage)
 {
@@ -273,6 +280,11 @@
     co_await this->RejectUnread(headError);
     co_return false;
   }
+  if (HasUnknownFraming(parser)) {
+    co_await this->RejectMalformed(
+      400, "malformed_request", "the last transfer coding must be chunked");
+    co_return false;
+  }
   if (!parser.is_done()) {
     // Names the request in the log if its body does not come to its end.
     this->request = ReadHead(parser.get());
