Move the streams of a group that loses a member where they can go on elsewhere

Since a group whose head has no registration, or that has a leaving member, waits for its longest request.

Change: after 1.5 s the head is ordered to leave as before if all calls to the pool may be resumed, in every configuration so far, and another group of the model serves; the VMs then go on with the streams there. With no other group, or with calls that can't be moved, the group finishes its longest request as since.

Ruled out: the head's own report (not read today), a shorter drain for all (it cuts streams of a healthy group).

--- a/modules/toucanstand_groups/formation/FormationInputs.h
+++ b/modules/toucanstand_groups/formation/FormationInputs.h
@@ -27,6 +27,8 @@
   Duration headStallTimeout = std::chrono::seconds(5);
   /// Longest time that a request may take.
   Duration longestRequest = std::chrono::seconds(8);
+  /// Whether each request that runs on a group can go on at another group of its model.
+  bool canMoveRequests = false;
   /// True for an engine that wants nothing for now; no group is formed with it.
   std::function<bool(const ServerId&)> isWaiting = nullptr;
   /// True for a zone that the operator has evacuated: its engines get no orders and count
--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -235,6 +235,7 @@
   // the head has work, so the requests in progress may finish.
   if (head == nullptr || HasLeavingMember(aContext.observed)) {
     BeginDrain(aRecord, aContext.inputs.longestRequest, aContext.now);
+    aRecord.hasLostMember = true;
     this->StepClosing(aRecord, aContext);
     return;
   }
@@ -260,7 +261,7 @@
   // A head without a registration does not show that it has finished, so it is probed
   // until the longest request has ended.
   const bool alive = this->AreMembersAlive(aRecord, aContext);
-  if (finished || !alive ||
+  if (finished || !alive || this->MayMoveRequests(aRecord, aContext) ||
       aContext.now - aRecord.phaseEnteredAt >= aRecord.drainTimeout) {
     this->Retire(aRecord, aContext);
     return;
@@ -313,6 +314,19 @@
   }
 }
 
+bool GroupLifecycle::MayMoveRequests(const GroupRecord& aRecord,
+                                     const StepContext& aContext) const
+{
+  // The closing group itself is not counted.
+  return aRecord.hasLostMember && aContext.inputs.canMoveRequests &&
+         aContext.now - aRecord.phaseEnteredAt >= kMoveDelay &&
+         std::ranges::any_of(
+           this->groups | std::views::values, [&aRecord](const GroupRecord& aOther) {
+             return aOther.model == aRecord.model && aOther.phase == GroupPhase::Active &&
+                    aOther.wasComplete && !aOther.isEvacuated;
+           });
+}
+
 bool GroupLifecycle::IsUsable(const ServerEntry& aEntry) const
 {
   return !aEntry.leaving && !this->unresponsive.contains(aEntry.id);
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -35,6 +35,10 @@
   static constexpr Duration kUnresponsiveRetryInterval = std::chrono::milliseconds(2000);
   /// Time that an adopted group whose head does not serve has to become complete.
   static constexpr Duration kAdoptionGrace = std::chrono::milliseconds(2500);
+  /// Time that a group which is about to lose its head or a member has for its requests
+  /// before those that still run are moved to other groups of the model. Its engines are
+  /// needed for the group that replaces it.
+  static constexpr Duration kMoveDelay = std::chrono::milliseconds(1500);
   /// Added to `headStallTimeout`, to allow for the delivery of the order that made the
   /// member leave.
   static constexpr Duration kStallSlack = std::chrono::milliseconds(300);
@@ -131,6 +135,9 @@
   void StepDissolved(GroupRecord& aRecord, const StepContext& aContext);
   void Retire(GroupRecord& aRecord, const StepContext& aContext);
 
+  /// Whether the requests of a closing group may be moved to other groups.
+  [[nodiscard]] bool MayMoveRequests(const GroupRecord& aRecord,
+                                     const StepContext& aContext) const;
   [[nodiscard]] bool IsComplete(const GroupRecord& aRecord,
                                 const StepContext& aContext) const;
   /// Whether every member is registered in the group, or is unregistered but answers
--- a/modules/toucanstand_groups/formation/GroupRecord.h
+++ b/modules/toucanstand_groups/formation/GroupRecord.h
@@ -50,6 +50,8 @@
   bool wasComplete = false;
   /// Maximum time that a closing group may take to finish its requests.
   Duration drainTimeout{ 0 };
+  /// It closes because of its head or a member, so that requests may go on elsewhere.
+  bool hasLostMember = false;
   /// The model that the engines are reassigned to; empty otherwise. Until the group is
   /// dissolved, the free engines of its domain are reserved for that model.
   std::string reassignedTo;
--- a/modules/toucanstand_world/serving/ServingConfiguration.cpp
+++ b/modules/toucanstand_world/serving/ServingConfiguration.cpp
@@ -30,6 +30,9 @@
     for (const auto& share : route.pools) {
       auto& longest = this->longestTimeouts[share.pool];
       longest = std::max(longest, route.timeout);
+      if (route.kind != CallKind::Stream || !route.isResumable) {
+        this->poolsWithUnmovableCalls.insert(share.pool);
+      }
     }
     this->routesByHost[LowerCase(route.host)].push_back(std::move(route));
   }
--- a/modules/toucanstand_world/serving/ServingConfiguration.h
+++ b/modules/toucanstand_world/serving/ServingConfiguration.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "contracts/Contract.h"
@@ -113,6 +114,13 @@
   /// Longest time that a call to the pool may take; zero if no route leads to it.
   [[nodiscard]] Duration LongestTimeoutOf(const PoolId& aPool) const;
 
+  /// Whether a route sends the pool calls that can't go on at another server once they
+  /// run.
+  [[nodiscard]] bool HasUnmovableCalls(const PoolId& aPool) const
+  {
+    return this->poolsWithUnmovableCalls.contains(aPool);
+  }
+
   /// True when calls of routes that are not public need an API key.
   [[nodiscard]] bool NeedsKeys() const { return this->keys.has_value(); }
   [[nodiscard]] const KeyHolder* FindKey(const std::string& aKey) const;
@@ -123,6 +131,7 @@
   std::unordered_map<std::string, std::vector<ServingRoute>> routesByHost;
   std::vector<ServingPool> pools;
   std::unordered_map<PoolId, Duration> longestTimeouts;
+  std::unordered_set<PoolId> poolsWithUnmovableCalls;
   std::optional<std::unordered_map<std::string, KeyHolder>> keys;
   CallerLimits limits;
   std::size_t routeCount = 0;
--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -93,6 +93,7 @@
                           this->state.workMeter.HasSeenRequests(),
                           this->state.settings.headStall,
                           this->state.longestRequests.at(aPool),
+                          !this->state.poolsWithUnmovableCalls.contains(aPool),
                           [this, aNow](const ServerId& aServer) {
                             return this->state.availability.IsWaiting(aServer, aNow);
                           },
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -102,6 +102,9 @@
   for (const auto& pool : this->configuration->Pools()) {
     auto& longest = this->longestRequests[pool.id];
     longest = std::max(longest, this->configuration->LongestTimeoutOf(pool.id));
+    if (this->configuration->HasUnmovableCalls(pool.id)) {
+      this->poolsWithUnmovableCalls.insert(pool.id);
+    }
   }
   this->destinationsRevision.reset();
   return true;
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -140,6 +141,9 @@
   /// Longest time that a call to a pool may take, in this or an earlier configuration:
   /// calls keep the one under which they were accepted.
   std::map<PoolId, Duration> longestRequests;
+  /// Pools with calls that can't go on at another server, in this or an earlier
+  /// configuration.
+  std::set<PoolId> poolsWithUnmovableCalls;
   ServerDirectory directory;
   std::map<PoolId, GroupPlacement> placements;
   Router router;
--- a/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
@@ -42,17 +42,33 @@
   /// Registers the members, of which the one with aLeavingRank leaves.
   void Register(MembershipState aHeadState,
                 std::optional<std::size_t> aLeavingRank = std::nullopt)
+  {
+    this->RegisterGroup(this->group, "engine-", aHeadState, aLeavingRank);
+  }
+
+  /// Adds another group of the model, which serves.
+  void AddGroup()
+  {
+    this->RegisterGroup(
+      GroupIdFor(kModel, 2), "other-", MembershipState::Open, std::nullopt);
+    this->Advance(kTick);
+  }
+
+  void RegisterGroup(const GroupId& aGroup,
+                     const std::string& aPrefix,
+                     MembershipState aHeadState,
+                     std::optional<std::size_t> aLeavingRank)
   {
     for (std::size_t rank = 0; rank < 2; ++rank) {
       ServerEntry entry;
       entry.leaving = rank == aLeavingRank;
-      entry.id = MemberId(rank);
+      entry.id = ServerId(aPrefix + std::to_string(rank));
       entry.pool = kPool;
       entry.domain = kDomain;
       entry.startedAtUnixMs = 1;
       entry.sequence = { ++this->sequence };
       entry.membership = GroupMembership{
-        this->group, 1, rank, rank == 0 ? aHeadState : MembershipState::Ready
+        aGroup, 1, rank, rank == 0 ? aHeadState : MembershipState::Ready
       };
       this->directory.Put(entry);
     }
@@ -77,7 +93,7 @@
   std::size_t closes = 0;
   EngineCostModel cost;
   ServerDirectory directory;
-  FormationInputs inputs{ this->directory, this->cost, {}, true, 5s, 8s, nullptr };
+  FormationInputs inputs{ this->directory, this->cost, {}, true, 5s, 8s, false };
   GroupLifecycle lifecycle;
   GroupId group = GroupIdFor(kModel, 1);
   TimePoint now{ 1h };
@@ -163,3 +179,21 @@
   rig.Register(MembershipState::Ready, 1);
   CHECK(rig.Advance(kTick) > 0);
 }
+
+TEST_CASE("Requests of a group that loses a member are moved where that is possible",
+          "[groups]")
+{
+  // Guards against engines that wait for streams which could go on elsewhere, and against
+  // streams that are cut as they can't, or as no other group of the model serves.
+  const bool canMove = GENERATE(true, false);
+  const bool hasOtherGroup = GENERATE(true, false);
+  ServingGroupRig rig;
+  rig.inputs.canMoveRequests = canMove;
+  if (hasOtherGroup) {
+    rig.AddGroup();
+  }
+  rig.Register(MembershipState::Open, 1);
+  CHECK(rig.Advance(GroupLifecycle::kMoveDelay - kTick) == 0);
+  const auto leaves = rig.Advance(8s - GroupLifecycle::kMoveDelay);
+  CHECK((leaves > 0) == (canMove && hasOtherGroup));
+}
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -212,11 +212,11 @@
   // 6.3: without chunked as its last transfer coding the body has no known end.
   const std::string coding = GENERATE("gzip", "identity", "chunked, gzip", "");
   Fixture fixture;
-  const auto reply = fixture.Raw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " +
-                                 coding +
-                                 "\r\n\r\n"
-                                 "POST /hidden HTTP/1.1\r\nHost: a\r\n"
-                                 "Content-Length: 6\r\n\r\nhidden");
+  const auto reply =
+    fixture.Raw("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n"
+                "POST /hidden HTTP/1.1\r\nHost: a\r\n"
+                "Content-Length: 6\r\n\r\nhidden");
   CHECK(reply.starts_with("HTTP/1.1 400"));
   CHECK(reply.find("Toucanstand-Outcome: not-run") != std::string::npos);
   CHECK(reply.find("HTTP/1.1", 1) == std::string::npos);
