Apply the limits in force to a request on a kept connection

Cause: ReadRequest set the parser's limits before it waited for the first byte of the next request. They are now set when that byte has come.

Before: the new case of TestHttp fails in both directions.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -262,17 +262,18 @@
 
 Task<bool> HttpSession::ReadRequest()
 {
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(this->context->limits.headerBytes));
-  parser.body_limit(this->context->limits.bodyBytes);
-  // The size line of a chunk and the trailers, which the parser does not limit.
-  this->buffer.max_size(kFirstRead + 2 * this->context->limits.headerBytes);
-
   this->httpVersion = kHttp11;
   this->headOnly = false;
   if (!co_await this->AwaitFirstByte()) {
     co_return false;
   }
+  // A connection may be idle for long: the limits are those in force when the request
+  // comes.
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(this->context->limits.headerBytes));
+  parser.body_limit(this->context->limits.bodyBytes);
+  // The size line of a chunk and the trailers, which the parser does not limit.
+  this->buffer.max_size(kFirstRead + 2 * this->context->limits.headerBytes);
   this->stream.expires_after(this->context->limits.headerTimeout);
   auto [headError, headBytes] =
     co_await http::async_read_header(this->stream, this->buffer, parser, kAwait);
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -222,6 +223,46 @@
   CHECK(reply.find("HTTP/1.1", 1) == std::string::npos);
 }
 
+TEST_CASE("A kept connection obeys the limits in force when its request comes", "[http]")
+{
+  // Guards against a proper request that is rejected for the limits of an earlier
+  // configuration, and against one beyond the limits that is let in.
+  const std::size_t before = GENERATE(100U, 1000U);
+  const std::size_t after = 1100U - before;
+  Fixture fixture;
+  fixture.limits.bodyBytes = before;
+  HttpServer server(fixture.loop, fixture.limits, Echo, fixture.metrics);
+  const auto endpoint = *server.Listen({ "127.0.0.1", 0 });
+  std::string reply;
+  RunUntilDone(fixture.loop, [&]() -> Task<> {
+    asio::ip::tcp::socket socket(fixture.loop);
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address(endpoint.address),
+                                         endpoint.port);
+    co_await socket.async_connect(remote, asio::use_awaitable);
+    const std::string first =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nfirst";
+    co_await asio::async_write(socket, asio::buffer(first), asio::use_awaitable);
+    co_await asio::async_read_until(
+      socket, asio::dynamic_buffer(reply), "first", asio::use_awaitable);
+    reply.clear();
+    // The session waits for its next request before the limits change.
+    asio::steady_timer timer(fixture.loop, 20ms);
+    co_await timer.async_wait(asio::use_awaitable);
+    fixture.limits.bodyBytes = after;
+    server.SetLimits(fixture.limits);
+    const std::string second = "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+                               "Content-Length: 500\r\n\r\n" +
+                               std::string(500, 'x');
+    co_await asio::async_write(socket, asio::buffer(second), asio::use_awaitable);
+    boost::system::error_code error;
+    co_await asio::async_read(socket,
+                              asio::dynamic_buffer(reply),
+                              asio::redirect_error(asio::use_awaitable, error));
+  }());
+  server.Abort();
+  CHECK(reply.starts_with(after >= 500 ? "HTTP/1.1 200" : "HTTP/1.1 413"));
+}
+
 TEST_CASE("Line ends before a request are ignored", "[http]")
 {
   // Guards against rejecting the request after one that a caller closed with a line end,
