Resume the phase of a group when its zone is taken back

Seen in review: a group that was closing or forming when its zone was evacuated ended in the first plan after the zone was taken back. A closing head without the order to close accepts requests again at once, and the order to leave cut them; a group whose members had become ready meanwhile was dissolved instead of opened.

Cause: GroupLifecycle skips the records of an evacuated zone, and the time of the evacuation counted towards the drain, the formation and the grace of adopted groups.

Change: the phase begins again when the zone is taken back. Ruled out: closing such groups during the evacuation, because no order may be sent.

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -100,10 +100,17 @@
   this->Adopt(aInputs, aObserved, aNow);
   const ObservedGroup notObserved;
   for (auto& [id, record] : this->groups) {
-    record.isEvacuated = aInputs.IsEvacuated(record.zone);
+    const bool wasEvacuated =
+      std::exchange(record.isEvacuated, aInputs.IsEvacuated(record.zone));
     if (record.isEvacuated) {
       continue;
     }
+    if (wasEvacuated) {
+      // No order was sent during the evacuation, so the phase could not make progress. A
+      // head that has not executed the order to close accepts requests again, and would
+      // cut them if its drain counted as over.
+      EnterPhase(record, record.phase, aNow);
+    }
     const auto observed = aObserved.find(id);
     const StepContext context{
       id, observed == aObserved.end() ? notObserved : observed->second, aInputs, aNow
--- a/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
@@ -44,13 +44,8 @@
                 std::optional<std::size_t> aLeavingRank = std::nullopt)
   {
     for (std::size_t rank = 0; rank < 2; ++rank) {
-      ServerEntry entry;
+      auto entry = this->MakeEntry(rank);
       entry.leaving = rank == aLeavingRank;
-      entry.id = MemberId(rank);
-      entry.pool = kPool;
-      entry.domain = kDomain;
-      entry.startedAtUnixMs = 1;
-      entry.sequence = { ++this->sequence };
       entry.membership = GroupMembership{
         this->group, 1, rank, rank == 0 ? aHeadState : MembershipState::Ready
       };
@@ -58,6 +53,14 @@
     }
   }
 
+  /// Evacuates the zone of the group or takes it back.
+  void Evacuate(bool aIsEvacuated)
+  {
+    this->inputs.isEvacuatedZone = [aIsEvacuated](const ZoneId& /*aZone*/) {
+      return aIsEvacuated;
+    };
+  }
+
   /// Lets the time pass. @returns the orders to leave that were given
   std::size_t Advance(Duration aTime)
   {
@@ -69,12 +72,41 @@
       const auto orders = this->lifecycle.TakeOrders();
       leaves += Count(orders, OrderKind::Leave);
       this->closes += Count(orders, OrderKind::Close);
+      this->opens += Count(orders, OrderKind::Open);
     }
     return leaves;
   }
 
-  /// Orders to close that were given.
+  /// Forms a group of two free engines.
+  void FormSecondGroup()
+  {
+    for (const std::size_t rank : { 2, 3 }) {
+      this->directory.Put(this->MakeEntry(rank));
+    }
+    this->lifecycle.Form(
+      kModel,
+      { this->directory.Find(MemberId(2)), this->directory.Find(MemberId(3)) },
+      this->now);
+  }
+
+  /// Registers the members of that group as ready.
+  void RegisterSecondGroup()
+  {
+    const auto& [id, record] =
+      *std::ranges::find_if(this->lifecycle.Groups(), [](const auto& aGroup) {
+        return aGroup.second.generation > 1;
+      });
+    for (const std::size_t rank : { 2, 3 }) {
+      auto entry = this->MakeEntry(rank);
+      entry.membership =
+        GroupMembership{ id, record.generation, rank - 2, MembershipState::Ready };
+      this->directory.Put(entry);
+    }
+  }
+
+  /// Orders to close and to open that were given.
   std::size_t closes = 0;
+  std::size_t opens = 0;
   EngineCostModel cost;
   ServerDirectory directory;
   FormationInputs inputs{ this->directory, this->cost, {}, true, 5s, 8s, nullptr };
@@ -84,6 +116,18 @@
   std::int64_t sequence = 0;
 
 private:
+  /// A registration without membership.
+  ServerEntry MakeEntry(std::size_t aNumber)
+  {
+    ServerEntry entry;
+    entry.id = MemberId(aNumber);
+    entry.pool = kPool;
+    entry.domain = kDomain;
+    entry.startedAtUnixMs = 1;
+    entry.sequence = { ++this->sequence };
+    return entry;
+  }
+
   static ServerId MemberId(std::size_t aRank)
   {
     return ServerId("engine-" + std::to_string(aRank));
@@ -163,3 +207,37 @@
   rig.Register(MembershipState::Ready, 1);
   CHECK(rig.Advance(kTick) > 0);
 }
+
+TEST_CASE("A group that was closing when its zone was evacuated finishes its requests",
+          "[groups]")
+{
+  // Guards against streams that an order to leave cuts right after the zone is taken
+  // back: the head has not got the order to close, so it accepts requests again.
+  ServingGroupRig rig;
+  rig.Unregister(0);
+  rig.Advance(kTick);
+  REQUIRE(rig.closes > 0);
+  rig.Evacuate(true);
+  rig.Register(MembershipState::Open);
+  rig.closes = 0;
+  CHECK(rig.Advance(20s) == 0);
+  CHECK(rig.closes == 0);
+  rig.Evacuate(false);
+  CHECK(rig.Advance(8s) == 0);
+  CHECK(rig.closes > 0);
+  CHECK(rig.Advance(1s) > 0);
+}
+
+TEST_CASE("A group that formed when its zone was evacuated opens after it", "[groups]")
+{
+  // Guards against members that are ready and have to leave when the zone is taken back,
+  // because the time of the evacuation counts as time of the formation.
+  ServingGroupRig rig;
+  rig.FormSecondGroup();
+  rig.Evacuate(true);
+  rig.Advance(60s);
+  rig.RegisterSecondGroup();
+  rig.Evacuate(false);
+  CHECK(rig.Advance(1s) == 0);
+  CHECK(rig.opens > 0);
+}
