Stage weights while a group in an evacuated zone is forming

Seen in review: engines of the other zones got no weights of a second model during an evacuation, so that none could be reassigned to it.

Cause: no weights are staged for reassignment while a group forms, and a group that formed when its zone was evacuated stays in that phase until the zone is taken back.

Before: the new case of TestFormationController fails (no order to stage). After: 45 cases of test_toucanstand_groups pass (12,125 assertions).

--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -377,8 +377,9 @@
 void FormationController::StageForReassignment(const PlanContext& aContext)
 {
   const bool forming = std::ranges::any_of(
-    this->lifecycle.Groups() | std::views::values,
-    [](const GroupRecord& aRecord) { return aRecord.phase == GroupPhase::Forming; });
+    this->lifecycle.Groups() | std::views::values, [](const GroupRecord& aRecord) {
+      return aRecord.phase == GroupPhase::Forming && !aRecord.isEvacuated;
+    });
   if (forming) {
     return;
   }
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -366,6 +366,43 @@
   CHECK(ordersToZone);
 }
 
+TEST_CASE("A group that formed when its zone was evacuated does not hold up the others",
+          "[formation]")
+{
+  // Guards against engines of the other zones that get no weights of a second model, and
+  // so can't be reassigned, until the zone is taken back.
+  ServerDirectory directory;
+  for (const std::string zone : { "a", "b" }) {
+    for (std::size_t number = 1; number <= 4; ++number) {
+      auto entry = FreeEngine(zone + std::to_string(number), zone, { "large" });
+      entry.zone = ZoneId(zone);
+      if (zone == "b") {
+        entry.membership =
+          GroupMembership{ GroupIdFor("large", 1),
+                           1,
+                           number - 1,
+                           number == 1 ? MembershipState::Open : MembershipState::Ready };
+      }
+      directory.Put(entry);
+    }
+  }
+  const auto cost = TwoModels(1);
+  bool isEvacuated = false;
+  FormationInputs inputs{ directory, cost, {}, true };
+  inputs.isEvacuatedZone = [&isEvacuated](const ZoneId& aZone) {
+    return isEvacuated && aZone == ZoneId("a");
+  };
+  FormationController controller(PoolId("engines"));
+  controller.StartTerm(1);
+  TimePoint now{ seconds(100) };
+  const auto formed = controller.Plan(inputs, now);
+  REQUIRE(std::ranges::count(formed, OrderKind::Join, &EngineOrder::kind) == 4);
+  isEvacuated = true;
+  now += std::chrono::milliseconds(200);
+  const auto orders = controller.Plan(inputs, now);
+  CHECK(std::ranges::count(orders, OrderKind::Stage, &EngineOrder::kind) == 1);
+}
+
 TEST_CASE("An engine with an unanswered join order is not given to another group",
           "[formation]")
 {
