Ask only servers outside evacuated zones whether this VM reaches any

Seen in review, by reading: before the leader of group formation believes that an engine is lost, it has to reach another server, and tries three at random. Servers of evacuated zones used up tries without being asked. With two of three equal zones evacuated, all three tries are lost in 8 of 27 cases, and the lost engine is replaced one retry later.

Change: the servers of evacuated zones are not drawn. Without an evacuation the draw is the same as before. Not tested by itself: the draw is random, and GroupCoordinator has no unit test.

--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -1,7 +1,7 @@
 #include "GroupCoordinator.h"
 
-#include <iterator>
 #include <ranges>
+#include <vector>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -196,13 +196,17 @@
 {
   constexpr int kTries = 3;
   for (int attempt = 0; attempt < kTries; ++attempt) {
-    const auto& servers = this->state.directory.Servers();
+    // Servers of evacuated zones would use up the tries.
+    std::vector<const ServerEntry*> servers;
+    for (const auto& server : this->state.directory.Servers() | std::views::values) {
+      if (!this->state.evacuations.IsEvacuated(server.zone)) {
+        servers.push_back(&server);
+      }
+    }
     if (servers.empty()) {
       co_return false;
     }
-    const auto position =
-      static_cast<std::ptrdiff_t>(this->state.random.Below(servers.size()));
-    const auto entry = std::next(servers.begin(), position)->second;
+    const auto entry = *servers[this->state.random.Below(servers.size())];
     const bool answers =
       entry.id != aExcept && entry.membership &&
       this->state.availability.MayBeContacted(entry.id, BootClock::now()) &&
