Count an order that names no zone once, not again when it is deleted

Seen in review: evacuations_unreadable_total and evacuation_rejected rose by two when the operator wrote a wrong key and deleted it.

Before: the new case of TestZoneEvacuation fails.

--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -202,6 +202,9 @@
 {
   const auto zone = platform::EvacuatedZoneFromKey(aChange.key);
   if (!zone) {
+    if (!aChange.value) {
+      return true;
+    }
     this->state.metrics.Count("evacuations_unreadable_total");
     this->state.log.Write(LogWeight::Notable,
                           "evacuation_rejected",
--- a/tests/platform/TestZoneEvacuation.cpp
+++ b/tests/platform/TestZoneEvacuation.cpp
@@ -143,6 +143,21 @@
   CHECK(fixture.SendRequests().contains(kZone));
 }
 
+TEST_CASE("An order that names no zone is counted once", "[evacuation]")
+{
+  // Guards against a count that suggests a second wrong order when the operator has
+  // deleted the first one.
+  Fixture fixture({ "vm-1" });
+  fixture.Evacuate("");
+  fixture.TakeBack("");
+  fixture.Evacuate(kZone);
+  fixture.WaitForEvacuatedZones(1);
+  auto& vm = *fixture.vms.front();
+  const auto metrics = vm.caller.Call(vm.operatorEndpoint, "GET", "/metrics");
+  REQUIRE(metrics.HasValue());
+  CHECK(metrics->body.find("evacuations_unreadable_total 1\n") != std::string::npos);
+}
+
 TEST_CASE("Requests are refused as not run while all zones are evacuated", "[evacuation]")
 {
   // Guards against requests that wait for servers which must get nothing, and against a
