Accept less urgent requests only while urgent ones would meet their objective

Cause: GroupPlacement rejected by the predicted first event alone, in order of arrival. Kinds with a long objective were always accepted, urgent ones rejected.

Placement now predicts and chooses, and returns the outlook (earliest first event, lowest occupancy, margin) with its choice; PriorityAdmission decides. With one priority at a model the decision is the earlier one (property test). The refusal cases of TestGroupPlacement moved with the rule: the simulations there apply the earlier formula to the outlook, and TestPriorityAdmission compares the new class with the same formula.

Run: test_toucanstand_admission, _routing, _programs pass.

--- a/modules/toucanstand_admission/toucanstand_admission.h
+++ b/modules/toucanstand_admission/toucanstand_admission.h
@@ -5,3 +5,4 @@
 #include "admission/AdmissionController.h"
 #include "admission/AdmissionSettings.h"
 #include "admission/Arrival.h"
+#include "priority/PriorityAdmission.h"
--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -44,18 +44,11 @@
 /// Upper bound of the margin. Without it, slow answers while a group is being repaired
 /// would raise the margin so far that requests are refused.
 constexpr double kMaxMargin = 1.6;
-/// Refused callers retry no earlier than after one pass of a full group.
-constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
 /// About the time until the loss of a group is detected and the group is formed again.
 constexpr Duration kNoGroupRetryDelay = std::chrono::milliseconds(1000);
 
 } // namespace
 
-const char* Name(PlacementRefusalReason aReason)
-{
-  return aReason == PlacementRefusalReason::NoGroup ? "no_group" : "overloaded";
-}
-
 GroupPlacement::GroupPlacement(ZoneId aOwnZone, Random aRandom)
   : ownZone(std::move(aOwnZone))
   , random(aRandom)
@@ -190,7 +183,7 @@
     estimates, model == this->models.end() ? 0.0 : model->second.unreportedPeerRequests);
 }
 
-Result<PlacementChoice, RefusedPlacement> GroupPlacement::Choose(
+Result<PlacementChoice, NoEligibleGroup> GroupPlacement::Choose(
   const PlacementQuery& aQuery,
   TimePoint aNow)
 {
@@ -199,35 +192,12 @@
     choices = this->EligibleGroups(aQuery, AvoidedGroups::Include, aNow);
   }
   if (choices.empty()) {
-    return RefusedPlacement{
-      PlacementRefusalReason::NoGroup, kNoGroupRetryDelay, 0, {}, {}
-    };
+    return NoEligibleGroup{ kNoGroupRetryDelay };
   }
   auto distribution = this->DistributeUnreportedRequests(choices, aQuery.model);
-  // The decision to refuse ignores requests that peers may have sent but not reported. On
-  // average they fill the group with the earliest prediction, yet most of the time that
-  // group is still free.
-  const auto earliest =
-    std::ranges::min(choices, {}, &PlacementChoice::predicted).predicted;
-  const auto limit =
-    FromSeconds(ToSeconds(aQuery.firstEventTarget) *
-                std::min(kMaxTargetShare, 1.0 / this->models[aQuery.model].margin));
-  const auto slotCount = static_cast<double>(this->cost.slots);
-  // While slots are free, a long prompt that cannot meet its target on any group is not
-  // refused, because it displaces no other request.
-  const bool slotsFree =
-    std::ranges::any_of(choices, [slotCount](const PlacementChoice& aChoice) {
-      return aChoice.backlog.prefillRequests + aChoice.backlog.decodeRequests <
-             slotCount * kLowOccupancyShare;
-    });
-  if (earliest > limit && !slotsFree && !aQuery.mustPlace) {
-    return RefusedPlacement{ PlacementRefusalReason::Overloaded,
-                             std::max(earliest - limit, kMinRetryDelay),
-                             choices.size(),
-                             earliest,
-                             limit };
-  }
+  const auto outlook = this->OutlookFor(choices, aQuery.model);
   auto choice = std::move(choices[this->DrawGroup(choices, distribution)]);
+  choice.outlook = outlook;
   const auto unreportedDelay =
     std::max(distribution.commonTime - choice.predicted, Duration::zero());
   choice.modelled += unreportedDelay;
@@ -235,6 +205,22 @@
   return choice;
 }
 
+PlacementOutlook GroupPlacement::OutlookFor(const std::vector<PlacementChoice>& aChoices,
+                                            const std::string& aModel)
+{
+  const auto taken = [](const PlacementChoice& aChoice) {
+    return aChoice.backlog.prefillRequests + aChoice.backlog.decodeRequests;
+  };
+  // Requests that peers may have sent but not reported are left out. On average they fill
+  // the group with the earliest prediction, yet most of the time that group is still
+  // free.
+  return { aChoices.size(),
+           std::ranges::min(aChoices, {}, &PlacementChoice::predicted).predicted,
+           std::ranges::min(aChoices | std::views::transform(taken)) /
+             static_cast<double>(this->cost.slots),
+           this->models[aModel].margin };
+}
+
 std::size_t GroupPlacement::DrawGroup(const std::vector<PlacementChoice>& aChoices,
                                       const ArrivalDistribution& aDistribution)
 {
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -36,20 +36,27 @@
 {
   std::string model;
   double promptTokens = 0;
-  /// Target for the time to the first event.
-  Duration firstEventTarget{ 0 };
   /// Groups that must not be chosen, such as those already tried.
   std::vector<GroupId> excluded;
   /// Heads that must get no request now.
   std::vector<ServerId> excludedServers;
-  /// Place the request even if no group is predicted to meet the target, for example
-  /// because its stream has already begun.
-  bool mustPlace = false;
   /// The caller has a part of the stream. It is rather continued on a suspected group
   /// than broken off.
   bool isResumed = false;
 };
 
+/// What the eligible groups offer a request, for the decision whether to accept it.
+struct PlacementOutlook
+{
+  std::size_t groups = 0;
+  /// Earliest predicted first event.
+  Duration earliest{ 0 };
+  /// Share of slots taken on the emptiest group; above 1 when requests wait.
+  double lowestOccupancy = 0;
+  /// Ratio of observed to predicted times that most requests of the model do not exceed.
+  double margin = 1.0;
+};
+
 /// The group chosen for a request, with the prediction behind the choice.
 struct PlacementChoice
 {
@@ -58,29 +65,14 @@
   Duration modelled{ 0 };
   Duration predicted{ 0 };
   GroupBacklog backlog;
+  PlacementOutlook outlook;
 };
 
-/// Why a request was not placed.
-enum class PlacementRefusalReason
-{
-  /// No group of the model can be chosen: there is none, or all are excluded or avoided.
-  NoGroup,
-  /// No group is predicted to meet the target for the first event.
-  Overloaded,
-};
-
-[[nodiscard]] const char* Name(PlacementRefusalReason aReason);
-
-/// A refused request, with the time after which capacity is expected.
-struct RefusedPlacement
+/// No group of the model can be chosen: there is none, or all are excluded or avoided.
+struct NoEligibleGroup
 {
-  PlacementRefusalReason reason = PlacementRefusalReason::NoGroup;
+  /// Time after which a group is expected.
   Duration retryAfter{ 0 };
-  /// Number of groups that were eligible, the earliest prediction among them and the
-  /// longest prediction allowed.
-  std::size_t consideredGroups = 0;
-  Duration earliestPrediction{ 0 };
-  Duration predictionLimit{ 0 };
 };
 
 /// How a request on a group ended.
@@ -112,12 +104,6 @@
 class GroupPlacement
 {
 public:
-  /// Maximum share of the target time that a prediction may use, however accurate
-  /// predictions are.
-  static constexpr double kMaxTargetShare = 0.85;
-  /// No request is refused as overloaded while an eligible group has a smaller share of
-  /// its slots taken than this.
-  static constexpr double kLowOccupancyShare = 0.5;
   /// Age up to which a peer's report is used; peers report ten times a second.
   static constexpr Duration kPeerReportLifetime = std::chrono::milliseconds(1000);
   /// Time after arrival for which the load that a server states in an answer is used. On
@@ -156,7 +142,8 @@
   /// Replaces the set of groups. The state of groups that remain is kept.
   void Update(const std::vector<ServingGroup>& aGroups);
 
-  [[nodiscard]] Result<PlacementChoice, RefusedPlacement> Choose(
+  /// Chooses a group, however late its first event is predicted.
+  [[nodiscard]] Result<PlacementChoice, NoEligibleGroup> Choose(
     const PlacementQuery& aQuery,
     TimePoint aNow);
 
@@ -299,6 +286,8 @@
   [[nodiscard]] ArrivalDistribution DistributeUnreportedRequests(
     const std::vector<PlacementChoice>& aChoices,
     const std::string& aModel) const;
+  [[nodiscard]] PlacementOutlook OutlookFor(const std::vector<PlacementChoice>& aChoices,
+                                            const std::string& aModel);
   /// Draws a group at random, weighted by the unreported requests expected on it.
   /// @return its index.
   [[nodiscard]] std::size_t DrawGroup(const std::vector<PlacementChoice>& aChoices,
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -23,6 +23,7 @@
   : state(aState)
   , call(aCall)
   , placement(*aState.FindPlacement(aCall.pool))
+  , admission(aState, aCall)
   , progress(aState, aCall)
   , framer(aCall.facts.lastEventId,
            aCall.route->isResumable ? EventIds::Required : EventIds::Optional)
@@ -98,14 +99,11 @@
     return Refusal{ "stopping", this->state.stopRetryAfter };
   }
   auto choice = this->placement.Choose(this->MakePlacementQuery(), aNow);
-  if (!choice) {
-    auto delay = choice.LastReason();
-    if (delay.reason == PlacementRefusalReason::NoGroup) {
-      delay.retryAfter =
-        std::max(delay.retryAfter, this->state.TimeUntilAvailable(this->call, aNow));
-    }
-    this->LogRefusal(delay);
-    return Refusal{ Name(delay.reason), delay.retryAfter };
+  // A retried call takes precedence over a new one: its stream may have started, or it
+  // has already waited for a group that failed.
+  const bool mustPlace = !this->triedGroups.empty();
+  if (auto refusal = this->admission.Decide(choice, mustPlace, aNow)) {
+    return refusal;
   }
   this->attempts.SetCurrent(this->MakeAttempt(std::move(*choice)));
   return std::nullopt;
@@ -122,14 +120,10 @@
   PlacementQuery query;
   query.model = this->call.facts.model;
   query.promptTokens = this->call.facts.promptTokens;
-  query.firstEventTarget = this->call.route->targetLatency;
   query.excluded = this->triedGroups;
   std::ranges::transform(this->state.availability.Spared(BootClock::now()),
                          std::back_inserter(query.excludedServers),
                          &ServerAvailability::SparedServer::server);
-  // A retried call takes precedence over a new one: its stream may have started, or it
-  // has already waited for a group that failed.
-  query.mustPlace = !this->triedGroups.empty();
   query.isResumed = this->progress.responseStarted;
   return query;
 }
@@ -188,7 +182,6 @@
   }
   auto query = this->MakePlacementQuery();
   query.excluded.push_back(this->attempts.Current().Group());
-  query.mustPlace = true;
   // A group that is suspected itself is no better than this one.
   query.isResumed = false;
   auto choice = this->placement.Choose(query, aNow);
@@ -397,21 +390,4 @@
   return { count, count - this->eventsBeforeAttempt };
 }
 
-void GenerationCall::LogRefusal(const RefusedPlacement& aDelay)
-{
-  this->state.log.Write(
-    LogWeight::Notable,
-    "placement_refused",
-    { { "request", this->call.facts.id.Value() },
-      { "model", this->call.facts.model },
-      { "reason", Name(aDelay.reason) },
-      { "groups", static_cast<std::int64_t>(aDelay.consideredGroups) },
-      { "soonest_ms", ToMilliseconds(aDelay.earliestPrediction).count() },
-      { "limit_ms", ToMilliseconds(aDelay.predictionLimit).count() },
-      { "spared", this->state.DescribeSpared(this->call.pool, BootClock::now()) },
-      { "leaving", this->state.CountLeaving(this->call.pool) },
-      { "prompt_tokens", this->call.facts.promptTokens },
-      { "retry_after_ms", ToMilliseconds(aDelay.retryAfter).count() } });
-}
-
 } // namespace toucanstand
--- a/programs/toucanstand-server/GenerationCall.h
+++ b/programs/toucanstand-server/GenerationCall.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "Call.h"
+#include "CallAdmission.h"
 #include "CallAttempts.h"
 #include "CallProgress.h"
 #include "CallSender.h"
@@ -41,12 +42,7 @@
   Task<CallResult> Run();
 
 private:
-  /// Why a call is given up.
-  struct Refusal
-  {
-    std::string reason;
-    Duration retryAfter{ 0 };
-  };
+  using Refusal = CallRefusal;
 
   Task<CallResult> Serve();
   /// Begins the next attempt, or goes on with the one beside the last.
@@ -66,7 +62,6 @@
   /// @returns false if they can't reach the caller
   Task<bool> PassOn(const std::string& aEvents, bool aHasNewEvents);
   Task<bool> ForwardEvents(const std::string& aEvents);
-  void LogRefusal(const RefusedPlacement& aDelay);
   [[nodiscard]] PlacementQuery MakePlacementQuery() const;
   [[nodiscard]] CallSender::Target MakeTarget(const GenerationAttempt& aAttempt);
   /// Limits a timeout to the deadline of the call.
@@ -86,6 +81,7 @@
   ServingState& state;
   Call& call;
   GroupPlacement& placement;
+  CallAdmission admission;
   CallProgress progress;
   EventFramer framer;
   std::vector<GroupId> triedGroups;
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -24,6 +24,7 @@
 #include "paths/BackendPaths.h"
 #include "placement/GroupPlacement.h"
 #include "platform/EngineClient.h"
+#include "priority/PriorityAdmission.h"
 #include "routing/Router.h"
 #include "serving/ServerDirectory.h"
 #include "serving/ServingConfiguration.h"
@@ -150,6 +151,7 @@
   ZoneEvacuations evacuations;
   ServerAvailability availability;
   WorkMeter workMeter;
+  PriorityAdmission admission;
   /// Ways from this VM to the backend servers.
   BackendPaths paths;
   HttpClient backendClient;
--- a/programs/toucanstandctl/RequestTimeline.cpp
+++ b/programs/toucanstandctl/RequestTimeline.cpp
@@ -25,13 +25,25 @@
            : "";
 }
 
+/// The more urgent requests that the request yielded to; logs of earlier builds name
+/// none.
+std::string FormatYield(const LogLine& aLine)
+{
+  const bool yields =
+    aLine.fields.contains("yields_to") && aLine.IntegerOrZero("yields_to") >= 0;
+  return yields ? " (of priority " + aLine.Text("priority") + ", yielding to priority " +
+                    aLine.Text("yields_to") + ")"
+                : "";
+}
+
 std::string FormatPlacementRefusal(const LogLine& aLine)
 {
   return "not placed (" + aLine.Text("reason") + "): the earliest of " +
          aLine.Text("groups") + " groups was predicted to produce the first event in " +
          aLine.Text("soonest_ms") + " ms, the limit was " + aLine.Text("limit_ms") +
-         " ms; prompt of " + aLine.Text("prompt_tokens") + " tokens, retry advised in " +
-         aLine.Text("retry_after_ms") + " ms or slightly later" + FormatSpared(aLine);
+         " ms" + FormatYield(aLine) + "; prompt of " + aLine.Text("prompt_tokens") +
+         " tokens, retry advised in " + aLine.Text("retry_after_ms") +
+         " ms or slightly later" + FormatSpared(aLine);
 }
 
 std::string FormatRouteRefusal(const LogLine& aLine)
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -14,8 +14,8 @@
                                    TOUCANSTAND_SOURCE_DIRECTORY="${CMAKE_SOURCE_DIR}")
 target_link_libraries(
   test_toucanstand_programs
-  PRIVATE toucanstand_configuration toucanstand_delivery toucanstand_groups toucanstand_ledger
-          toucanstand_membership toucanstand_transport)
+  PRIVATE toucanstand_admission toucanstand_configuration toucanstand_delivery toucanstand_groups
+          toucanstand_ledger toucanstand_membership toucanstand_routing toucanstand_transport)
 add_test(NAME unit/programs COMMAND test_toucanstand_programs)
 set_tests_properties(unit/programs PROPERTIES LABELS unit TIMEOUT 120)
 
--- a/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
+++ b/tests/unit/toucanstand_routing/TestGroupPlacement.cpp
@@ -59,10 +59,23 @@
   PlacementQuery query;
   query.model = "m";
   query.promptTokens = aTokens;
-  query.firstEventTarget = milliseconds(500);
   return query;
 }
 
+constexpr auto kTarget = milliseconds(500);
+
+/// Longest prediction with which the admission accepts a request while its model has one
+/// priority; TestPriorityAdmission compares it with the same formula.
+Duration Limit(const PlacementOutlook& aOutlook, Duration aTarget = kTarget)
+{
+  return FromSeconds(ToSeconds(aTarget) * std::min(0.85, 1.0 / aOutlook.margin));
+}
+
+bool IsAccepted(const PlacementOutlook& aOutlook, Duration aTarget = kTarget)
+{
+  return aOutlook.earliest <= Limit(aOutlook, aTarget) || aOutlook.lowestOccupancy < 0.5;
+}
+
 } // namespace
 
 TEST_CASE("Predictions weight prompts in progress by their tokens", "[placement]")
@@ -98,22 +111,36 @@
   CHECK(chosen.size() == 2);
 }
 
-TEST_CASE(
-  "A request that no group can serve in time is refused at once with a retry delay",
-  "[placement]")
+TEST_CASE("The outlook of a choice is that of the best group, whichever was chosen",
+          "[placement]")
 {
-  auto placement = Placement(1);
-  placement.OnPeerLoads(VmId("vm-2"), { { GroupId("m-0"), 10, 20'000, 26 } }, kStart);
-  const auto refused = placement.Choose(Query(), kStart);
-  REQUIRE(!refused.HasValue());
-  CHECK(refused.LastReason().reason == PlacementRefusalReason::Overloaded);
-  CHECK(refused.LastReason().retryAfter >= milliseconds(100));
+  // Guards against an admission that decides by a group which others have filled.
+  // Placement itself refuses nothing, however late.
+  auto placement = Placement(2);
+  placement.OnPeerLoads(
+    VmId("vm-2"),
+    { { GroupId("m-0"), 10, 20'000, 26 }, { GroupId("m-1"), 8, 8000, 26 } },
+    kStart);
+  placement.SetUnreportedPeerRequests("m", 100);
+  auto excluding = Query();
+  excluding.excluded = { GroupId("m-0") };
+  const auto best = placement.Choose(excluding, kStart);
+  REQUIRE(best.HasValue());
+  CHECK(best->outlook.groups == 1);
+  CHECK(best->outlook.lowestOccupancy == Approx(34.0 / 26));
+  CHECK_FALSE(IsAccepted(best->outlook));
+  for (int number = 0; number < 20; ++number) {
+    const auto choice = placement.Choose(Query(), kStart);
+    REQUIRE(choice.HasValue());
+    CHECK(choice->outlook.groups == 2);
+    CHECK(choice->outlook.earliest == best->outlook.earliest);
+    CHECK(choice->outlook.lowestOccupancy == best->outlook.lowestOccupancy);
+  }
   auto query = Query();
-  query.mustPlace = true;
-  CHECK(placement.Choose(query, kStart).HasValue());
   query.model = "other";
-  CHECK(placement.Choose(query, kStart).LastReason().reason ==
-        PlacementRefusalReason::NoGroup);
+  const auto none = placement.Choose(query, kStart);
+  REQUIRE(!none.HasValue());
+  CHECK(none.LastReason().retryAfter >= seconds(1));
 }
 
 TEST_CASE("A group whose streams pause gets no requests until they resume", "[placement]")
@@ -169,7 +196,6 @@
   placement.OnPeerSuspicion(GroupId("m-1"), kStart);
   auto query = Query();
   query.excluded = { GroupId("m-0") };
-  query.mustPlace = true;
   CHECK_FALSE(placement.Choose(query, kStart).HasValue());
   query.isResumed = true;
   const auto choice = placement.Choose(query, kStart);
@@ -215,13 +241,14 @@
     placement.OnPeerLoads(VmId("vm-2"), { { GroupId("m-0"), 10, 40'000, 26 } }, now);
     const auto refused = placement.Choose(Query(), now);
     placement.OnPeerLoads(VmId("vm-2"), {}, now);
-    return refused.LastReason().predictionLimit;
+    CHECK_FALSE(IsAccepted(refused->outlook));
+    return Limit(refused->outlook);
   };
   for (int number = 0; number < 100; ++number) {
     serve(1.0);
   }
   const auto exact = limit();
-  CHECK(ToSeconds(exact) == Approx(0.5 * GroupPlacement::kMaxTargetShare));
+  CHECK(ToSeconds(exact) == Approx(0.5 * 0.85));
   for (int number = 0; number < 200; ++number) {
     serve(number % 2 == 0 ? 1.0 : 1.4);
   }
@@ -373,7 +400,7 @@
         placement.OnEvents(tickets.at(aRequest), aNow);
       });
       const auto choice = placement.Choose(Query(aTokens), aNow);
-      if (!choice) {
+      if (!choice || !IsAccepted(choice->outlook)) {
         return std::nullopt;
       }
       tickets[number] = placement.OnSent(*choice, aTokens, aNow);
@@ -437,7 +464,7 @@
     const auto vm = this->random.Below(kVms);
     auto& placement = this->placements.at(vm);
     const auto choice = placement.Choose(Query(aTokens), aNow);
-    if (!choice) {
+    if (!choice || !IsAccepted(choice->outlook)) {
       return std::nullopt;
     }
     this->sentRequests[this->number] = { vm, placement.OnSent(*choice, aTokens, aNow) };
@@ -577,6 +604,7 @@
     auto& vm = vms.at(random.Below(kVms));
     const auto choice = vm.Choose(Query(), kStart);
     REQUIRE(choice.HasValue());
+    CHECK(IsAccepted(choice->outlook));
     vm.OnSent(*choice, 1000, kStart);
     sentToNewGroup += choice->group.id == newGroup ? 1 : 0;
   }
@@ -601,13 +629,10 @@
                         kStart);
   const auto own = placement.Choose(Query(), kStart);
   REQUIRE(own.HasValue());
-  auto query = Query();
-  query.firstEventTarget =
-    FromSeconds(ToSeconds(own->predicted) / GroupPlacement::kMaxTargetShare);
-  query.firstEventTarget += milliseconds(5);
-  REQUIRE(placement.Choose(query, kStart).HasValue());
+  const auto target = FromSeconds(ToSeconds(own->predicted) / 0.85) + milliseconds(5);
+  REQUIRE(IsAccepted(own->outlook, target));
   placement.SetUnreportedPeerRequests("m", 4);
-  CHECK(placement.Choose(query, kStart).HasValue());
+  CHECK(IsAccepted(placement.Choose(Query(), kStart)->outlook, target));
 }
 
 TEST_CASE("A group is reported while requests wait for its first event", "[placement]")
