Supply the models with more urgent requests first when engines are short

Cause: the plan divided the engines in proportion to demand, whatever waited for them.

WorkMeter keeps the work by model and priority over 60 s; the leader's own arrivals are the sample. When the demand with a headroom of 0.2 has exceeded the usable engines for as long as a load takes, the most urgent work of all models is supplied first, and each model keeps half of its proportional supply. At the bound both plans agree, so demand that hovers there moves no groups.

--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -16,6 +16,7 @@
 void FormationController::StartTerm(std::int64_t aTerm)
 {
   this->term = aTerm;
+  this->shortSince.reset();
   this->lifecycle.StartTerm(aTerm);
   this->staging.StartTerm(aTerm);
 }
@@ -23,9 +24,11 @@
 std::vector<EngineOrder> FormationController::Plan(const FormationInputs& aInputs,
                                                    TimePoint aNow)
 {
+  const auto usable = this->CountUsable(aInputs);
   PlanContext context{ aInputs,
                        aInputs.directory.GroupsOf(this->pool),
-                       ModelDemand(aInputs, this->CountUsable(aInputs)),
+                       ModelDemand(
+                         aInputs, usable, this->SupplyOrder(aInputs, usable, aNow)),
                        aNow };
   this->staging.Update(this->pool, aInputs, aNow);
   this->lifecycle.Step(aInputs, context.observed, aNow);
@@ -59,6 +62,26 @@
   this->staging.OnReply(aOrder, aReply);
 }
 
+ModelDemand::Order FormationController::SupplyOrder(const FormationInputs& aInputs,
+                                                    std::size_t aUsable,
+                                                    TimePoint aNow)
+{
+  if (!ModelDemand::IsShort(aInputs, aUsable)) {
+    this->shortSince.reset();
+    return ModelDemand::Order::Proportional;
+  }
+  if (!this->shortSince) {
+    this->shortSince = aNow;
+  }
+  // A group that is closed for a shorter peak would come back after it.
+  Duration longestLoad{ 0 };
+  for (const auto& model : aInputs.cost.models) {
+    longestLoad = std::max(longestLoad, model.loadTime);
+  }
+  return aNow - *this->shortSince >= longestLoad ? ModelDemand::Order::ByUrgency
+                                                 : ModelDemand::Order::Proportional;
+}
+
 std::size_t FormationController::CountUsable(const FormationInputs& aInputs) const
 {
   return static_cast<std::size_t>(std::ranges::count_if(
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -81,6 +81,11 @@
     TimePoint now;
   };
 
+  /// Models with more urgent requests are supplied first only when the engines have not
+  /// sufficed for as long as a load takes.
+  [[nodiscard]] ModelDemand::Order SupplyOrder(const FormationInputs& aInputs,
+                                               std::size_t aUsable,
+                                               TimePoint aNow);
   [[nodiscard]] std::size_t CountUsable(const FormationInputs& aInputs) const;
   [[nodiscard]] Engines FreeEngines(const ServerDirectory& aDirectory) const;
 
@@ -163,6 +168,8 @@
   GroupLifecycle lifecycle;
   WeightStaging staging;
   std::string summary;
+  /// Since when the engines have not sufficed for the demand.
+  std::optional<TimePoint> shortSince;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_groups/formation/FormationInputs.h
+++ b/modules/toucanstand_groups/formation/FormationInputs.h
@@ -13,6 +13,10 @@
 /// per second need at pace factor 1 (see ModelTerms::paceFactor).
 using ModelWork = std::map<std::string, double>;
 
+/// Sample of the offered load by model and priority, 0 being the most urgent. Only the
+/// ratios within a model matter.
+using ModelMix = std::map<std::string, std::map<int, double>>;
+
 /// Inputs of the formation of groups.
 struct FormationInputs
 {
@@ -32,6 +36,8 @@
   /// True for a zone that the operator has evacuated: its engines get no orders and count
   /// neither as engines nor as members of groups.
   std::function<bool(const ZoneId&)> isEvacuatedZone = nullptr;
+  /// Without entries, all requests count as equally urgent.
+  ModelMix mix = {};
 
   [[nodiscard]] bool IsEvacuated(const ZoneId& aZone) const
   {
--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -98,7 +98,8 @@
                           },
                           [this](const ZoneId& aZone) {
                             return this->state.evacuations.IsEvacuated(aZone);
-                          } };
+                          },
+                          this->state.workMeter.RatesByPriority(aNow) };
   auto& controller = this->ControllerOf(aPool);
   for (auto& order : controller.Plan(inputs, aNow)) {
     asio::co_spawn(
--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -139,6 +139,7 @@
   }
   this->state.workMeter.OnRequest(
     aCall.facts.model,
+    aCall.priority,
     cost->WorkOf(aCall.facts.promptTokens,
                  aCall.facts.expectedAnswerTokens.value_or(cost->usualAnswerTokens)),
     aCall.arrivedAt);
