--- a/tests/unit/toucanstand_groups/FormationSimulation.cpp
+++ b/tests/unit/toucanstand_groups/FormationSimulation.cpp
@@ -250,9 +250,10 @@
 
 void FormationSimulation::RunController()
 {
-  const FormationInputs inputs{
-    this->directory, this->cost, {}, this->traffic, kHeadStallTimeout
+  FormationInputs inputs{
+    this->directory, this->cost, this->work, this->traffic, kHeadStallTimeout
   };
+  inputs.mix = this->mix;
   for (const auto& order : this->controller.Plan(inputs, this->now)) {
     const auto& engine = this->engines.at(order.server);
     const double chance = this->random.Fraction();
--- a/tests/unit/toucanstand_groups/FormationSimulation.h
+++ b/tests/unit/toucanstand_groups/FormationSimulation.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "formation/FormationController.h"
@@ -60,6 +61,12 @@
   /// Stops all faults and reconnects all engines that are alive.
   void EndFaults();
   void StartTraffic() { this->traffic = true; }
+  /// Sets the offered load and its priorities from now on.
+  void SetLoad(ModelWork aWork, ModelMix aMix)
+  {
+    this->work = std::move(aWork);
+    this->mix = std::move(aMix);
+  }
 
   static constexpr Duration kTick = std::chrono::milliseconds(200);
   static constexpr Duration kHeadStallTimeout = std::chrono::seconds(5);
@@ -121,6 +128,8 @@
   std::deque<DelayedOrder> delayedOrders;
   std::deque<Registration> registrations;
   bool traffic = false;
+  ModelWork work;
+  ModelMix mix;
 };
 
 } // namespace toucanstand
--- a/tests/unit/toucanstand_groups/TestModelDemand.cpp
+++ b/tests/unit/toucanstand_groups/TestModelDemand.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "FormationSimulation.h"
 #include "formation/ModelDemand.h"
 #include "random/Random.h"
 
@@ -103,3 +104,34 @@
   CHECK(byUrgency.TargetShare("small") ==
         Approx(ModelDemand(inputs, kEngines).TargetShare("small")).epsilon(0.005));
 }
+
+TEST_CASE("Groups move to urgent requests only if the peak lasts longer than a load",
+          "[formation]")
+{
+  // Guards against groups that are closed for a peak that is over before they serve
+  // again.
+  const ModelMix byUrgency{ { "large", { { 2, 1.0 } } }, { "small", { { 0, 1.0 } } } };
+  const ModelMix onePriority{ { "large", { { 2, 1.0 } } }, { "small", { { 2, 1.0 } } } };
+  const auto play = [](const ModelMix& aMix, Duration aPeak, Duration aAfter) {
+    FormationSimulation simulation({ .domains = 4, .enginesPerDomain = 9 }, 7);
+    simulation.SetLoad({ { "large", 4 }, { "small", 4 } }, aMix);
+    simulation.Run(seconds(60));
+    simulation.StartTraffic();
+    simulation.SetLoad({ { "large", 6 }, { "small", 20 } }, aMix);
+    simulation.Run(aPeak);
+    simulation.SetLoad({ { "large", 4 }, { "small", 4 } }, aMix);
+    simulation.Run(aAfter);
+    return std::pair(simulation.OpenGroups("large"), simulation.OpenGroups("small"));
+  };
+  CHECK(play(byUrgency, seconds(12), seconds(0)) ==
+        play(onePriority, seconds(12), seconds(0)));
+  CHECK(play(byUrgency, seconds(12), seconds(30)) ==
+        play(onePriority, seconds(12), seconds(30)));
+  const auto urgent = play(byUrgency, seconds(120), seconds(0));
+  const auto proportional = play(onePriority, seconds(120), seconds(0));
+  INFO("by urgency " << urgent.first << " large, " << urgent.second
+                     << " small; proportional " << proportional.first << " large, "
+                     << proportional.second << " small");
+  CHECK(urgent.second > proportional.second);
+  CHECK(2 * urgent.first >= proportional.first);
+}
