Read the delays between zones from the configuration

ZoneDistances keeps the largest delay between two zones. Malformed rows are left out and counted: the delays only make serving cheaper, and a configuration must not be rejected because of them.

Run: test_toucanstand_platform.

--- a/modules/toucanstand_world/serving/EngineCostModel.h
+++ b/modules/toucanstand_world/serving/EngineCostModel.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "serving/ZoneDistances.h"
 #include "time/BootClock.h"
 
 namespace toucanstand {
@@ -53,6 +54,7 @@
   double usualPromptTokens = 0;
   double usualAnswerTokens = 0;
   std::vector<ModelTerms> models;
+  ZoneDistances zoneDistances;
 
   /// The terms of a model; null when the pool does not run it.
   [[nodiscard]] const ModelTerms* FindModel(const std::string& aName) const;
--- a/modules/toucanstand_world/serving/ServingConfiguration.cpp
+++ b/modules/toucanstand_world/serving/ServingConfiguration.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <numeric>
 
 #include "text/AsciiCase.h"
 
@@ -66,6 +67,31 @@
   return found == this->longestTimeouts.end() ? Duration::zero() : found->second;
 }
 
+Duration ServingConfiguration::LargestZoneDelay() const
+{
+  return std::accumulate(
+    this->pools.begin(),
+    this->pools.end(),
+    Duration::zero(),
+    [](Duration aLargest, const ServingPool& aPool) {
+      return aPool.engine ? std::max(aLargest, aPool.engine->zoneDistances.Largest())
+                          : aLargest;
+    });
+}
+
+std::size_t ServingConfiguration::MalformedZoneDelays() const
+{
+  return std::accumulate(this->pools.begin(),
+                         this->pools.end(),
+                         std::size_t{ 0 },
+                         [](std::size_t aCount, const ServingPool& aPool) {
+                           return aPool.engine
+                                    ? aCount +
+                                        aPool.engine->zoneDistances.MalformedCount()
+                                    : aCount;
+                         });
+}
+
 const KeyHolder* ServingConfiguration::FindKey(const std::string& aKey) const
 {
   if (!this->keys) {
--- a/modules/toucanstand_world/serving/ServingConfiguration.h
+++ b/modules/toucanstand_world/serving/ServingConfiguration.h
@@ -113,6 +113,11 @@
   /// Longest time that a call to the pool may take; zero if no route leads to it.
   [[nodiscard]] Duration LongestTimeoutOf(const PoolId& aPool) const;
 
+  /// The largest one-way delay between two zones that a pool's terms state.
+  [[nodiscard]] Duration LargestZoneDelay() const;
+  /// Delays between zones that can't be read.
+  [[nodiscard]] std::size_t MalformedZoneDelays() const;
+
   /// True when calls of routes that are not public need an API key.
   [[nodiscard]] bool NeedsKeys() const { return this->keys.has_value(); }
   [[nodiscard]] const KeyHolder* FindKey(const std::string& aKey) const;
--- a/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
+++ b/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
@@ -116,3 +116,33 @@
   document["Tenants"][0]["ApiKeys"] = json::array({ 1 });
   CHECK(ReadFailure(document) == platform::ConfigurationFailure::InvalidApiKeys);
 }
+
+TEST_CASE("Delays between zones are read, and malformed ones are left out", "[platform]")
+{
+  // Guards against zones that count as far apart because of a row that can't be read, and
+  // against a configuration that is rejected because of it.
+  auto document = ValidDocument();
+  const auto read = [&document] {
+    auto configuration = platform::ReadConfiguration(document.dump());
+    REQUIRE(configuration.HasValue());
+    return *configuration;
+  };
+  CHECK(read().LargestZoneDelay() == Duration::zero());
+  CHECK(read().MalformedZoneDelays() == 0);
+  auto& delays = document["Services"][0]["Engine"]["delays"];
+  delays = json::parse(R"([{"From":"z1","ToVersion":"z1","delay_ms":50},
+    {"From":"z1","ToVersion":"z2","delay_ms":1.4},{"From":"z2","ToVersion":"z1","delay_ms":0.5}])");
+  CHECK(read().LargestZoneDelay() == std::chrono::microseconds(1400));
+  CHECK(!read().Pools().front().engine->zoneDistances.AreFarApart());
+  delays[1]["delay_ms"] = 2;
+  CHECK(read().Pools().front().engine->zoneDistances.AreFarApart());
+  CHECK(read().MalformedZoneDelays() == 0);
+  delays = json::parse(R"([7,null,{},{"From":"z1","ToVersion":"z2"},
+    {"From":"z1","ToVersion":"z2","delay_ms":-1},{"From":"z1","ToVersion":"z2","delay_ms":"3"},
+    {"From":"","ToVersion":"z2","delay_ms":3},{"From":1,"ToVersion":"z2","delay_ms":3},
+    {"From":"z1","ToVersion":"z2","delay_ms":10001}])");
+  CHECK(read().LargestZoneDelay() == Duration::zero());
+  CHECK(read().MalformedZoneDelays() == 9);
+  delays = "3.9";
+  CHECK(read().MalformedZoneDelays() == 1);
+}
