Choose relays by zone where zones are far apart

Cause: with 61 VMs in 3 zones, each report goes to three relays, two of them in another zone, and each relay sends its aggregate to VMs of all zones.

Change: where the configuration states 2 ms or more between zones, each zone has one relay; its VMs report to it and ask it first, and relays send one another the aggregates of their zones (a new kind of datagram, which no VM of an earlier build gets). PeerReportCollection decides which of these count, so that no VM is counted twice. A VM whose relay is silent for 300 ms reports to all relays. The run id states the zone; earlier builds treat it as opaque, and while one of them is registered the rule is the one of before. peer_bytes_sent_total counts the bytes by kind and zone of the receiver.

Ruled out, see docs/design/zone-traffic.md: a key of its own for the zone, a longer registration, a new field of the report.

Run: test_toucanstand_membership, _platform, _programs. Integration tests and lint not run yet.

--- a/modules/toucanstand_core/serialization/Datagram.cpp
+++ b/modules/toucanstand_core/serialization/Datagram.cpp
@@ -15,7 +15,7 @@
 /// Rises when a field of any kind is removed or moved, or changes its type or meaning,
 /// and not when one is appended: readers ignore what follows the fields that they know.
 constexpr std::uint64_t kVersion = 5;
-constexpr std::uint64_t kKinds = 3;
+constexpr std::uint64_t kKinds = 4;
 /// Version, kind and fields.
 constexpr std::size_t kParts = 3;
 /// Lists of a datagram; one holds fewer.
--- a/modules/toucanstand_core/serialization/Datagram.h
+++ b/modules/toucanstand_core/serialization/Datagram.h
@@ -16,6 +16,8 @@
   LoadReport,
   ChangeQuery,
   ChangeAnswer,
+  /// Between relays of different zones. Earlier builds drop it as of an unknown kind.
+  ZoneAggregate,
 };
 
 /// Why a datagram was dropped.
--- a/modules/toucanstand_membership/peers/PeerDirectory.h
+++ b/modules/toucanstand_membership/peers/PeerDirectory.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "identifiers/Identifiers.h"
 #include "peers/Presence.h"
 #include "serving/DeferredRemovals.h"
 
@@ -17,6 +19,9 @@
 /// store nor the datagrams per VM grow with the number of VMs. Each VM computes the
 /// relays from the registrations that it knows. While these differ, a VM may query a VM
 /// that is not a relay and can't answer; it then reads the store itself.
+///
+/// Where availability zones are far apart, each zone has a relay of its own. This applies
+/// to more than kMaxDirectPeers peers that all state their zones. @see ZoneRelays
 class PeerDirectory
 {
 public:
@@ -26,11 +31,14 @@
   /// relay answers about twice this number per second.
   static constexpr std::size_t kVmsPerRelay = 40;
 
+  /// With more peers, direct reports need more datagrams than reports through relays.
+  static constexpr std::size_t kMaxDirectPeers = 16;
+
   /// Time that VMs have to register again after the store lost their registrations. A VM
   /// that is not missed keeps its share of the limits that all VMs divide among them.
   static constexpr Duration kReturnGrace = std::chrono::milliseconds(2700);
 
-  /// @param aOwnRunId unique id of this run of this process
+  /// @param aOwnRunId unique id of this run of this process, with its zone
   PeerDirectory(std::string aOwnRunId, Presence aOwnPresence);
 
   /// Adds the registration of a VM. Of two registrations with the same endpoint, the one
@@ -52,10 +60,25 @@
     return this->peers;
   }
 
+  /// Whether the configuration states that zones are far apart.
+  void SetZonesAreFarApart(bool aAreFarApart);
+
   [[nodiscard]] bool IsRelay();
 
+  /// Whether each zone has a relay of its own.
+  [[nodiscard]] bool AreRelaysByZone();
+  /// The relay of this VM's zone, if relays are chosen by zone and it is another VM.
+  [[nodiscard]] std::optional<Endpoint> RelayOfOwnZone();
+
+  [[nodiscard]] const ZoneId& OwnZone() const { return this->ownZone; }
+  /// The zone that a registered VM states; empty if it states none.
+  [[nodiscard]] ZoneId ZoneOf(const Endpoint& aEndpoint) const;
+  /// Part of the peers that are in other zones.
+  [[nodiscard]] double ShareOfOtherZones() const;
+
   /// The other relays, in the order in which this VM queries them. The order differs
-  /// between VMs, so that their queries are distributed over the relays.
+  /// between VMs, so that their queries are distributed over the relays. The relay of its
+  /// own zone is the first one.
   [[nodiscard]] const std::vector<Endpoint>& Relays();
 
 private:
@@ -63,6 +86,11 @@
   /// Put(), because many VMs may register at the same time.
   void UpdateRelays();
 
+  /// The run ids of the relays without regard to zones.
+  [[nodiscard]] std::vector<std::string> LargestVms() const;
+  /// The run ids of the relays by zone; empty if they are not chosen by zone.
+  [[nodiscard]] std::map<ZoneId, std::string> RelaysByZone() const;
+
   void RemoveNow(const std::string& aRunId);
 
   struct Registration
@@ -72,6 +100,7 @@
   };
 
   std::string ownRunId;
+  ZoneId ownZone;
   Presence ownPresence;
   std::map<std::string, Presence> peers;
   /// The registration with the highest revision, by endpoint.
@@ -80,6 +109,9 @@
   std::vector<Endpoint> relays;
   bool isRelay = true;
   bool relaysOutdated = true;
+  bool zonesAreFarApart = false;
+  bool areRelaysByZone = false;
+  std::optional<Endpoint> relayOfOwnZone;
 };
 
 } // namespace toucanstand
--- a/modules/toucanstand_membership/peers/PeerReport.cpp
+++ b/modules/toucanstand_membership/peers/PeerReport.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-std::vector<std::uint8_t> EncodePeerReport(const PeerReport& aReport)
+json PeerReportFields(const PeerReport& aReport)
 {
   json loads = json::array();
   for (const auto& load : aReport.loads) {
@@ -62,20 +62,24 @@
   for (const auto& [model, time] : aReport.learnedOverheads) {
     learnedOverheads.push_back(json::array({ model, time.seconds, time.samples }));
   }
-  return EncodeDatagram(DatagramKind::LoadReport,
-                        json::array({ aReport.sender.Value(),
-                                      aReport.runNumber,
-                                      aReport.sequence,
-                                      aReport.aggregatedVms,
-                                      std::move(loads),
-                                      aReport.suspectedGroups,
-                                      aReport.quarantinedFingerprints,
-                                      std::move(demand),
-                                      std::move(learnedOverheads),
-                                      std::move(crashes),
-                                      std::move(survivals),
-                                      aReport.quarantinedParts,
-                                      std::move(rateLimits) }));
+  return json::array({ aReport.sender.Value(),
+                       aReport.runNumber,
+                       aReport.sequence,
+                       aReport.aggregatedVms,
+                       std::move(loads),
+                       aReport.suspectedGroups,
+                       aReport.quarantinedFingerprints,
+                       std::move(demand),
+                       std::move(learnedOverheads),
+                       std::move(crashes),
+                       std::move(survivals),
+                       aReport.quarantinedParts,
+                       std::move(rateLimits) });
+}
+
+std::vector<std::uint8_t> EncodePeerReport(const PeerReport& aReport)
+{
+  return EncodeDatagram(DatagramKind::LoadReport, PeerReportFields(aReport));
 }
 
 Result<PeerReport, DatagramFailure> DecodePeerReport(const json& aFields)
--- a/modules/toucanstand_membership/peers/PeerReport.h
+++ b/modules/toucanstand_membership/peers/PeerReport.h
@@ -85,6 +85,9 @@
   std::map<std::string, LearnedOverhead> learnedOverheads;
 };
 
+/// The fields of a report, for datagrams that contain one.
+[[nodiscard]] nlohmann::json PeerReportFields(const PeerReport& aReport);
+
 [[nodiscard]] std::vector<std::uint8_t> EncodePeerReport(const PeerReport& aReport);
 
 /// Decodes the fields of a datagram of kind DatagramKind::LoadReport.
--- a/modules/toucanstand_membership/peers/PeerReportAggregator.cpp
+++ b/modules/toucanstand_membership/peers/PeerReportAggregator.cpp
@@ -26,7 +26,7 @@
 
 void PeerReportAggregator::Add(const PeerReport& aReport)
 {
-  ++this->reportCount;
+  this->reportCount += std::max<std::uint64_t>(1, aReport.aggregatedVms);
   for (const auto& load : aReport.loads) {
     auto& total = this->loads[load.group];
     total.group = load.group;
@@ -69,9 +69,11 @@
   PeerReport remainder = this->Total();
   --remainder.aggregatedVms;
   for (const auto& load : aReport.loads) {
-    AddLoad(*std::ranges::find(remainder.loads, load.group, &PeerReport::Load::group),
-            load,
-            -1.0);
+    const auto found =
+      std::ranges::find(remainder.loads, load.group, &PeerReport::Load::group);
+    if (found != remainder.loads.end()) {
+      AddLoad(*found, load, -1.0);
+    }
   }
   std::erase_if(remainder.loads, [](const PeerReport::Load& aLoad) {
     return aLoad.prefillRequests + aLoad.decodeRequests <= kRoundingError;
--- a/modules/toucanstand_membership/peers/PeerReportAggregator.h
+++ b/modules/toucanstand_membership/peers/PeerReportAggregator.h
@@ -14,14 +14,15 @@
 class PeerReportAggregator
 {
 public:
-  /// Adds a report. Call at most once per VM, with its latest report.
+  /// Adds the report of a VM, or an aggregate. Each VM may be in one of them only.
   void Add(const PeerReport& aReport);
 
   /// The aggregate of all added reports.
   [[nodiscard]] PeerReport Total() const;
 
-  /// The aggregate without the load and demand of one report, which must have been added;
-  /// sent to the VM that made this report.
+  /// The aggregate without the load and demand of one report, which must have been added
+  /// or be part of an aggregate that was; sent to the VM that made this report. In the
+  /// second case it is not exact: the report may be newer than the aggregate.
   [[nodiscard]] PeerReport TotalWithout(const PeerReport& aReport) const;
 
 private:
--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -66,6 +66,7 @@
   , aggregateTimer(aState.loop)
   , runNumber(aRunNumber)
   , directory(aRunId, { aState.settings.peers, aState.settings.cpuShare })
+  , received(aState.settings.id)
 {
 }
 
@@ -110,6 +111,7 @@
     }
     // The suspicions have just been sent, or this VM sends no aggregates.
     this->pendingSuspicions.clear();
+    this->foreignSuspicions.clear();
     this->aggregateTimer.expires_after(sendsAggregates ? kAggregateInterval
                                                        : kIdleInterval);
     co_await this->aggregateTimer.async_wait(kAwait);
@@ -132,7 +134,14 @@
   }
 }
 
-void PeerChannel::Send(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo)
+void PeerChannel::SendQuery(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo)
+{
+  this->Send(aBytes, aTo, Kind::Changes);
+}
+
+void PeerChannel::Send(const std::vector<std::uint8_t>& aBytes,
+                       const Endpoint& aTo,
+                       Kind aKind)
 {
   boost::system::error_code error;
   const auto address = asio::ip::make_address(aTo.address, error);
@@ -143,7 +152,18 @@
   // A datagram that can't be sent is handled like a lost one: no retry.
   if (error) {
     this->state.metrics.Count("peer_send_errors_total");
+    return;
   }
+  // In the order of the enumerators of Kind.
+  constexpr std::array kKinds = { "report", "aggregate", "zone_aggregate", "changes" };
+  const auto zone = this->directory.ZoneOf(aTo);
+  const auto* const place = zone.IsEmpty()                      ? "unknown"
+                            : zone == this->directory.OwnZone() ? "own"
+                                                                : "other";
+  this->state.metrics.Count(std::string("peer_bytes_sent_total{kind=\"") +
+                              kKinds.at(static_cast<std::size_t>(aKind)) + "\",zone=\"" +
+                              place + "\"}",
+                            aBytes.size());
 }
 
 void PeerChannel::HandleDatagram(std::span<const std::uint8_t> aBytes,
@@ -164,6 +184,15 @@
     }
     return;
   }
+  if (datagram->kind == DatagramKind::ZoneAggregate) {
+    auto aggregate = DecodeZoneAggregate(datagram->fields);
+    if (aggregate) {
+      this->HandleZoneAggregate(std::move(*aggregate), now);
+    } else {
+      this->CountInvalidDatagram(aggregate.LastReason());
+    }
+    return;
+  }
   if (datagram->kind == DatagramKind::ChangeQuery) {
     const auto query = DecodeChangeQuery(datagram->fields);
     if (query) {
@@ -192,7 +221,7 @@
                               TimePoint aNow)
 {
   this->subscribers[aFrom] = aNow;
-  this->Send(EncodeChangeAnswer(this->onQuery(aQuery)), aFrom);
+  this->Send(EncodeChangeAnswer(this->onQuery(aQuery)), aFrom, Kind::Changes);
 }
 
 void PeerChannel::PushChanges(const ChangeAnswer& aChanges)
@@ -203,7 +232,7 @@
   }
   const auto bytes = EncodeChangeAnswer(aChanges);
   for (const auto& endpoint : this->subscribers | std::views::keys) {
-    this->Send(bytes, endpoint);
+    this->Send(bytes, endpoint, Kind::Changes);
   }
 }
 
@@ -213,25 +242,73 @@
     return;
   }
   const bool isAggregate = aReport.aggregatedVms > 0;
-  auto& previous =
-    isAggregate ? this->latestAggregate : this->latestReports[aReport.sender];
   // Aggregates of two relays may alternate while this VM switches between them, so only
   // reports of the same sender and run are compared.
-  const bool outdated = previous.report.sender == aReport.sender &&
-                        previous.report.runNumber == aReport.runNumber &&
-                        aReport.sequence <= previous.report.sequence;
-  if (outdated) {
+  const auto& previous = this->latestAggregate.report;
+  const bool isOutdated = isAggregate && previous.sender == aReport.sender &&
+                          previous.runNumber == aReport.runNumber &&
+                          aReport.sequence <= previous.sequence;
+  ReceivedReport arrived{
+    std::move(aReport), aNow, aFrom, this->directory.ZoneOf(aFrom)
+  };
+  if (isOutdated || (!isAggregate && !this->received.Add(arrived))) {
+    return;
+  }
+  const auto& report = arrived.report;
+  this->ApplyNews(report, aNow);
+  if (isAggregate) {
+    // The relay of a zone adds up what other VMs report; it may have asked another relay
+    // shortly before it became one.
+    const bool isSummedUpHere =
+      this->directory.AreRelaysByZone() && this->directory.IsRelay();
+    if (!isSummedUpHere) {
+      this->ApplyLoads(AggregateSender(), report, aNow);
+    }
+    if (this->directory.RelayOfOwnZone() == aFrom) {
+      this->ownRelayHeardAt = aNow;
+    }
+    this->latestAggregate = std::move(arrived);
+    return;
+  }
+  std::ranges::copy(report.suspectedGroups, std::back_inserter(this->pendingSuspicions));
+  const bool isInZoneAggregate =
+    this->received.IsInAggregateSince(report.sender, aNow - kLoadLifetime);
+  if (!isInZoneAggregate) {
+    this->ApplyLoads(report.sender, report, aNow);
+  }
+}
+
+void PeerChannel::HandleZoneAggregate(ZoneAggregate aAggregate, TimePoint aNow)
+{
+  // A VM that is no relay gets these loads from one, as a part of its aggregate.
+  const bool isUsed = this->directory.AreRelaysByZone() && this->directory.IsRelay() &&
+                      aAggregate.zone != this->directory.OwnZone();
+  if (!isUsed) {
+    this->ApplyNews(aAggregate.sum, aNow);
     return;
   }
+  const auto sum = aAggregate.sum;
+  const auto replaced = this->received.Add(std::move(aAggregate), aNow);
+  if (!replaced) {
+    return;
+  }
+  this->ApplyNews(sum, aNow);
+  std::ranges::copy(sum.suspectedGroups, std::back_inserter(this->foreignSuspicions));
+  for (const auto& sender : *replaced) {
+    this->ApplyLoads(sender, {}, aNow);
+  }
+  this->ApplyLoads(PeerReportCollection::AggregateOf(sum.sender), sum, aNow);
+}
+
+void PeerChannel::ApplyNews(const PeerReport& aReport, TimePoint aNow)
+{
   for (const auto fingerprint : aReport.quarantinedFingerprints) {
     this->state.quarantine.Merge(
       QuarantineEntry{ fingerprint, aNow + CrashQuarantine::kSuspicionLifetime }, aNow);
   }
   this->state.promptPartQuarantine.Merge(ToPromptPartEvidence(aReport), aNow);
   this->state.rateLimits.Merge(ToRateLimits(aReport), aNow);
-  const auto loads = ToGroupLoads(aReport);
   for (auto& placement : this->state.placements | std::views::values) {
-    placement.OnPeerLoads(isAggregate ? AggregateSender() : aReport.sender, loads, aNow);
     for (const auto& group : aReport.suspectedGroups) {
       placement.OnPeerSuspicion(GroupId(group), aNow);
     }
@@ -240,11 +317,16 @@
     }
   }
   this->NotifySuspected(aReport.suspectedGroups);
-  if (!isAggregate) {
-    std::ranges::copy(aReport.suspectedGroups,
-                      std::back_inserter(this->pendingSuspicions));
+}
+
+void PeerChannel::ApplyLoads(const VmId& aSender,
+                             const PeerReport& aReport,
+                             TimePoint aNow)
+{
+  const auto loads = ToGroupLoads(aReport);
+  for (auto& placement : this->state.placements | std::views::values) {
+    placement.OnPeerLoads(aSender, loads, aNow);
   }
-  previous = { std::move(aReport), aNow, aFrom };
 }
 
 void PeerChannel::NotifySuspected(const std::vector<std::string>& aGroups)
@@ -314,15 +396,31 @@
 void PeerChannel::SendReport(const PeerReport& aReport)
 {
   const auto bytes = EncodePeerReport(aReport);
-  if (!this->ReportsDirectly()) {
-    for (const auto& relay : this->directory.Relays()) {
-      this->Send(bytes, relay);
-    }
-    return;
+  for (const auto& receiver : this->ReportReceivers(BootClock::now())) {
+    this->Send(bytes, receiver, Kind::Report);
   }
-  for (const auto& peer : this->directory.Peers() | std::views::values) {
-    this->Send(bytes, peer.endpoint);
+}
+
+std::vector<Endpoint> PeerChannel::ReportReceivers(TimePoint aNow)
+{
+  if (this->ReportsDirectly()) {
+    std::vector<Endpoint> peers;
+    std::ranges::transform(this->directory.Peers() | std::views::values,
+                           std::back_inserter(peers),
+                           &Presence::endpoint);
+    return peers;
+  }
+  if (this->directory.AreRelaysByZone()) {
+    if (this->directory.IsRelay()) {
+      // Its own load is part of the aggregates that it sends.
+      return {};
+    }
+    const auto relay = this->directory.RelayOfOwnZone();
+    if (relay && aNow - this->ownRelayHeardAt <= kRelaySilence) {
+      return { *relay };
+    }
   }
+  return this->directory.Relays();
 }
 
 void PeerChannel::RemoveExpired(TimePoint aNow)
@@ -330,9 +428,7 @@
   std::erase_if(this->subscribers, [aNow](const auto& aSubscriber) {
     return aNow - aSubscriber.second > kSubscriptionLifetime;
   });
-  std::erase_if(this->latestReports, [aNow](const auto& aReport) {
-    return aNow - aReport.second.receivedAt > kDemandLifetime;
-  });
+  this->received.RemoveOlderThan(aNow - kDemandLifetime);
 }
 
 void PeerChannel::SendAggregatesNow(TimePoint aNow)
@@ -340,15 +436,23 @@
   PeerReportAggregator total;
   total.Add(this->lastReport);
   ++this->aggregateSequence;
+  if (this->directory.AreRelaysByZone()) {
+    this->SendZoneAggregate(aNow);
+  }
   const auto evidence = this->state.promptPartQuarantine.News(aNow, NewsScope::All);
   const auto rateLimits = this->state.rateLimits.News(aNow, NewsScope::All);
+  for (const auto* report : this->received.CountingSince(aNow - kLoadLifetime)) {
+    total.Add(*report);
+  }
+  // Also of VMs that count as a part of a zone's aggregate.
   std::map<Endpoint, const PeerReport*> reports;
-  for (const auto& peer : this->latestReports | std::views::values) {
+  for (const auto& peer : this->received.Reports() | std::views::values) {
     if (aNow - peer.receivedAt <= kLoadLifetime) {
-      total.Add(peer.report);
       reports[peer.endpoint] = &peer.report;
     }
   }
+  auto suspicions = this->pendingSuspicions;
+  std::ranges::copy(this->foreignSuspicions, std::back_inserter(suspicions));
   for (const auto& endpoint : this->subscribers | std::views::keys) {
     const auto subscriberReport = reports.find(endpoint);
     PeerReport aggregate = subscriberReport == reports.end()
@@ -357,10 +461,24 @@
     aggregate.sender = this->state.settings.id;
     aggregate.runNumber = this->runNumber;
     aggregate.sequence = this->aggregateSequence;
-    aggregate.suspectedGroups = this->pendingSuspicions;
+    aggregate.suspectedGroups = suspicions;
     SetCrashEvidence(aggregate, evidence);
     SetRateLimits(aggregate, rateLimits);
-    this->Send(EncodePeerReport(aggregate), endpoint);
+    this->Send(EncodePeerReport(aggregate), endpoint, Kind::Aggregate);
+  }
+}
+
+void PeerChannel::SendZoneAggregate(TimePoint aNow)
+{
+  auto aggregate = this->received.SumOfZone(
+    this->directory.OwnZone(), this->lastReport, aNow - kLoadLifetime, aNow);
+  aggregate.sum.sender = this->state.settings.id;
+  aggregate.sum.runNumber = this->runNumber;
+  aggregate.sum.sequence = this->aggregateSequence;
+  aggregate.sum.suspectedGroups = this->pendingSuspicions;
+  const auto bytes = EncodeZoneAggregate(aggregate);
+  for (const auto& relay : this->directory.Relays()) {
+    this->Send(bytes, relay, Kind::ZoneAggregate);
   }
 }
 
@@ -382,12 +500,20 @@
   this->directory.Put(runId, *presence, aChange.revision);
 }
 
-Duration PeerChannel::MeanReportAge() const
+Duration PeerChannel::MeanReportAge()
 {
   const Duration directReportAge = kReportInterval / 2 + kDatagramDelay;
-  return this->ReportsDirectly()
-           ? directReportAge
-           : directReportAge + kAggregateInterval / 2 + kDatagramDelay;
+  if (this->ReportsDirectly()) {
+    return directReportAge;
+  }
+  const Duration aggregateAge = kAggregateInterval / 2 + kDatagramDelay;
+  if (!this->directory.AreRelaysByZone()) {
+    return directReportAge + aggregateAge;
+  }
+  // Load of another zone waits for the aggregate of that zone and crosses zones.
+  const auto crossZoneAge = aggregateAge + this->state.configuration->LargestZoneDelay();
+  return directReportAge + (this->directory.IsRelay() ? Duration::zero() : aggregateAge) +
+         FromSeconds(ToSeconds(crossZoneAge) * this->directory.ShareOfOtherZones());
 }
 
 std::map<std::string, double> PeerChannel::PeerDemand(TimePoint aNow)
@@ -396,15 +522,7 @@
     const bool fresh = aNow - this->latestAggregate.receivedAt <= kDemandLifetime;
     return fresh ? this->latestAggregate.report.demand : std::map<std::string, double>();
   }
-  std::map<std::string, double> total;
-  for (const auto& peer : this->latestReports | std::views::values) {
-    if (aNow - peer.receivedAt <= kDemandLifetime) {
-      for (const auto& [model, seconds] : peer.report.demand) {
-        total[model] += seconds;
-      }
-    }
-  }
-  return total;
+  return this->received.DemandSince(aNow - kDemandLifetime);
 }
 
 std::map<std::string, double> PeerChannel::TotalDemand(TimePoint aNow)
@@ -424,7 +542,7 @@
   const bool isKnown = this->ReportsDirectly();
   if (isKnown) {
     fleet.self.weight = SumOfDemand(this->state.workMeter.Rates(aNow));
-    for (const auto& peer : this->latestReports | std::views::values) {
+    for (const auto& peer : this->received.Reports() | std::views::values) {
       traffic[peer.endpoint] = SumOfDemand(peer.report.demand);
     }
   }
--- a/programs/toucanstand-server/PeerChannel.h
+++ b/programs/toucanstand-server/PeerChannel.h
@@ -13,6 +13,8 @@
 #include "ServingState.h"
 #include "peers/PeerDirectory.h"
 #include "peers/PeerReport.h"
+#include "peers/PeerReportCollection.h"
+#include "peers/ZoneAggregate.h"
 #include "store/ChangeFeed.h"
 #include "store/ChangeRelay.h"
 
@@ -24,7 +26,9 @@
 ///
 /// Up to kMaxDirectPeers peers report to each other directly. With more, each VM reports
 /// to the relays; a relay sends an aggregate of all other VMs' reports to every VM that
-/// queries it for changes (its subscribers).
+/// queries it for changes (its subscribers). Where relays are chosen by zone, a VM
+/// reports to the relay of its zone, and relays send one another the aggregates of their
+/// zones.
 class PeerChannel
 {
 public:
@@ -36,8 +40,10 @@
   /// interval, because a load that reaches a VM through a relay waits for a report and
   /// then for an aggregate.
   static constexpr Duration kAggregateInterval = std::chrono::milliseconds(50);
-  /// With more peers, direct reports need more datagrams than reports through relays.
-  static constexpr std::size_t kMaxDirectPeers = 16;
+  static constexpr std::size_t kMaxDirectPeers = PeerDirectory::kMaxDirectPeers;
+  /// Without an aggregate for six intervals, the relay of the own zone counts as silent,
+  /// and this VM reports to all relays.
+  static constexpr Duration kRelaySilence = std::chrono::milliseconds(300);
   /// Peers hear of a suspected group once this VM has connected to another server, or
   /// after this time if it has not found itself cut off.
   static constexpr Duration kSuspicionDelay = std::chrono::milliseconds(500);
@@ -60,8 +66,8 @@
   /// Sends store changes to all subscribers, if this VM is a relay.
   void PushChanges(const ChangeAnswer& aChanges);
 
-  /// Sends a datagram without blocking; it is dropped if that fails.
-  void Send(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo);
+  /// Sends a query for changes.
+  void SendQuery(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo);
 
   /// Updates the peer directory from a changed presence key; ignores other keys.
   void OnSystemKeyChanged(const StoreChange& aChange);
@@ -88,7 +94,7 @@
   [[nodiscard]] FleetTraffic TrafficByVm(TimePoint aNow);
 
   /// Mean age of the known load of the other VMs.
-  [[nodiscard]] Duration MeanReportAge() const;
+  [[nodiscard]] Duration MeanReportAge();
 
   [[nodiscard]] PeerDirectory& Directory() { return this->directory; }
   [[nodiscard]] std::size_t PeerCount() const { return this->directory.Peers().size(); }
@@ -96,19 +102,31 @@
   /// Number of suspected groups not yet sent in an aggregate; for the state dump.
   [[nodiscard]] std::size_t PendingSuspicionCount() const
   {
-    return this->pendingSuspicions.size();
+    return this->pendingSuspicions.size() + this->foreignSuspicions.size();
   }
 
 private:
-  struct ReceivedReport
+  /// What a datagram carries, for the count of bytes.
+  enum class Kind
   {
-    PeerReport report;
-    TimePoint receivedAt{};
-    Endpoint endpoint;
+    Report,
+    Aggregate,
+    ZoneAggregate,
+    Changes,
   };
 
+  using ReceivedReport = PeerReportCollection::Received;
+
+  /// Sends a datagram without blocking; it is dropped if that fails.
+  ///
+  /// @param aKind names the datagram in the count of bytes
+  void Send(const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo, Kind aKind);
   void HandleDatagram(std::span<const std::uint8_t> aBytes, const Endpoint& aFrom);
   void HandleReport(PeerReport aReport, const Endpoint& aFrom, TimePoint aNow);
+  void HandleZoneAggregate(ZoneAggregate aAggregate, TimePoint aNow);
+  /// Applies what a report says about single groups, servers and requests.
+  void ApplyNews(const PeerReport& aReport, TimePoint aNow);
+  void ApplyLoads(const VmId& aSender, const PeerReport& aReport, TimePoint aNow);
   void HandleQuery(const ChangeQuery& aQuery, const Endpoint& aFrom, TimePoint aNow);
   void RemoveExpired(TimePoint aNow);
   void CountInvalidDatagram(DatagramFailure aFailure);
@@ -119,7 +137,10 @@
   /// VM's own network would explain.
   [[nodiscard]] std::vector<std::string> TakeSharedSuspicions(TimePoint aNow);
   void SendReport(const PeerReport& aReport);
+  /// The relays, or the one of the own zone alone while it sends aggregates.
+  [[nodiscard]] std::vector<Endpoint> ReportReceivers(TimePoint aNow);
   void SendAggregatesNow(TimePoint aNow);
+  void SendZoneAggregate(TimePoint aNow);
   [[nodiscard]] bool ReportsDirectly() const
   {
     return this->PeerCount() <= kMaxDirectPeers;
@@ -134,9 +155,11 @@
   std::uint64_t aggregateSequence = 0;
   PeerReport lastReport;
   PeerDirectory directory;
-  std::map<VmId, ReceivedReport> latestReports;
+  PeerReportCollection received;
   /// Last aggregate received from a relay.
   ReceivedReport latestAggregate;
+  /// Time of the last aggregate of the relay of the own zone.
+  TimePoint ownRelayHeardAt{};
   /// Time of the last query for changes, by VM.
   std::map<Endpoint, TimePoint> subscribers;
   /// A group that failed requests of this VM point to.
@@ -149,6 +172,8 @@
   std::vector<OwnSuspicion> ownSuspicions;
   /// Groups reported as suspected since the last aggregates were sent.
   std::vector<std::string> pendingSuspicions;
+  /// The same from other zones, which their relays have told the other relays.
+  std::vector<std::string> foreignSuspicions;
   std::array<std::uint8_t, 65536> buffer{};
 };
 
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "ErrorResponder.h"
+#include "peers/VmRun.h"
 #include "platform/HeaderTranslation.h"
 #include "text/Hexadecimal.h"
 
@@ -66,7 +67,7 @@
   , state(this->loop, aSettings)
   , settingsFile(std::move(aSettingsFile))
   , runNumber(this->state.random.Engine()())
-  , runId(this->state.settings.id.Value() + "." + std::to_string(this->runNumber))
+  , runId(MakeRunId(this->state.settings.id, this->runNumber, this->state.settings.zone))
   , store(this->loop,
           platform::StoreClientSettings{ this->state.settings.store },
           this->state.metrics)
@@ -77,7 +78,7 @@
                this->state.metrics,
                this->state.log,
                [this](const std::vector<std::uint8_t>& aBytes, const Endpoint& aTo) {
-                 this->peers.Send(aBytes, aTo);
+                 this->peers.SendQuery(aBytes, aTo);
                })
   , storeSynchronizer(this->state, this->changeFeed)
   , storeSession(this->state, this->store, this->peers.Directory(), this->runId)
@@ -205,6 +206,9 @@
   this->storeSynchronizer.SetIsRelay(this->peers.Directory().IsRelay());
   this->state.directory.OnTime(now);
   this->peers.Directory().OnTime(now);
+  this->peers.Directory().SetZonesAreFarApart(
+    this->state.configuration &&
+    this->state.configuration->LargestZoneDelay() >= ZoneDistances::kFarApart);
   this->UpdatePaths(now);
   this->state.quarantine.OnTime(now);
   this->JudgePromptParts(now);
--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -151,7 +151,11 @@
   }
   const auto version = configuration->Version();
   const auto routes = static_cast<std::int64_t>(configuration->RouteCount());
+  const auto malformedDelays = configuration->MalformedZoneDelays();
   const bool applied = this->state.ApplyConfiguration(std::move(*configuration));
+  if (applied && malformedDelays > 0) {
+    this->state.metrics.Count("zone_distances_unreadable_total", malformedDelays);
+  }
   this->state.log.Write(
     LogWeight::Notable,
     applied ? "configuration_in_force" : "configuration_not_newer",
