Prefer groups of the own zone where zones are far apart

Cause: placement takes the earliest prediction with 8 ms added for another zone. At the mean load predictions differ by more than that, so two thirds of the requests cross zones although any group would answer in time.

Change: ZonePreference leaves only groups of the own zone if there is one whose predicted first event is within half of the objective and which is at most a quarter of its slots fuller than the earliest one. It applies where the configuration states at least 2 ms between zones, after the decision to refuse, which sees all groups as before.

Run: test_toucanstand_routing, lint of the folder.

--- a/modules/toucanstand_routing/placement/GroupPlacement.cpp
+++ b/modules/toucanstand_routing/placement/GroupPlacement.cpp
@@ -11,15 +11,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include "placement/ZonePreference.h"
+
 namespace toucanstand {
 
 namespace {
 
-bool Contains(const auto& aList, const auto& aItem)
-{
-  return std::ranges::find(aList, aItem) != aList.end();
-}
-
 /// Weight of a new observation in the moving average of a group's slowdown.
 constexpr double kSlowdownWeight = 0.25;
 /// A slowdown below this is within the prediction error and is ignored.
@@ -148,8 +145,7 @@
                            this->AreStreamsSilent(state, aNow);
     const bool excluded = state.group.model != aQuery.model ||
                           (isAvoided && aAvoided == AvoidedGroups::LeaveOut) ||
-                          Contains(aQuery.excluded, id) ||
-                          Contains(aQuery.excludedServers, state.group.head);
+                          aQuery.Excludes(state.group);
     if (excluded) {
       continue;
     }
@@ -227,6 +223,10 @@
                              earliest,
                              limit };
   }
+  if (this->cost.zoneDistances.AreFarApart()) {
+    ZonePreference(this->ownZone, this->cost.slots, aQuery.firstEventTarget)
+      .Apply(choices, distribution);
+  }
   auto choice = std::move(choices[this->DrawGroup(choices, distribution)]);
   const auto unreportedDelay =
     std::max(distribution.commonTime - choice.predicted, Duration::zero());
--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -48,6 +49,12 @@
   /// The caller has a part of the stream. It is rather continued on a suspected group
   /// than broken off.
   bool isResumed = false;
+
+  [[nodiscard]] bool Excludes(const ServingGroup& aGroup) const
+  {
+    return std::ranges::count(this->excluded, aGroup.id) > 0 ||
+           std::ranges::count(this->excludedServers, aGroup.head) > 0;
+  }
 };
 
 /// The group chosen for a request, with the prediction behind the choice.
@@ -109,6 +116,8 @@
 /// factor of thirty, and without the peers' requests several entry VMs would choose the
 /// same free slots. Peers' requests that no report contains yet are assumed to equalize
 /// the groups' queues.
+///
+/// Where availability zones are far apart, ZonePreference narrows the choice.
 class GroupPlacement
 {
 public:
