--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -457,6 +457,7 @@
            { "paths", this->state.paths.Describe() },
            { "tunnels", this->tunnels.TunnelCount() },
            { "relay", this->peers.Directory().IsRelay() },
+           { "relays_by_zone", this->peers.Directory().AreRelaysByZone() },
            { "suspicions_to_pass_on", this->peers.PendingSuspicionCount() },
            { "open_connections", this->callerServer.OpenConnections() },
            { "in_flight", this->callerServer.ActiveExchanges() },
--- a/tests/unit/toucanstand_membership/TestZoneRelays.cpp
+++ b/tests/unit/toucanstand_membership/TestZoneRelays.cpp
@@ -4,7 +4,9 @@
 #include <catch2/catch.hpp>
 
 #include "peers/PeerDirectory.h"
+#include "peers/PeerReportAggregator.h"
 #include "peers/VmRun.h"
+#include "peers/ZoneAggregate.h"
 #include "peers/ZoneRelays.h"
 
 using namespace toucanstand;
@@ -42,8 +44,95 @@
   return directory;
 }
 
+constexpr int kGroups = 28;
+constexpr int kReportsPerSecond = 10;
+constexpr int kAggregatesPerSecond = 20;
+constexpr std::size_t kHeaderBytes = 28;
+
+/// A VM's share of 344 generations a second that take about 1 s each.
+PeerReport ReportOf(int aNumber)
+{
+  PeerReport report;
+  report.sender = VmId("vm-" + std::to_string(aNumber));
+  report.runNumber = 0xFFFFFFFFFFFFFFFULL;
+  report.sequence = 10'000;
+  for (int request = 0; request < 6; ++request) {
+    const int group = (aNumber * 5 + request * 7) % kGroups;
+    report.loads.push_back({ "large-" + std::to_string(7'900'000 + group), 0, 0, 1 });
+  }
+  report.demand = { { "large", 12.345 }, { "small", 3.456 } };
+  report.learnedOverheads = { { "large", { 0.0123, 400 } },
+                              { "small", { 0.0234, 2000 } } };
+  return report;
+}
+
+/// Bytes of reports and aggregates that cross zones in a second, with the headers of
+/// their datagrams.
+std::size_t BytesAcrossZones(bool aZonesAreFarApart)
+{
+  std::vector<PeerDirectory> directories;
+  for (int own = 0; own < kVms; ++own) {
+    directories.push_back(MakeDirectory(own));
+    directories.back().SetZonesAreFarApart(aZonesAreFarApart);
+  }
+  PeerReportAggregator all;
+  std::map<ZoneId, ZoneAggregate> zones;
+  std::map<ZoneId, PeerReportAggregator> totals;
+  for (int number = 0; number < kVms; ++number) {
+    all.Add(ReportOf(number));
+    totals[ZoneOfVm(number)].Add(ReportOf(number));
+    zones[ZoneOfVm(number)].vms.push_back(ReportOf(number).sender);
+  }
+  std::size_t bytes = 0;
+  for (int own = 0; own < kVms; ++own) {
+    auto& directory = directories[static_cast<std::size_t>(own)];
+    const auto add = [&](std::size_t aSize, const Endpoint& aTo, int aPerSecond) {
+      const bool isAcross = directory.ZoneOf(aTo) != directory.OwnZone();
+      bytes +=
+        isAcross ? (aSize + kHeaderBytes) * static_cast<std::size_t>(aPerSecond) : 0;
+    };
+    const bool isZoneRelay = directory.AreRelaysByZone() && directory.IsRelay();
+    if (isZoneRelay) {
+      auto aggregate = zones.at(directory.OwnZone());
+      aggregate.zone = directory.OwnZone();
+      aggregate.sum = totals.at(directory.OwnZone()).Total();
+      aggregate.sum.sender = VmId("vm-1");
+      aggregate.sum.runNumber = 0xFFFFFFFFFFFFFFFULL;
+      for (const auto& relay : directory.Relays()) {
+        add(EncodeZoneAggregate(aggregate).size(), relay, kAggregatesPerSecond);
+      }
+      continue;
+    }
+    const auto relay = directory.RelayOfOwnZone();
+    const auto receivers = relay ? std::vector{ *relay } : directory.Relays();
+    for (const auto& receiver : receivers) {
+      add(EncodePeerReport(ReportOf(own)).size(), receiver, kReportsPerSecond);
+    }
+    if (!directory.IsRelay()) {
+      auto aggregate = all.TotalWithout(ReportOf(own));
+      aggregate.sender = VmId("vm-1");
+      aggregate.runNumber = 0xFFFFFFFFFFFFFFFULL;
+      // In the other direction, between the same two zones.
+      add(EncodePeerReport(aggregate).size(),
+          directory.Relays().front(),
+          kAggregatesPerSecond);
+    }
+  }
+  return bytes;
+}
+
 } // namespace
 
+TEST_CASE("Less than half of the bytes between VMs cross zones that are far apart",
+          "[peers]")
+{
+  // Guards against a change that sends reports or aggregates across zones again.
+  const auto before = BytesAcrossZones(false);
+  const auto now = BytesAcrossZones(true);
+  CHECK(before > 500'000);
+  CHECK(now < before / 5);
+}
+
 TEST_CASE("A run id states the zone, and one of an earlier build states none", "[peers]")
 {
   // Guards against a VM of an earlier build that counts as one that sends zone
