Keep zone aggregates disjoint, and compute the age of reports apart

An aggregate that shares a VM with an earlier one now replaces it, so that placement and sums agree at any time; before, a single report of a VM that only a replaced aggregate had was missing in the relay's own placement until the next one, 50 ms later. ReportRoute computes the mean age of known loads, which is tested without a network.

--- a/modules/toucanstand_membership/peers/PeerReportCollection.cpp
+++ b/modules/toucanstand_membership/peers/PeerReportCollection.cpp
@@ -1,7 +1,6 @@
 #include "peers/PeerReportCollection.h"
 
 #include <algorithm>
-#include <functional>
 #include <iterator>
 #include <ranges>
 #include <utility>
@@ -64,16 +63,23 @@
 {
   const auto sender = aAggregate.sum.sender;
   const auto known = this->aggregates.find(sender);
-  if (known != this->aggregates.end() &&
-      IsOutdated(aAggregate.sum, known->second.aggregate.sum)) {
+  const bool isOutdated = known != this->aggregates.end() &&
+                          IsOutdated(aAggregate.sum, known->second.aggregate.sum);
+  if (isOutdated || Contains(aAggregate.vms, this->own)) {
     return std::nullopt;
   }
-  auto replaced = aAggregate.vms;
-  for (const auto& [relay, other] : this->aggregates) {
-    if (relay != sender && SharesVm(other.aggregate, aAggregate)) {
-      replaced.push_back(AggregateOf(relay));
+  std::vector<VmId> replaced;
+  std::ranges::copy_if(aAggregate.vms,
+                       std::back_inserter(replaced),
+                       [this](const VmId& aVm) { return this->reports.contains(aVm); });
+  std::erase_if(this->aggregates, [&](const auto& aOther) {
+    const bool isReplaced =
+      aOther.first != sender && SharesVm(aOther.second.aggregate, aAggregate);
+    if (isReplaced) {
+      replaced.push_back(AggregateOf(aOther.first));
     }
-  }
+    return isReplaced;
+  });
   this->aggregates[sender] = { std::move(aAggregate), aNow };
   return replaced;
 }
@@ -102,28 +108,17 @@
 
 std::vector<const PeerReport*> PeerReportCollection::CountingSince(TimePoint aTime) const
 {
-  std::vector<const ReceivedAggregate*> latestFirst;
-  for (const auto& aggregate : this->aggregates | std::views::values) {
-    if (aggregate.receivedAt >= aTime) {
-      latestFirst.push_back(&aggregate);
-    }
-  }
-  std::ranges::stable_sort(
-    latestFirst, std::ranges::greater{}, &ReceivedAggregate::receivedAt);
-  std::set<VmId> counted{ this->own };
+  std::set<VmId> counted;
   std::vector<const PeerReport*> counting;
-  for (const auto* received : latestFirst) {
-    const auto& vms = received->aggregate.vms;
-    const bool isDisjoint = std::ranges::none_of(
-      vms, [&counted](const VmId& aVm) { return counted.contains(aVm); });
-    if (isDisjoint) {
-      counted.insert(vms.begin(), vms.end());
-      counting.push_back(&received->aggregate.sum);
+  for (const auto& [aggregate, receivedAt] : this->aggregates | std::views::values) {
+    if (receivedAt >= aTime) {
+      counted.insert(aggregate.vms.begin(), aggregate.vms.end());
+      counting.push_back(&aggregate.sum);
     }
   }
-  for (const auto& [vm, received] : this->reports) {
-    if (received.receivedAt >= aTime && !counted.contains(vm)) {
-      counting.push_back(&received.report);
+  for (const auto& [vm, report] : this->reports) {
+    if (report.receivedAt >= aTime && !counted.contains(vm)) {
+      counting.push_back(&report.report);
     }
   }
   return counting;
--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -11,6 +11,7 @@
 #include "PeerReportConversion.h"
 #include "StoreSession.h"
 #include "peers/PeerReportAggregator.h"
+#include "peers/ReportRoute.h"
 
 namespace toucanstand {
 
@@ -502,18 +503,15 @@
 
 Duration PeerChannel::MeanReportAge()
 {
-  const Duration directReportAge = kReportInterval / 2 + kDatagramDelay;
-  if (this->ReportsDirectly()) {
-    return directReportAge;
-  }
-  const Duration aggregateAge = kAggregateInterval / 2 + kDatagramDelay;
-  if (!this->directory.AreRelaysByZone()) {
-    return directReportAge + aggregateAge;
-  }
-  // Load of another zone waits for the aggregate of that zone and crosses zones.
-  const auto crossZoneAge = aggregateAge + this->state.configuration->LargestZoneDelay();
-  return directReportAge + (this->directory.IsRelay() ? Duration::zero() : aggregateAge) +
-         FromSeconds(ToSeconds(crossZoneAge) * this->directory.ShareOfOtherZones());
+  ReportRoute route{ kReportInterval, kAggregateInterval, kDatagramDelay };
+  route.isByZone = !this->ReportsDirectly() && this->directory.AreRelaysByZone();
+  route.isThroughRelay =
+    !this->ReportsDirectly() && !(route.isByZone && this->directory.IsRelay());
+  if (route.isByZone) {
+    route.zoneDelay = this->state.configuration->LargestZoneDelay();
+    route.shareOfOtherZones = this->directory.ShareOfOtherZones();
+  }
+  return route.MeanAge();
 }
 
 std::map<std::string, double> PeerChannel::PeerDemand(TimePoint aNow)
--- a/tests/unit/toucanstand_routing/TestZonePreference.cpp
+++ b/tests/unit/toucanstand_routing/TestZonePreference.cpp
@@ -32,6 +32,7 @@
   ZonePreference(ZoneId("z1"), kSlots, kTarget).Apply(aChoices, aDistribution);
   REQUIRE(aDistribution.expectedRequests.size() == aChoices.size());
   std::vector<std::string> zones;
+  zones.reserve(aChoices.size());
   for (const auto& choice : aChoices) {
     zones.push_back(choice.group.zone.Value());
   }
