--- a/modules/toucanstand_routing/placement/GroupPlacement.h
+++ b/modules/toucanstand_routing/placement/GroupPlacement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -36,6 +37,8 @@
 {
   std::string model;
   double promptTokens = 0;
+  /// Target for the time to the first event.
+  Duration firstEventTarget{ 0 };
   /// Groups that must not be chosen, such as those already tried.
   std::vector<GroupId> excluded;
   /// Heads that must get no request now.
@@ -43,6 +46,12 @@
   /// The caller has a part of the stream. It is rather continued on a suspected group
   /// than broken off.
   bool isResumed = false;
+
+  [[nodiscard]] bool Excludes(const ServingGroup& aGroup) const
+  {
+    return std::ranges::count(this->excluded, aGroup.id) > 0 ||
+           std::ranges::count(this->excludedServers, aGroup.head) > 0;
+  }
 };
 
 /// What the eligible groups offer a request, for the decision whether to accept it.
@@ -101,6 +110,8 @@
 /// factor of thirty, and without the peers' requests several entry VMs would choose the
 /// same free slots. Peers' requests that no report contains yet are assumed to equalize
 /// the groups' queues.
+///
+/// Where availability zones are far apart, ZonePreference narrows the choice.
 class GroupPlacement
 {
 public:
--- a/programs/toucanstand-server/GenerationCall.cpp
+++ b/programs/toucanstand-server/GenerationCall.cpp
@@ -120,6 +120,7 @@
   PlacementQuery query;
   query.model = this->call.facts.model;
   query.promptTokens = this->call.facts.promptTokens;
+  query.firstEventTarget = this->call.route->targetLatency;
   query.excluded = this->triedGroups;
   std::ranges::transform(this->state.availability.Spared(BootClock::now()),
                          std::back_inserter(query.excludedServers),
