Move the division of a rate among VMs into a class of its own

Cold servers need the same selection of VMs by weighted rendezvous hashing as the rate limits that servers state. RateShares holds the fleet, its weights and the selection; ServerRateLimits keeps its rates, bursts and accounts.

Run: test_toucanstand_admission, unchanged tests of ServerRateLimits.

--- a/modules/toucanstand_admission/limits/ServerRateLimits.cpp
+++ b/modules/toucanstand_admission/limits/ServerRateLimits.cpp
@@ -1,17 +1,10 @@
 #include "limits/ServerRateLimits.h"
 
 #include <algorithm>
-#include <cmath>
-#include <iterator>
-#include <numeric>
-#include <ranges>
-#include <string_view>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
-#include "hashing/Fingerprint.h"
-
 namespace toucanstand {
 
 namespace {
@@ -19,76 +12,24 @@
 /// One request, less the rounding error of the sums of fractions.
 constexpr double kOneRequest = 1.0 - 1e-9;
 
-/// Weighted rendezvous hashing: the VMs with the lowest ranks are selected, each with a
-/// probability that grows with its weight.
-double SelectionRank(const ServerId& aServer, const ServerRateLimits::Vm& aVm)
-{
-  constexpr double kRange = 18446744073709551616.0;
-  const auto weight = static_cast<double>(RendezvousWeight(aServer.Value(), aVm.name));
-  return -std::log((weight + 1) / (kRange + 1)) / aVm.weight;
-}
-
 } // namespace
 
 void ServerRateLimits::SetFleet(Vm aSelf, std::vector<Vm> aOthers)
 {
-  const double total = std::accumulate(
-    aOthers.begin(), aOthers.end(), aSelf.weight, [](double aSum, const Vm& aVm) {
-      return aSum + aVm.weight;
-    });
-  const double minWeight =
-    total > 0 ? kMinRelativeWeight * total / static_cast<double>(aOthers.size() + 1) : 1;
-  const auto raise = [minWeight](Vm& aVm) {
-    aVm.weight = std::max(aVm.weight, minWeight);
-  };
-  raise(aSelf);
-  std::ranges::for_each(aOthers, raise);
-  if (aSelf == this->self && aOthers == this->others) {
+  if (!this->shares.SetFleet(std::move(aSelf), std::move(aOthers))) {
     return;
   }
-  this->self = std::move(aSelf);
-  this->others = std::move(aOthers);
   for (auto& [server, limit] : this->limits) {
     this->ComputeShare(server, limit);
   }
 }
 
-std::vector<const ServerRateLimits::Vm*> ServerRateLimits::SelectSenders(
-  const ServerId& aServer,
-  double aBurst) const
-{
-  std::vector<std::pair<double, const Vm*>> ranking;
-  ranking.emplace_back(SelectionRank(aServer, this->self), &this->self);
-  for (const auto& other : this->others) {
-    ranking.emplace_back(SelectionRank(aServer, other), &other);
-  }
-  std::ranges::sort(ranking, {}, [](const auto& aVm) {
-    return std::pair(aVm.first, std::string_view(aVm.second->name));
-  });
-  // Each of them may save up one whole request.
-  const auto count = aBurst >= static_cast<double>(ranking.size())
-                       ? ranking.size()
-                       : static_cast<std::size_t>(aBurst);
-  std::vector<const Vm*> senders;
-  std::ranges::copy(ranking | std::views::take(count) | std::views::values,
-                    std::back_inserter(senders));
-  return senders;
-}
-
 void ServerRateLimits::ComputeShare(const ServerId& aServer, Limit& aLimit) const
 {
   const double burst = kBurstRequests + kBurstSeconds * aLimit.perSecond;
-  const auto senders = this->SelectSenders(aServer, burst);
-  const bool isSender = std::ranges::find(senders, &this->self) != senders.end();
-  const double total =
-    std::accumulate(senders.begin(), senders.end(), 0.0, [](double aSum, const Vm* aVm) {
-      return aSum + aVm->weight;
-    });
-  const double part = isSender ? this->self.weight / total : 0;
-  const double sharedBurst = burst - static_cast<double>(senders.size());
-  aLimit.share = std::max(aLimit.perSecond, kMinRate) * part;
-  aLimit.capacity = isSender ? 1 + sharedBurst * part : 0;
-  aLimit.available = std::min(aLimit.available, aLimit.capacity);
+  aLimit.share =
+    this->shares.ShareOf(aServer, std::max(aLimit.perSecond, kMinRate), burst);
+  aLimit.available = std::min(aLimit.available, aLimit.share.capacity);
 }
 
 ServerRateLimits::Change ServerRateLimits::OnResponse(const ServerId& aServer,
@@ -160,8 +101,8 @@
 
 double ServerRateLimits::Available(const Limit& aLimit, TimePoint aNow)
 {
-  const double added = aLimit.share * ToSeconds(aNow - aLimit.updatedAt);
-  return std::min(aLimit.capacity, aLimit.available + added);
+  const double added = aLimit.share.perSecond * ToSeconds(aNow - aLimit.updatedAt);
+  return std::min(aLimit.share.capacity, aLimit.available + added);
 }
 
 bool ServerRateLimits::IsExhausted(const Limit& aLimit, TimePoint aNow)
@@ -188,10 +129,10 @@
     return Duration::zero();
   }
   const Limit& limit = found->second;
-  if (limit.share <= 0) {
+  if (limit.share.perSecond <= 0) {
     return std::nullopt;
   }
-  return FromSeconds((1.0 - Available(limit, aNow)) / limit.share);
+  return FromSeconds((1.0 - Available(limit, aNow)) / limit.share.perSecond);
 }
 
 void ServerRateLimits::OnTime(TimePoint aNow)
@@ -225,7 +166,7 @@
       { { "server", server.Value() },
         { "per_second", limit.perSecond },
         { "lifted", limit.isLifted },
-        { "own_share", limit.share },
+        { "own_share", limit.share.perSecond },
         { "available", Available(limit, aNow) },
         { "stated_ms_ago", ToMilliseconds(aNow - limit.statedAt).count() } });
   }
--- a/modules/toucanstand_admission/limits/ServerRateLimits.h
+++ b/modules/toucanstand_admission/limits/ServerRateLimits.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "identifiers/Identifiers.h"
+#include "limits/RateShares.h"
 #include "observation/NewsScope.h"
 #include "serving/CallFacts.h"
 #include "time/BootClock.h"
@@ -41,9 +42,6 @@
   /// for VMs that do not know of each other.
   static constexpr double kBurstRequests = 2.5;
   static constexpr double kBurstSeconds = 1.5;
-  /// A VM with little traffic counts as this fraction of the mean, so that it may use its
-  /// share when its traffic grows.
-  static constexpr double kMinRelativeWeight = 0.25;
   /// A limit that nobody has heard again for this long is dropped.
   static constexpr Duration kLifetime = std::chrono::seconds(10);
   /// Answers on different connections overtake each other by less than this; an answer
@@ -56,14 +54,7 @@
   static constexpr std::size_t kMaxReportedServers = 256;
 
   /// An entry VM that shares the limits.
-  struct Vm
-  {
-    std::string name;
-    /// Its part of the traffic, in any unit that is the same for all.
-    double weight = 1;
-
-    bool operator==(const Vm&) const = default;
-  };
+  using Vm = RateShares::Vm;
 
   /// Sets the entry VMs that share the limits. All VMs must pass the same names, and
   /// about the same weights.
@@ -115,10 +106,9 @@
     /// The statement was in a response to this VM.
     bool isOwn = false;
     TimePoint statedAt{};
-    /// This VM's share in requests per second; 0 if it has none.
-    double share = 0;
-    /// Requests that may be saved up, and those available at the time of the last update.
-    double capacity = 0;
+    /// This VM's share.
+    RateShares::Share share;
+    /// Requests available at the time of the last update.
     double available = 0;
     TimePoint updatedAt{};
   };
@@ -128,15 +118,11 @@
              bool aIsOwn,
              TimePoint aStatedAt,
              TimePoint aNow);
-  /// The VMs among which a server's limit is divided.
-  [[nodiscard]] std::vector<const Vm*> SelectSenders(const ServerId& aServer,
-                                                     double aBurst) const;
   void ComputeShare(const ServerId& aServer, Limit& aLimit) const;
   [[nodiscard]] static double Available(const Limit& aLimit, TimePoint aNow);
   [[nodiscard]] static bool IsExhausted(const Limit& aLimit, TimePoint aNow);
 
-  Vm self;
-  std::vector<Vm> others;
+  RateShares shares;
   std::unordered_map<ServerId, Limit> limits;
 };
 
