Read the time and the rate of cold engines

The registration of a server states for how long it stays cold, the configuration what a cold server tolerates, and the settings by how much. An absurd value counts as absent and makes neither a registration nor a configuration unreadable. A time that counts down changes no revision of the directory, so destinations are not built anew, but is passed on by relays.

Run: test_toucanstand_world, test_toucanstand_platform.

--- a/modules/toucanstand_world/serving/ServerDirectory.cpp
+++ b/modules/toucanstand_world/serving/ServerDirectory.cpp
@@ -32,8 +32,11 @@
   aEntry.leaving =
     aEntry.leaving || (sameRun && known.leaving) || this->SaidThatItLeaves(aEntry);
   if (known == aEntry) {
+    // Others have to learn of each cold time, and of its end.
+    const bool isNews = known.coldTime.IsCold() || aEntry.coldTime.IsCold();
     known.sequence = aEntry.sequence;
-    return restored || isRenewed;
+    known.coldTime = aEntry.coldTime;
+    return restored || isRenewed || isNews;
   }
   known = std::move(aEntry);
   ++this->revision;
--- a/modules/toucanstand_world/serving/ServerDirectory.h
+++ b/modules/toucanstand_world/serving/ServerDirectory.h
@@ -48,7 +48,8 @@
 
   /// Adds or replaces an entry, unless it is older than the known one of the same run:
   /// the store may have been restored from a copy.
-  /// @returns false when the store had the entry as it is and it was not being removed
+  /// @returns false when the store had the entry as it is, without a cold time, and it
+  /// was not being removed
   bool Put(ServerEntry aEntry);
   void Remove(const ServerId& aServer, TimePoint aNow);
 
@@ -75,7 +76,7 @@
   /// Groups of a pool, by id.
   [[nodiscard]] std::map<GroupId, ObservedGroup> GroupsOf(const PoolId& aPool) const;
 
-  /// Changes whenever a server's entry changes in any field.
+  /// Changes whenever a server's entry changes in any field, its cold time excepted.
   [[nodiscard]] std::uint64_t Revision() const { return this->revision; }
 
   [[nodiscard]] nlohmann::json Describe() const;
--- a/modules/toucanstand_world/serving/ServerEntry.h
+++ b/modules/toucanstand_world/serving/ServerEntry.h
@@ -9,6 +9,7 @@
 #include "groups/ReplicaGroup.h"
 #include "identifiers/Identifiers.h"
 #include "network/Endpoint.h"
+#include "time/BootClock.h"
 
 namespace toucanstand {
 
@@ -50,6 +51,22 @@
   friend bool operator==(const EntrySequence&, const EntrySequence&) { return true; }
 };
 
+/// Time for which a server stays cold, as of the write of its entry. It counts down, so
+/// entries that differ in nothing else are equal.
+struct StatedColdTime
+{
+  /// Nothing if the entry does not state it.
+  std::optional<Duration> remaining;
+  /// The entry states a value that can't be meant, which counts as absent.
+  bool isUnreadable = false;
+
+  [[nodiscard]] bool IsCold() const
+  {
+    return this->remaining && *this->remaining > Duration::zero();
+  }
+  friend bool operator==(const StatedColdTime&, const StatedColdTime&) { return true; }
+};
+
 /// A backend server as it registered itself with the platform.
 struct ServerEntry
 {
@@ -67,6 +84,7 @@
   std::int64_t startedAtUnixMs = 0;
   /// Position among the entries that this run of the server wrote; 0 when unknown.
   EntrySequence sequence;
+  StatedColdTime coldTime;
   /// Models whose weights lie on the host.
   std::vector<std::string> stagedModels;
   std::optional<GroupMembership> membership;
--- a/modules/toucanstand_world/serving/ServingConfiguration.h
+++ b/modules/toucanstand_world/serving/ServingConfiguration.h
@@ -70,6 +70,12 @@
   std::size_t connectionLimit = 0;
   /// Set for pools of model engines.
   std::optional<EngineCostModel> engine;
+  /// Time for which a server is cold after it has started.
+  Duration coldStart{ 0 };
+  /// Requests per second that a cold server tolerates; 0: servers are never cold.
+  double coldRequestsPerSecond = 0;
+  /// One of the two has a value that can't be meant, which counts as absent.
+  bool areColdTermsUnreadable = false;
 };
 
 /// The client account that holds an API key.
--- a/programs/toucanstand-server/ServerSettings.cpp
+++ b/programs/toucanstand-server/ServerSettings.cpp
@@ -44,6 +44,11 @@
                                             std::chrono::milliseconds(10),
                                             std::chrono::minutes(10),
                                             settings.headStall);
+  constexpr double kMaxColdOvershoot = 1000;
+  constexpr double kMaxColdSlack = 1'000'000;
+  settings.coldOvershoot =
+    aReader.Number("cold_overshoot", 0, kMaxColdOvershoot, settings.coldOvershoot);
+  settings.coldSlack = aReader.Number("cold_slack", 0, kMaxColdSlack, settings.coldSlack);
   settings.connections = static_cast<std::size_t>(aReader.Whole(
     "connections", 1, 100'000, static_cast<std::int64_t>(settings.connections)));
   settings.routineLinesPerSecond = aReader.Number(
--- a/programs/toucanstand-server/ServerSettings.h
+++ b/programs/toucanstand-server/ServerSettings.h
@@ -35,6 +35,9 @@
   /// Time for which the head server of a group keeps its requests open after the group
   /// has lost a member.
   Duration headStall = std::chrono::seconds(5);
+  /// In any second, a cold server gets at most its rate times this, and `coldSlack`.
+  double coldOvershoot = 1;
+  double coldSlack = 0;
   /// Maximum number of open caller connections.
   std::size_t connections = 1500;
   /// Maximum log lines per second: routine lines for answered requests, notable lines for
--- a/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
+++ b/tests/unit/toucanstand_platform/TestConfigurationReader.cpp
@@ -116,3 +116,28 @@
   document["Tenants"][0]["ApiKeys"] = json::array({ 1 });
   CHECK(ReadFailure(document) == platform::ConfigurationFailure::InvalidApiKeys);
 }
+
+TEST_CASE("The terms of cold servers are read, and absurd ones are left out",
+          "[platform]")
+{
+  // Guards against a configuration that is rejected, or servers that get nothing, because
+  // of one damaged number.
+  const auto read = [](const json& aStart, const json& aRate) {
+    auto document = ValidDocument();
+    document["Services"][0]["ColdStartS"] = aStart;
+    document["Services"][0]["ColdPerS"] = aRate;
+    const auto configuration = platform::ReadConfiguration(document.dump());
+    REQUIRE(configuration.HasValue());
+    CHECK(configuration->FindPool(PoolId("s2"))->coldRequestsPerSecond == 0);
+    return *configuration->FindPool(PoolId("s1"));
+  };
+  const auto pool = read(3.0, 17);
+  CHECK(pool.coldStart == std::chrono::seconds(3));
+  CHECK(pool.coldRequestsPerSecond == 17);
+  CHECK_FALSE(pool.areColdTermsUnreadable);
+  CHECK(read(-1, 17).coldStart == Duration::zero());
+  CHECK(read(3601, 17).areColdTermsUnreadable);
+  CHECK(read(3, "17").coldRequestsPerSecond == 0);
+  CHECK(read(3, -17).areColdTermsUnreadable);
+  CHECK_FALSE(read(nullptr, nullptr).areColdTermsUnreadable);
+}
--- a/tests/unit/toucanstand_platform/TestServerEntryReader.cpp
+++ b/tests/unit/toucanstand_platform/TestServerEntryReader.cpp
@@ -47,6 +47,30 @@
   CHECK(!leaving->membership.has_value());
 }
 
+TEST_CASE("A cold time is read, and one that can't be meant is left out", "[platform]")
+{
+  // Guards against a server that is lost, or without requests for days, because of a
+  // damaged value.
+  const auto read = [](const json& aValue) {
+    auto entry = ValidEntry();
+    entry["ColdRemainingMs"] = aValue;
+    const auto server = platform::ReadServerEntry(ServerId("i-1"), entry.dump());
+    REQUIRE(server.HasValue());
+    return server->coldTime;
+  };
+  CHECK(read(2500).remaining == std::chrono::milliseconds(2500));
+  CHECK(read(2500).IsCold());
+  CHECK_FALSE(read(0).IsCold());
+  CHECK_FALSE(read(nullptr).remaining.has_value());
+  CHECK_FALSE(read(nullptr).isUnreadable);
+  for (const json& value :
+       { json(-1), json(3'600'001), json(1e300), json("9"), json::array() }) {
+    INFO(value.dump());
+    CHECK(read(value).isUnreadable);
+    CHECK_FALSE(read(value).remaining.has_value());
+  }
+}
+
 TEST_CASE("A registration with a missing or invalid field is rejected", "[platform]")
 {
   // Guards against routing requests to a server whose registration was corrupted by
--- a/tests/unit/toucanstand_world/TestServerDirectory.cpp
+++ b/tests/unit/toucanstand_world/TestServerDirectory.cpp
@@ -212,3 +212,21 @@
   directory.Put(member("a", 0));
   CHECK(unregistered(directory).empty());
 }
+
+TEST_CASE("A cold time is passed on and changes nothing else", "[directory]")
+{
+  // Guards against destinations that are built anew with each heartbeat of a cold server,
+  // and against VMs that do not hear of a server that becomes cold.
+  ServerDirectory directory;
+  auto entry = Entry("a");
+  directory.Put(entry);
+  CHECK_FALSE(directory.Put(entry));
+  const auto revision = directory.Revision();
+  for (const int remaining : { 3000, 1800, 600, 0 }) {
+    INFO(remaining);
+    entry.coldTime.remaining = std::chrono::milliseconds(remaining);
+    CHECK(directory.Put(entry));
+  }
+  CHECK_FALSE(directory.Put(entry));
+  CHECK(directory.Revision() == revision);
+}
