Bound the requests to cold engines of all VMs together

Change: ColdServers knows which servers are cold by their registration, a new start or the return of their zone, and has this VM's account for each. ServerAvailability has the obstacle Cold.

Ruled out, see docs/design/cold-engines.md: shares that a VM keeps while it is cut off, cold engines in VM reports, one VM that is asked before each request.

--- a/modules/toucanstand_admission/limits/ServerAvailability.cpp
+++ b/modules/toucanstand_admission/limits/ServerAvailability.cpp
@@ -10,18 +10,19 @@
 const char* ServerAvailability::Name(Obstacle aObstacle)
 {
   // In the order of the enumeration.
-  constexpr std::array kNames = {
-    "none", "leaving", "evacuated", "retry_after", "rate_limit"
-  };
+  constexpr std::array kNames = { "none",        "leaving", "evacuated",
+                                  "retry_after", "cold",    "rate_limit" };
   return kNames.at(static_cast<std::size_t>(aObstacle));
 }
 
 ServerAvailability::ServerAvailability(const ServerDirectory& aDirectory,
                                        const ServerRateLimits& aRateLimits,
-                                       const ZoneEvacuations& aEvacuations)
+                                       const ZoneEvacuations& aEvacuations,
+                                       const ColdServers& aColdServers)
   : directory(aDirectory)
   , rateLimits(aRateLimits)
   , evacuations(aEvacuations)
+  , coldServers(aColdServers)
 {
 }
 
@@ -74,14 +75,19 @@
   if (this->IsEvacuated(aServer)) {
     return { Obstacle::Evacuated, std::nullopt };
   }
+  const auto cold = this->coldServers.TimeUntilNextRequest(aServer, aNow);
   const auto limited = this->rateLimits.TimeUntilNextRequest(aServer, aNow);
   const auto found = this->waits.find(aServer);
   const auto waiting = found == this->waits.end()
                          ? Duration::zero()
                          : this->RemainingWait(aServer, found->second, aNow);
+  const auto wait =
+    limited ? std::optional(std::max({ *limited, cold, waiting })) : std::nullopt;
   if (waiting > Duration::zero()) {
-    return { Obstacle::Waiting,
-             limited ? std::optional(std::max(*limited, waiting)) : std::nullopt };
+    return { Obstacle::Waiting, wait };
+  }
+  if (cold > Duration::zero()) {
+    return { Obstacle::Cold, wait };
   }
   return { limited == Duration::zero() ? Obstacle::None : Obstacle::RateLimit, limited };
 }
@@ -95,8 +101,15 @@
       spared.push_back({ server, Obstacle::Waiting });
     }
   }
-  for (auto& server : this->rateLimits.Exhausted(aNow)) {
+  for (auto& server : this->coldServers.Exhausted(aNow)) {
     if (!this->IsWaiting(server, aNow)) {
+      spared.push_back({ std::move(server), Obstacle::Cold });
+    }
+  }
+  for (auto& server : this->rateLimits.Exhausted(aNow)) {
+    const bool isCold =
+      this->coldServers.TimeUntilNextRequest(server, aNow) > Duration::zero();
+    if (!isCold && !this->IsWaiting(server, aNow)) {
       spared.push_back({ std::move(server), Obstacle::RateLimit });
     }
   }
--- a/modules/toucanstand_admission/limits/ServerAvailability.h
+++ b/modules/toucanstand_admission/limits/ServerAvailability.h
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "limits/ColdServers.h"
 #include "limits/ServerRateLimits.h"
 #include "serving/ServerDirectory.h"
 #include "serving/ServerRun.h"
@@ -17,9 +18,9 @@
 /// Answers when this VM may send a server a request, and if not now, why not.
 ///
 /// It joins what ServerDirectory knows of servers that leave, ZoneEvacuations of zones
-/// whose servers get nothing and ServerRateLimits of their limits with the times for
-/// which servers want nothing. Ejection is not part of it: it prefers other candidates,
-/// and forbids none.
+/// whose servers get nothing, ColdServers and ServerRateLimits of their limits with the
+/// times for which servers want nothing. Ejection is not part of it: it prefers other
+/// candidates, and forbids none.
 class ServerAvailability
 {
 public:
@@ -37,6 +38,9 @@
     Evacuated,
     /// It wants nothing for a time that it named.
     Waiting,
+    /// It is cold, or the head of a group with a cold member, and this VM has used up its
+    /// share of what such a server tolerates.
+    Cold,
     /// This VM has used up its share of the server's rate limit.
     RateLimit,
   };
@@ -46,7 +50,8 @@
   /// All must outlive this object.
   ServerAvailability(const ServerDirectory& aDirectory,
                      const ServerRateLimits& aRateLimits,
-                     const ZoneEvacuations& aEvacuations);
+                     const ZoneEvacuations& aEvacuations,
+                     const ColdServers& aColdServers);
 
   /// A run of a server wants nothing for this time. It does not shorten a longer one that
   /// the run named before: both were said, and answers overtake each other.
@@ -105,6 +110,7 @@
   const ServerDirectory& directory;
   const ServerRateLimits& rateLimits;
   const ZoneEvacuations& evacuations;
+  const ColdServers& coldServers;
   std::unordered_map<ServerId, Wait> waits;
 };
 
--- a/modules/toucanstand_membership/peers/PeerDirectory.cpp
+++ b/modules/toucanstand_membership/peers/PeerDirectory.cpp
@@ -20,6 +20,7 @@
                         const Presence& aPresence,
                         std::int64_t aRevision)
 {
+  this->isRegistered = this->isRegistered || aRunId == this->ownRunId;
   // A different run id with the endpoint of this VM is of an earlier run of its process.
   if (aRunId == this->ownRunId || aPresence.endpoint == this->ownPresence.endpoint) {
     return;
@@ -37,6 +38,7 @@
 
 void PeerDirectory::Remove(const std::string& aRunId, TimePoint aNow)
 {
+  this->isRegistered = this->isRegistered && aRunId != this->ownRunId;
   if (!this->removals.Defer(aRunId, aNow)) {
     this->removals.Cancel(aRunId);
     this->RemoveNow(aRunId);
--- a/modules/toucanstand_membership/peers/PeerDirectory.h
+++ b/modules/toucanstand_membership/peers/PeerDirectory.h
@@ -52,6 +52,9 @@
     return this->peers;
   }
 
+  /// True while the store has the registration of this run of this VM.
+  [[nodiscard]] bool IsRegistered() const { return this->isRegistered; }
+
   [[nodiscard]] bool IsRelay();
 
   /// The other relays, in the order in which this VM queries them. The order differs
@@ -78,6 +81,7 @@
   std::map<Endpoint, Registration> registrations;
   DeferredRemovals<std::string> removals;
   std::vector<Endpoint> relays;
+  bool isRegistered = false;
   bool isRelay = true;
   bool relaysOutdated = true;
 };
--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -435,4 +435,16 @@
   return fleet;
 }
 
+ColdServers::FleetView PeerChannel::MakeFleetView() const
+{
+  ColdServers::FleetView view;
+  view.self = this->state.settings.peers.Text();
+  std::ranges::transform(this->directory.Peers() | std::views::values,
+                         std::back_inserter(view.others),
+                         [](const Presence& aPeer) { return aPeer.endpoint.Text(); });
+  view.isRegistered = this->directory.IsRegistered();
+  view.completeAt = this->state.storeUpToDateAt;
+  return view;
+}
+
 } // namespace toucanstand
--- a/programs/toucanstand-server/PeerChannel.h
+++ b/programs/toucanstand-server/PeerChannel.h
@@ -87,6 +87,9 @@
   };
   [[nodiscard]] FleetTraffic TrafficByVm(TimePoint aNow);
 
+  /// The registered VMs, for the shares of what cold servers tolerate.
+  [[nodiscard]] ColdServers::FleetView MakeFleetView() const;
+
   /// Mean age of the known load of the other VMs.
   [[nodiscard]] Duration MeanReportAge() const;
 
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -299,6 +299,7 @@
   auto fleet = this->peers.TrafficByVm(aNow);
   this->state.rateLimits.SetFleet(std::move(fleet.self), std::move(fleet.others));
   this->state.rateLimits.OnTime(aNow);
+  this->state.coldServers.SetFleet(this->peers.MakeFleetView(), aNow);
 }
 
 bool ServerProcess::IsReady() const
@@ -466,6 +467,7 @@
            { "prompt_part_quarantine", this->state.promptPartQuarantine.Describe(now) },
            { "rate_limits", this->state.rateLimits.Describe(now) },
            { "waiting_servers", this->state.availability.Describe(now) },
+           { "cold_servers", this->state.coldServers.Describe(now) },
            { "evacuated_zones", this->state.evacuations.Describe(now) },
            { "retry_budget", this->state.retryBudget.Describe() },
            { "log_lines_left_out", this->state.log.LeftOut() } };
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -75,7 +75,9 @@
   , responseMemory(this->settings.memoryBytes / kResponseMemoryDivisor)
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
-  , availability(this->directory, this->rateLimits, this->evacuations)
+  , coldServers(this->directory,
+                { this->settings.coldOvershoot, this->settings.coldSlack })
+  , availability(this->directory, this->rateLimits, this->evacuations, this->coldServers)
   , paths(Random(this->random.Engine()()))
   , backendClient(aLoop, this->metrics, UnframedBody::EndsWithConnection)
   , engineClient(aLoop, this->metrics)
@@ -99,6 +101,7 @@
   this->configuration =
     std::make_shared<const ServingConfiguration>(std::move(aConfiguration));
   this->configurationInForceAt = BootClock::now();
+  this->coldServers.SetPools(this->configuration->Pools());
   for (const auto& pool : this->configuration->Pools()) {
     auto& longest = this->longestRequests[pool.id];
     longest = std::max(longest, this->configuration->LongestTimeoutOf(pool.id));
@@ -109,6 +112,8 @@
 
 void ServingState::RefreshDestinations(TimePoint aNow)
 {
+  // Before a new group can get requests.
+  this->coldServers.Update(aNow);
   if (!this->configuration || this->destinationsRevision == this->directory.Revision()) {
     return;
   }
@@ -199,7 +204,11 @@
   // suspicion of an earlier one.
   const RequestId run(aCall.facts.id.Value() + "/" + std::to_string(++this->runCount));
   this->quarantine.OnSent(run, aCall.fingerprint, aServer);
-  this->rateLimits.OnSent(aServer, BootClock::now());
+  const auto now = BootClock::now();
+  this->rateLimits.OnSent(aServer, now);
+  if (this->coldServers.OnSent(aServer, now)) {
+    this->metrics.Count("cold_requests_total");
+  }
   this->promptPartQuarantine.OnSent(run, aServer, aCall.facts.sharedPromptParts);
   return run;
 }
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -16,6 +16,7 @@
 #include "demand/WorkMeter.h"
 #include "http/HttpClient.h"
 #include "lifecycle/StopSchedule.h"
+#include "limits/ColdServers.h"
 #include "limits/ServerAvailability.h"
 #include "limits/ServerRateLimits.h"
 #include "logging/DecisionLog.h"
@@ -148,6 +149,7 @@
   PromptPartQuarantine promptPartQuarantine;
   ServerRateLimits rateLimits;
   ZoneEvacuations evacuations;
+  ColdServers coldServers;
   ServerAvailability availability;
   WorkMeter workMeter;
   /// Ways from this VM to the backend servers.
--- a/programs/toucanstand-server/StoreSynchronizer.cpp
+++ b/programs/toucanstand-server/StoreSynchronizer.cpp
@@ -149,6 +149,12 @@
                             { "bytes", static_cast<std::int64_t>(aText.size()) } });
     return isNewWrite;
   }
+  const auto hasUnreadableTerms = [](const ServingPool& aPool) {
+    return aPool.areColdTermsUnreadable;
+  };
+  if (std::ranges::any_of(configuration->Pools(), hasUnreadableTerms)) {
+    this->state.metrics.Count("cold_values_unreadable_total{in=\"configuration\"}");
+  }
   const auto version = configuration->Version();
   const auto routes = static_cast<std::int64_t>(configuration->RouteCount());
   const bool applied = this->state.ApplyConfiguration(std::move(*configuration));
@@ -195,7 +201,42 @@
                             { "pool", entry->pool.Value() },
                             { "revision", RevisionText(aChange.revision) } });
   }
-  return this->state.directory.Put(std::move(*entry));
+  const bool isCold = entry->coldTime.IsCold();
+  this->ApplyColdTime(*entry, now);
+  const bool isNews = this->state.directory.Put(std::move(*entry));
+  if (isCold) {
+    this->state.coldServers.Update(now);
+  }
+  return isNews;
+}
+
+void StoreSynchronizer::ApplyColdTime(const ServerEntry& aEntry, TimePoint aNow)
+{
+  if (aEntry.coldTime.isUnreadable) {
+    this->state.metrics.Count("cold_values_unreadable_total{in=\"registration\"}");
+  }
+  if (!this->state.coldServers.OnRegistration(aEntry, aNow)) {
+    return;
+  }
+  this->state.metrics.Count("cold_servers_total");
+  const auto remaining = this->state.coldServers.RemainingTime(aEntry.id, aNow);
+  this->state.log.Write(LogWeight::Notable,
+                        "server_cold",
+                        { { "server", aEntry.id.Value() },
+                          { "remaining_ms", ToMilliseconds(remaining).count() },
+                          { "stated", aEntry.coldTime.IsCold() } });
+}
+
+void StoreSynchronizer::ReturnZone(const ZoneId& aZone, TimePoint aNow)
+{
+  const auto servers = this->state.coldServers.OnZoneReturned(aZone, aNow);
+  if (servers > 0) {
+    this->state.metrics.Count("cold_zones_total");
+    this->state.log.Write(
+      LogWeight::Notable,
+      "zone_returns_cold",
+      { { "zone", aZone.Value() }, { "servers", static_cast<std::int64_t>(servers) } });
+  }
 }
 
 bool StoreSynchronizer::ApplyEvacuation(const StoreChange& aChange)
@@ -231,6 +272,7 @@
                           { { "zone", zone->Value() },
                             { "evacuated_ms", ToMilliseconds(*lasted).count() },
                             { "revision", RevisionText(aChange.revision) } });
+    this->ReturnZone(*zone, now);
   }
   this->state.OnEvacuationsChanged(now);
   return true;
--- a/programs/toucanstand-server/StoreSynchronizer.h
+++ b/programs/toucanstand-server/StoreSynchronizer.h
@@ -80,6 +80,10 @@
   /// Applies that the operator evacuated a zone or took it back.
   /// @returns false if that was known
   bool ApplyEvacuation(const StoreChange& aChange);
+  /// A registration may make its server cold.
+  void ApplyColdTime(const ServerEntry& aEntry, TimePoint aNow);
+  /// The servers of a zone that is taken back may have become cold.
+  void ReturnZone(const ZoneId& aZone, TimePoint aNow);
   /// Logs an evacuation that the operator may not have meant: of a zone without servers,
   /// or of all zones.
   void CheckEvacuation(const ZoneId& aZone);
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -103,8 +103,8 @@
                  { "Version", "v1" },
                  { "Slots", 8 },
                  { "State", this->registrationState },
-                 { "ColdRemainingMs", 0 },
-                 { "Seq", this->receivedOrders.size() },
+                 { "ColdRemainingMs", this->coldRemaining.count() },
+                 { "Seq", this->receivedOrders.size() + this->coldChanges },
                  { "born", this->startedAtUnixMs } };
   if (!this->domain.empty()) {
     entry["Domain"] = this->domain;
@@ -132,6 +132,13 @@
   this->onRegistrationChanged(this->RegistrationText());
 }
 
+void BackendServerStandin::SetCold(std::chrono::milliseconds aRemaining)
+{
+  this->coldRemaining = aRemaining;
+  ++this->coldChanges;
+  this->onRegistrationChanged(this->RegistrationText());
+}
+
 void BackendServerStandin::RegisterAnotherRun()
 {
   ++this->startedAtUnixMs;
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -24,6 +24,7 @@
   std::string server;
   std::string attemptId;
   HttpRequest request;
+  std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
 };
 
 /// What an engine does with a stream that another one began.
@@ -138,6 +139,8 @@
   /// Call it before any VM has read the registration.
   void Place(const std::string& aZone);
   void SetDraining();
+  /// Registers a time for which the server stays cold.
+  void SetCold(std::chrono::milliseconds aRemaining);
   /// Registers as another run of this server, as after a restart.
   void RegisterAnotherRun();
   /// Registers a run that began later, without a group and without faults, at the same
@@ -207,6 +210,8 @@
   std::string zone = "zone-a";
   std::string registrationState = "ready";
   int openStreams = 0;
+  std::chrono::milliseconds coldRemaining{ 0 };
+  std::size_t coldChanges = 0;
   std::unique_ptr<HttpServer> server;
   /// Keeps the port while the server does not listen.
   std::optional<boost::asio::ip::tcp::socket> reservedPort;
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -310,6 +310,8 @@
                           { "stop_period_s",
                             static_cast<double>(aStopPeriod.count()) / 1000 },
                           { "head_stall_ms", 500 },
+                          { "cold_overshoot", 1.5 },
+                          { "cold_slack", 5 },
                           { "seed", 7 } };
   this->settings = std::make_unique<SettingsFile>(document);
   this->Start();
--- a/tests/unit/toucanstand_admission/TestServerAvailability.cpp
+++ b/tests/unit/toucanstand_admission/TestServerAvailability.cpp
@@ -45,7 +45,8 @@
   ServerDirectory directory;
   ServerRateLimits limits;
   ZoneEvacuations evacuations;
-  ServerAvailability availability{ directory, limits, evacuations };
+  ColdServers coldServers{ directory, {} };
+  ServerAvailability availability{ directory, limits, evacuations, coldServers };
 };
 
 } // namespace
