--- a/modules/toucanstand_membership/peers/PeerDirectory.h
+++ b/modules/toucanstand_membership/peers/PeerDirectory.h
@@ -63,6 +63,9 @@
   /// Whether the configuration states that zones are far apart.
   void SetZonesAreFarApart(bool aAreFarApart);
 
+  /// True while the store has the registration of this run of this VM.
+  [[nodiscard]] bool IsRegistered() const { return this->isRegistered; }
+
   [[nodiscard]] bool IsRelay();
 
   /// Whether each zone has a relay of its own.
@@ -107,6 +110,7 @@
   std::map<Endpoint, Registration> registrations;
   DeferredRemovals<std::string> removals;
   std::vector<Endpoint> relays;
+  bool isRegistered = false;
   bool isRelay = true;
   bool relaysOutdated = true;
   bool zonesAreFarApart = false;
