--- a/tests/integration/support/ProcessLauncher.cpp
+++ b/tests/integration/support/ProcessLauncher.cpp
@@ -122,6 +122,14 @@
   throw std::runtime_error("the program has ended");
 }
 
+std::size_t ProcessLauncher::OpenDescriptors() const
+{
+  const auto folder = "/proc/" + std::to_string(this->child->process.id()) + "/fd";
+  const std::filesystem::directory_iterator descriptors(folder);
+  return static_cast<std::size_t>(std::distance(std::filesystem::begin(descriptors),
+                                                std::filesystem::end(descriptors)));
+}
+
 std::string ProcessLauncher::DescribeThreads() const
 {
   const auto tasks = "/proc/" + std::to_string(this->child->process.id()) + "/task";
--- a/tests/integration/support/ProcessLauncher.h
+++ b/tests/integration/support/ProcessLauncher.h
@@ -42,6 +42,9 @@
   /// The most memory that the program has held at one time, in MiB.
   [[nodiscard]] std::size_t PeakMemory() const;
 
+  /// Number of descriptors that the program has open.
+  [[nodiscard]] std::size_t OpenDescriptors() const;
+
   /// What the kernel says of each thread of the program: its state and where it waits.
   [[nodiscard]] std::string DescribeThreads() const;
 
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -113,6 +113,8 @@
     std::string name = "toucanstand-server";
     /// Receives its output; the test reads it if empty.
     std::string logFile;
+    /// JSON merge patch for the settings.
+    nlohmann::json settings = nlohmann::json::object();
   };
 
   ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
