Bound the memory of callers' requests by one budget

Cause: bodies and heads were read whole and not accounted for; 64 clients with bodies of 1 MiB that stop before their end brought a process to 79 MiB (TestUncontrolledClients, memory_mb 64), 150 with 4 MB to 600 MB.

MemoryBudget takes rules: the limit, bytes free of it, a reserve for small holders and who gives up; several may give up for one. Responses keep their rules (the largest gives up, 16 KiB free). RequestPrecedence decides for requests: stopped ones first, then those above 64 KiB, then the client that holds the most, then the latest. RequestReader, moved out of HttpSession, asks before bytes are taken and keeps a body in pieces (BodyPieces), since a string doubles its buffer. Who gives way gets 503 as not run with Retry-After, or 413 if it exceeds the whole budget, and is closed. Callers leave a quarter of the descriptors to the rest of the process.

--- a/modules/toucanstand_transport/http/HttpServer.cpp
+++ b/modules/toucanstand_transport/http/HttpServer.cpp
@@ -215,6 +215,13 @@
   this->implementation->context->makeStopRejection = std::move(aFactory);
 }
 
+void HttpServer::SetRequestMemory(const MemoryBudget& aMemory,
+                                  RejectionFactory aRejection)
+{
+  this->implementation->context->requestMemory = aMemory;
+  this->implementation->context->makeMemoryRejection = std::move(aRejection);
+}
+
 bool HttpServer::IsBusy() const
 {
   return this->implementation->acceptor.is_open() || this->OpenConnections() > 0;
--- a/modules/toucanstand_transport/http/HttpServer.h
+++ b/modules/toucanstand_transport/http/HttpServer.h
@@ -11,6 +11,7 @@
 #include "http/CutRequest.h"
 #include "http/HttpExchange.h"
 #include "lifecycle/StopSchedule.h"
+#include "memory/MemoryBudget.h"
 #include "metrics/MetricsRegistry.h"
 #include "network/Endpoint.h"
 #include "time/BootClock.h"
@@ -78,6 +79,10 @@
   /// Sets the answer to requests that a planned stop rejects while they are arriving.
   void SetStopRejection(RejectionFactory aFactory);
 
+  /// Bounds the memory of requests. To be called before Listen().
+  /// @param aRejection answer to a request that gives way to others
+  void SetRequestMemory(const MemoryBudget& aMemory, RejectionFactory aRejection);
+
   /// Sets who is told of each request that is cut off.
   void SetCutListener(CutListener aListener);
 
--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -50,16 +50,12 @@
   aResponse.keep_alive(!aClose);
 }
 
-/// Returns a request without its body.
-HttpRequest ReadHead(const http::request<http::string_body>& aMessage)
+std::size_t CountHostFields(const HttpRequest& aRequest)
 {
-  HttpRequest request;
-  request.method = std::string(aMessage.method_string());
-  request.target = std::string(aMessage.target());
-  for (const auto& field : aMessage) {
-    request.headers.Add(std::string(field.name_string()), std::string(field.value()));
-  }
-  return request;
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aRequest.headers.Fields(), [](const auto& aField) {
+      return beast::iequals(aField.first, "Host");
+    }));
 }
 
 } // namespace
@@ -255,33 +251,33 @@
 
 Task<bool> HttpSession::ReadRequest()
 {
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(this->context->limits.headerBytes));
-  parser.body_limit(this->context->limits.bodyBytes);
   // The size line of a chunk and the trailers, which the parser does not limit.
   this->buffer.max_size(kFirstRead + 2 * this->context->limits.headerBytes);
-
   this->httpVersion = kHttp11;
   this->headOnly = false;
   if (!co_await this->AwaitFirstByte()) {
     co_return false;
   }
+  this->reader.emplace(this->stream,
+                       this->buffer,
+                       this->context->limits,
+                       this->context->requestMemory,
+                       this->Caller().address);
   this->stream.expires_after(this->context->limits.headerTimeout);
-  auto [headError, headBytes] =
-    co_await http::async_read_header(this->stream, this->buffer, parser, kAwait);
+  const auto headError = co_await this->reader->ReadHead();
   if (headError) {
     co_await this->RejectUnread(headError);
     co_return false;
   }
-  if (!parser.is_done()) {
+  if (!this->reader->IsComplete()) {
     // Names the request in the log if its body does not come to its end.
-    this->request = ReadHead(parser.get());
+    this->request = this->reader->Head();
   }
   if (this->context->stopPhase >= StopPhase::Closing) {
     co_await this->RejectForStop();
     co_return false;
   }
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+  if (this->reader->ExpectsContinue()) {
     http::response<http::empty_body> proceed{ http::status::continue_, 11 };
     auto [proceedError, proceedBytes] =
       co_await http::async_write(this->stream, proceed, kAwait);
@@ -291,21 +287,18 @@
     }
   }
   this->stream.expires_after(this->context->limits.requestTimeout);
-  auto [bodyError, bodyBytes] =
-    co_await http::async_read(this->stream, this->buffer, parser, kAwait);
+  const auto bodyError = co_await this->reader->ReadBody();
   if (bodyError) {
     co_await this->RejectUnread(bodyError);
     co_return false;
   }
   this->readAt = BootClock::now();
-  auto message = parser.release();
-  this->httpVersion = message.version();
-  this->keepAlive = message.keep_alive();
-  this->request = ReadHead(message);
-  this->request.body = std::move(message.body());
-  this->headOnly = message.method() == http::verb::head;
+  this->httpVersion = this->reader->Version();
+  this->keepAlive = this->reader->KeepsAlive();
+  this->request = this->reader->Take();
+  this->headOnly = this->request.method == "HEAD";
   // RFC 9112, section 3.2: a request without exactly one Host field is rejected.
-  if (this->httpVersion >= 11 && message.count(http::field::host) != 1) {
+  if (this->httpVersion >= 11 && CountHostFields(this->request) != 1) {
     co_await this->RejectMalformed(
       400, "malformed_request", "exactly one Host field is needed");
     co_return false;
@@ -356,6 +349,10 @@
     co_await this->RejectForStop();
     co_return;
   }
+  if (this->reader && this->reader->Refusal()) {
+    co_await this->RejectForMemory();
+    co_return;
+  }
   if (aError == http::error::end_of_stream || aError == asio::error::operation_aborted ||
       aError == beast::error::timeout ||
       aError.category() == asio::error::get_system_category()) {
@@ -383,6 +380,33 @@
   co_await this->Reject(std::move(response), aType, kCloseTimeout);
 }
 
+Task<> HttpSession::RejectForMemory()
+{
+  const std::string part = this->reader->MainPart();
+  const bool isTooLarge =
+    this->reader->Refusal() == RequestReader::MemoryRefusal::TooLarge;
+  this->context->metrics.Count("requests_beyond_memory_total{holder=\"" + part + "\"}");
+  this->ReleaseRequest();
+  this->buffer.clear();
+  this->buffer.shrink_to_fit();
+  if (isTooLarge) {
+    co_await this->RejectMalformed(
+      413, "body_too_large", "the request exceeds the memory for requests");
+    co_return;
+  }
+  auto response = this->context->makeMemoryRejection();
+  co_await this->Reject(std::move(response), "no_request_memory", kCloseTimeout);
+}
+
+void HttpSession::ReleaseRequest()
+{
+  this->request.body = std::string();
+  this->reader.reset();
+  if (this->buffer.capacity() > kFirstRead) {
+    this->buffer.shrink_to_fit();
+  }
+}
+
 Task<> HttpSession::RejectForStop()
 {
   auto response = this->context->makeStopRejection();
@@ -408,7 +432,7 @@
   // Closing with unread input makes the kernel reset the connection, and the caller
   // could lose the end of the answer.
   this->EnterState(ConnectionState::AwaitingClose);
-  this->request.body = std::string();
+  this->ReleaseRequest();
   auto& socket = this->stream.socket();
   beast::error_code ignored;
   socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -453,6 +477,7 @@
     spdlog::error("request handler failed: {}", error.what());
   }
   this->StopWatching();
+  this->ReleaseRequest();
 }
 
 Task<bool> HttpSession::Respond(HttpResponse aResponse)
--- a/modules/toucanstand_transport/http/HttpSession.h
+++ b/modules/toucanstand_transport/http/HttpSession.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -14,6 +15,7 @@
 #include "http/ConnectionStopTable.h"
 #include "http/HttpExchange.h"
 #include "http/HttpServer.h"
+#include "http/RequestReader.h"
 
 namespace toucanstand {
 
@@ -34,6 +36,10 @@
     HttpServer::RejectionFactory makeStopRejection;
     /// Told of each request that is cut off; may be empty.
     CutListener onCut;
+    /// For the requests of all sessions; unbounded unless it is set.
+    MemoryBudget requestMemory{ std::numeric_limits<std::size_t>::max() };
+    /// Answer to a request whose memory is needed by others.
+    HttpServer::RejectionFactory makeMemoryRejection = nullptr;
     StopPhase stopPhase = StopPhase::Serving;
   };
 
@@ -86,6 +92,9 @@
   /// caller.
   Task<> RejectUnread(boost::beast::error_code aError);
   Task<> RejectForStop();
+  Task<> RejectForMemory();
+  /// Gives the memory of the present request back, except for its head.
+  void ReleaseRequest();
   Task<> RunHandler();
   /// Waits until the caller has received the answer and closed the connection. Discards
   /// what it still sends.
@@ -117,6 +126,8 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   std::shared_ptr<Context> context;
+  /// Set while a request is read or processed; holds its memory.
+  std::optional<RequestReader> reader;
   HttpRequest request;
   std::function<void()> goneListener;
   std::function<void()> finalAnswerListener;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -3,13 +3,16 @@
 #include <algorithm>
 #include <csignal>
 #include <iterator>
+#include <limits>
 #include <ranges>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
 #include "ErrorResponder.h"
+#include "memory/RequestPrecedence.h"
 #include "platform/HeaderTranslation.h"
 #include "text/Hexadecimal.h"
 
@@ -38,6 +41,9 @@
 constexpr Duration kRetryAfterAtPeers = std::chrono::milliseconds(50);
 /// The same for the last VM; a restart takes some seconds.
 constexpr Duration kRetryAfterRestart = std::chrono::seconds(2);
+/// Minimum Retry-After of requests that gave way to others: by then, requests that have
+/// stopped give way to them.
+constexpr Duration kRetryAfterMemory = RequestPrecedence::kStopped;
 /// Timeout of a direct connection on trial while this VM is cut off.
 constexpr Duration kTrialTimeout = std::chrono::milliseconds(200);
 
@@ -51,10 +57,23 @@
            aSettings.stopPeriod / kLastPartDivisor - exitTime };
 }
 
+/// Part of the descriptors that is left for servers, the store and peers.
+constexpr std::size_t kDescriptorReserveDivisor = 4;
+
+/// Connections of callers that leave the reserve of descriptors.
+std::size_t MaxCallerConnections()
+{
+  rlimit descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  return descriptors.rlim_cur - descriptors.rlim_cur / kDescriptorReserveDivisor;
+}
+
 HttpServerLimits MakeHttpLimits(const ServerSettings& aSettings)
 {
   HttpServerLimits limits;
-  limits.connections = aSettings.connections;
+  limits.connections = std::min(aSettings.connections, MaxCallerConnections());
   return limits;
 }
 
@@ -180,6 +199,10 @@
 
 bool ServerProcess::Listen()
 {
+  this->callerServer.SetRequestMemory(this->state.requestMemory, [this] {
+    return ErrorResponder::MakeNotRunResponse(
+      this->state, RequestId(), "no_request_memory", kRetryAfterMemory);
+  });
   const auto& settings = this->state.settings;
   const bool isListening = this->callerServer.Listen(settings.listen).HasValue() &&
                            this->readinessServer.Listen(settings.readiness).HasValue() &&
@@ -458,6 +481,8 @@
            { "in_flight", this->callerServer.ActiveExchanges() },
            { "receiving",
              this->callerServer.Connections().Of(ConnectionState::ReceivingRequest) },
+           { "request_memory", this->state.requestMemory.Held() },
+           { "response_memory", this->state.responseMemory.Held() },
            { "servers", this->state.directory.Describe() },
            { "placements", std::move(placements) },
            { "groups", this->groupCoordinator.Describe() },
--- a/programs/toucanstand-server/ServingState.cpp
+++ b/programs/toucanstand-server/ServingState.cpp
@@ -7,6 +7,7 @@
 
 #include "Call.h"
 #include "formation/GroupRecord.h"
+#include "memory/RequestPrecedence.h"
 #include "placement/GroupPrediction.h"
 
 namespace toucanstand {
@@ -60,9 +61,11 @@
   return ServingGroup{ aGroup.id, model, head->id, head->endpoint, head->zone };
 }
 
-/// Part of the memory of a VM for responses that are kept until they are whole. The rest
-/// is for the program, the copy of the store, connections and requests.
+/// Part of the memory of a VM for responses that are kept until they are whole, and for
+/// requests. The rest is for the program, the copy of the store and connections;
+/// docs/design/request-memory.md adds the parts up.
 constexpr std::size_t kResponseMemoryDivisor = 4;
+constexpr std::size_t kRequestMemoryDivisor = 5;
 
 } // namespace
 
@@ -73,6 +76,8 @@
         { STDOUT_FILENO, STDERR_FILENO },
         { this->settings.routineLinesPerSecond, this->settings.notableLinesPerSecond })
   , responseMemory(this->settings.memoryBytes / kResponseMemoryDivisor)
+  , requestMemory(
+      RequestPrecedence::RulesFor(this->settings.memoryBytes / kRequestMemoryDivisor))
   , random(SeedOf(this->settings))
   , router(RouterSettingsFor(this->settings), Random(this->random.Engine()()))
   , availability(this->directory, this->rateLimits, this->evacuations)
--- a/programs/toucanstand-server/ServingState.h
+++ b/programs/toucanstand-server/ServingState.h
@@ -133,6 +133,8 @@
   DecisionLog log;
   /// Bytes of servers' responses that are kept until they are whole.
   MemoryBudget responseMemory;
+  /// Bytes of callers' requests, from their first byte until they are done.
+  MemoryBudget requestMemory;
   Random random;
   /// Null until the first configuration is received.
   std::shared_ptr<const ServingConfiguration> configuration;
--- a/tests/platform/TestUncontrolledClients.cpp
+++ b/tests/platform/TestUncontrolledClients.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cstdint>
 #include <fstream>
 #include <memory>
@@ -284,6 +285,42 @@
   vm.PlayClients(kMaxConnections - kOtherDescriptors, "", {});
 }
 
+TEST_CASE("A request that gives way is told that it has not run", "[uncontrolled]")
+{
+  // Guards against connections that are closed without an answer, and against stopped
+  // requests that are refused before the memory is needed.
+  SmallVm vm;
+  const auto head = ChunkedHead();
+  const auto body = Chunks(kLargeChunk, kMaxBody);
+  std::vector<std::unique_ptr<CallerConnection>> clients;
+  const auto add = [&] {
+    clients.push_back(std::make_unique<CallerConnection>(vm.server->listenEndpoint));
+    clients.back()->Send(head + body);
+    vm.WaitUntilTaken();
+  };
+  constexpr std::size_t kFitting = 8;
+  while (clients.size() < kFitting) {
+    add();
+  }
+  for (const auto& client : clients) {
+    CHECK_FALSE(client->WaitForInput(0ms));
+  }
+  while (clients.size() < 2 * kFitting) {
+    add();
+  }
+  const auto refused = std::ranges::find_if(
+    clients, [](const auto& aClient) { return aClient->WaitForInput(0ms); });
+  REQUIRE(refused != clients.end());
+  const auto answer = (*refused)->ReadAnswer(kPatience);
+  CHECK(answer.status == 503);
+  CHECK(answer.isComplete);
+  CHECK(answer.ClosesConnection());
+  CHECK(answer.headers.Find("Toucanstand-Outcome") == "not-run");
+  CHECK(std::stod(std::string(answer.headers.Find("Retry-After"))) > 0);
+  CHECK((*refused)->WaitForEnd(kPatience) == ConnectionEnd::Closed);
+  CHECK(vm.platform.Runs().empty());
+}
+
 TEST_CASE("The largest body is served in calm", "[uncontrolled]")
 {
   // Guards against a budget that a single request within the limits exceeds.
