--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -50,23 +50,12 @@
   aResponse.keep_alive(!aClose);
 }
 
-/// Whether no end of the body is known. The parser takes it for empty then, and what
-/// follows for further requests.
-bool HasUnknownFraming(const http::request_parser<http::string_body>& aParser)
+std::size_t CountHostFields(const HttpRequest& aRequest)
 {
-  return aParser.get().count(http::field::transfer_encoding) > 0 && !aParser.chunked();
-}
-
-/// Returns a request without its body.
-HttpRequest ReadHead(const http::request<http::string_body>& aMessage)
-{
-  HttpRequest request;
-  request.method = std::string(aMessage.method_string());
-  request.target = std::string(aMessage.target());
-  for (const auto& field : aMessage) {
-    request.headers.Add(std::string(field.name_string()), std::string(field.value()));
-  }
-  return request;
+  return static_cast<std::size_t>(
+    std::ranges::count_if(aRequest.headers.Fields(), [](const auto& aField) {
+      return beast::iequals(aField.first, "Host");
+    }));
 }
 
 } // namespace
@@ -268,33 +257,34 @@
     co_return false;
   }
   // A connection may be idle for long: the limits are those in force when the request
-  // comes.
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(this->context->limits.headerBytes));
-  parser.body_limit(this->context->limits.bodyBytes);
-  // The size line of a chunk and the trailers, which the parser does not limit.
+  // comes. The buffer also holds the size line of a chunk and the trailers, which the
+  // parser does not limit.
   this->buffer.max_size(kFirstRead + 2 * this->context->limits.headerBytes);
+  this->reader.emplace(this->stream,
+                       this->buffer,
+                       this->context->limits,
+                       this->context->requestMemory,
+                       this->Caller().address);
   this->stream.expires_after(this->context->limits.headerTimeout);
-  auto [headError, headBytes] =
-    co_await http::async_read_header(this->stream, this->buffer, parser, kAwait);
+  const auto headError = co_await this->reader->ReadHead();
   if (headError) {
     co_await this->RejectUnread(headError);
     co_return false;
   }
-  if (HasUnknownFraming(parser)) {
+  if (this->reader->HasUnknownFraming()) {
     co_await this->RejectMalformed(
       400, "malformed_request", "the last transfer coding must be chunked");
     co_return false;
   }
-  if (!parser.is_done()) {
+  if (!this->reader->IsComplete()) {
     // Names the request in the log if its body does not come to its end.
-    this->request = ReadHead(parser.get());
+    this->request = this->reader->Head();
   }
   if (this->context->stopPhase >= StopPhase::Closing) {
     co_await this->RejectForStop();
     co_return false;
   }
-  if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+  if (this->reader->ExpectsContinue()) {
     http::response<http::empty_body> proceed{ http::status::continue_, 11 };
     auto [proceedError, proceedBytes] =
       co_await http::async_write(this->stream, proceed, kAwait);
@@ -304,21 +294,18 @@
     }
   }
   this->stream.expires_after(this->context->limits.requestTimeout);
-  auto [bodyError, bodyBytes] =
-    co_await http::async_read(this->stream, this->buffer, parser, kAwait);
+  const auto bodyError = co_await this->reader->ReadBody();
   if (bodyError) {
     co_await this->RejectUnread(bodyError);
     co_return false;
   }
   this->readAt = BootClock::now();
-  auto message = parser.release();
-  this->httpVersion = message.version();
-  this->keepAlive = message.keep_alive();
-  this->request = ReadHead(message);
-  this->request.body = std::move(message.body());
-  this->headOnly = message.method() == http::verb::head;
+  this->httpVersion = this->reader->Version();
+  this->keepAlive = this->reader->KeepsAlive();
+  this->request = this->reader->Take();
+  this->headOnly = this->request.method == "HEAD";
   // RFC 9112, section 3.2: a request without exactly one Host field is rejected.
-  if (this->httpVersion >= 11 && message.count(http::field::host) != 1) {
+  if (this->httpVersion >= 11 && CountHostFields(this->request) != 1) {
     co_await this->RejectMalformed(
       400, "malformed_request", "exactly one Host field is needed");
     co_return false;
@@ -369,6 +356,10 @@
     co_await this->RejectForStop();
     co_return;
   }
+  if (this->reader && this->reader->Refusal()) {
+    co_await this->RejectForMemory();
+    co_return;
+  }
   if (aError == http::error::end_of_stream || aError == asio::error::operation_aborted ||
       aError == beast::error::timeout ||
       aError.category() == asio::error::get_system_category()) {
@@ -396,6 +387,33 @@
   co_await this->Reject(std::move(response), aType, kCloseTimeout);
 }
 
+Task<> HttpSession::RejectForMemory()
+{
+  const std::string part = this->reader->MainPart();
+  const bool isTooLarge =
+    this->reader->Refusal() == RequestReader::MemoryRefusal::TooLarge;
+  this->context->metrics.Count("requests_beyond_memory_total{holder=\"" + part + "\"}");
+  this->ReleaseRequest();
+  this->buffer.clear();
+  this->buffer.shrink_to_fit();
+  if (isTooLarge) {
+    co_await this->RejectMalformed(
+      413, "body_too_large", "the request exceeds the memory for requests");
+    co_return;
+  }
+  auto response = this->context->makeMemoryRejection();
+  co_await this->Reject(std::move(response), "no_request_memory", kCloseTimeout);
+}
+
+void HttpSession::ReleaseRequest()
+{
+  this->request.body = std::string();
+  this->reader.reset();
+  if (this->buffer.capacity() > kFirstRead) {
+    this->buffer.shrink_to_fit();
+  }
+}
+
 Task<> HttpSession::RejectForStop()
 {
   auto response = this->context->makeStopRejection();
@@ -421,7 +439,7 @@
   // Closing with unread input makes the kernel reset the connection, and the caller
   // could lose the end of the answer.
   this->EnterState(ConnectionState::AwaitingClose);
-  this->request.body = std::string();
+  this->ReleaseRequest();
   auto& socket = this->stream.socket();
   beast::error_code ignored;
   socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -466,6 +484,7 @@
     spdlog::error("request handler failed: {}", error.what());
   }
   this->StopWatching();
+  this->ReleaseRequest();
 }
 
 Task<bool> HttpSession::Respond(HttpResponse aResponse)
