--- a/modules/toucanstand_admission/limits/ColdServers.cpp
+++ b/modules/toucanstand_admission/limits/ColdServers.cpp
@@ -88,7 +88,9 @@
 double ColdServers::PresentPart() const
 {
   const auto present = static_cast<double>(this->fleet.others.size() + 1);
-  return present / (present + static_cast<double>(this->absences.size()));
+  const double part = present / (present + static_cast<double>(this->absences.size()));
+  // What the others send comes at random: beside its mean, its fluctuation needs room.
+  return part * part;
 }
 
 void ColdServers::RemoveOldViews()
--- a/tests/unit/toucanstand_admission/TestColdServers.cpp
+++ b/tests/unit/toucanstand_admission/TestColdServers.cpp
@@ -331,15 +331,17 @@
   // Guards against a bound that leaves no room for VMs which are cut off from the store
   // before the server becomes cold, and treat it as warm. Load: half of 79 VMs send it
   // their usual part, the others all they may.
-  SimulatedFleet fleet(1, kVms);
-  for (std::size_t vm = 0; vm < kVms; vm += 2) {
-    fleet.Partition(vm);
+  for (const Duration before : { 0s, 1s, 2s, 6s }) {
+    SimulatedFleet fleet(1, kVms);
+    for (std::size_t vm = 0; vm < kVms; vm += 2) {
+      fleet.Partition(vm);
+    }
+    fleet.Run(before);
+    fleet.MakeServersCold();
+    fleet.Run(8s);
+    INFO("cold after " << ToSeconds(before) << " s, most " << fleet.MostInSecond());
+    CHECK(static_cast<double>(fleet.MostInSecond()) < kBound);
   }
-  fleet.Run(1s);
-  fleet.MakeServersCold();
-  fleet.Run(12s);
-  INFO("most " << fleet.MostInSecond());
-  CHECK(static_cast<double>(fleet.MostInSecond()) < kBound);
 }
 
 namespace {
