Give the memory of a rejected request back before its answer is sent

A request that was rejected for a stop or as malformed still held its memory and could be chosen to give way; that cancels what its connection waits for, here the write of the answer. Found by reading. A case checks the 413 of a body that exceeds the memory for all requests.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -420,6 +420,8 @@
   this->context->metrics.Count(std::string("http_rejected_total{type=\"") + aType +
                                "\"}");
   this->keepAlive = false;
+  // A request that still held memory could have to give way, which would end the answer.
+  this->ReleaseRequest();
   const bool isSent = co_await this->Respond(std::move(aResponse));
   if (isSent) {
     co_await this->AwaitClose(aSilence);
--- a/tests/platform/TestUncontrolledClients.cpp
+++ b/tests/platform/TestUncontrolledClients.cpp
@@ -106,13 +106,13 @@
 class SmallVm
 {
 public:
-  SmallVm()
+  explicit SmallVm(std::size_t aMemory = kMemory)
   {
     this->platform.WriteConfiguration(
       2,
       { { "Limits", { { "MaxBodyBytes", kMaxBody }, { "HeaderTimeoutMs", 20000 } } } });
     ServerUnderTest::Program program;
-    program.settings = { { "memory_mb", kMemory }, { "connections", kMaxConnections } };
+    program.settings = { { "memory_mb", aMemory }, { "connections", kMaxConnections } };
     this->server = std::make_unique<ServerUnderTest>(this->platform,
                                                      "vm-1",
                                                      this->platform.Store().Address(),
@@ -321,6 +321,27 @@
   CHECK(vm.platform.Runs().empty());
 }
 
+TEST_CASE("A body that exceeds the memory for all requests gets 413", "[uncontrolled]")
+{
+  // Guards against a client that is told to come back for what can never be served.
+  constexpr std::size_t kTinyMemory = 16;
+  SmallVm vm(kTinyMemory);
+  const std::string body(3 * kMaxBody / 2, 'x');
+  vm.platform.WriteConfiguration(3,
+                                 { { "Limits", { { "MaxBodyBytes", 2 * kMaxBody } } } });
+  // The new limit comes into force soon after the configuration.
+  ReceivedAnswer answer;
+  for (int attempt = 0; attempt < 100 && answer.body.find("memory") == std::string::npos;
+       ++attempt) {
+    CallerConnection caller(vm.server->listenEndpoint);
+    caller.Send(AnnouncedHead(body.size()) + body);
+    answer = caller.ReadAnswer(kPatience);
+  }
+  CHECK(answer.body.find("memory") != std::string::npos);
+  CHECK(answer.status == 413);
+  CHECK(answer.headers.Find("Toucanstand-Outcome") == "not-run");
+}
+
 TEST_CASE("The largest body is served in calm", "[uncontrolled]")
 {
   // Guards against a budget that a single request within the limits exceeds.
