--- a/tests/platform/TestUncontrolledClients.cpp
+++ b/tests/platform/TestUncontrolledClients.cpp
@@ -329,13 +329,14 @@
   const std::string body(3 * kMaxBody / 2, 'x');
   vm.platform.WriteConfiguration(3,
                                  { { "Limits", { { "MaxBodyBytes", 2 * kMaxBody } } } });
-  // The new limit comes into force soon after the configuration.
+  // The new limit comes into force soon after the configuration is read.
   ReceivedAnswer answer;
   for (int attempt = 0; attempt < 100 && answer.body.find("memory") == std::string::npos;
        ++attempt) {
     CallerConnection caller(vm.server->listenEndpoint);
     caller.Send(AnnouncedHead(body.size()) + body);
     answer = caller.ReadAnswer(kPatience);
+    std::this_thread::sleep_for(50ms);
   }
   CHECK(answer.body.find("memory") != std::string::npos);
   CHECK(answer.status == 413);
