Meter the work of models that the pool runs, and no others

Cause: clients choose the model's name, and each made-up name stayed in the meter and in every report to the peers. The mix of priorities would have doubled that.

--- a/programs/toucanstand-server/RequestHandler.cpp
+++ b/programs/toucanstand-server/RequestHandler.cpp
@@ -137,12 +137,16 @@
     BufferedCall bufferedCall(this->state, aCall);
     co_return co_await bufferedCall.Run();
   }
-  this->state.workMeter.OnRequest(
-    aCall.facts.model,
-    aCall.priority,
-    cost->WorkOf(aCall.facts.promptTokens,
-                 aCall.facts.expectedAnswerTokens.value_or(cost->usualAnswerTokens)),
-    aCall.arrivedAt);
+  // Clients choose the name of the model: made-up ones must not fill the meter and
+  // reports.
+  if (cost->FindModel(aCall.facts.model) != nullptr) {
+    this->state.workMeter.OnRequest(
+      aCall.facts.model,
+      aCall.priority,
+      cost->WorkOf(aCall.facts.promptTokens,
+                   aCall.facts.expectedAnswerTokens.value_or(cost->usualAnswerTokens)),
+      aCall.arrivedAt);
+  }
   GenerationCall generation(this->state, aCall);
   co_return co_await generation.Run();
 }
