--- a/modules/toucanstand_admission/priority/PriorityAdmission.cpp
+++ b/modules/toucanstand_admission/priority/PriorityAdmission.cpp
@@ -1,6 +1,9 @@
 #include "priority/PriorityAdmission.h"
 
 #include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
 
 namespace toucanstand {
 
@@ -125,4 +128,24 @@
   return limitOf(aKind);
 }
 
+nlohmann::json PriorityAdmission::Describe(TimePoint aNow) const
+{
+  auto document = nlohmann::json::array();
+  for (const auto& [key, model] : this->models) {
+    auto kinds = nlohmann::json::array();
+    for (const auto& [kind, state] : model.kinds) {
+      kinds.push_back(
+        { { "priority", kind.priority },
+          { "objective_ms", ToMilliseconds(kind.objective).count() },
+          { "arrived_ago_ms", ToMilliseconds(aNow - state.arrivedAt).count() },
+          { "credit", state.credit } });
+    }
+    document.push_back({ { "pool", key.first.Value() },
+                         { "model", key.second },
+                         { "accepted_share", model.acceptedShare },
+                         { "kinds", std::move(kinds) } });
+  }
+  return document;
+}
+
 } // namespace toucanstand
--- a/modules/toucanstand_admission/priority/PriorityAdmission.h
+++ b/modules/toucanstand_admission/priority/PriorityAdmission.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "identifiers/Identifiers.h"
 #include "time/BootClock.h"
 
@@ -115,6 +117,9 @@
                                          const AdmissionOutlook& aOutlook,
                                          TimePoint aNow);
 
+  /// State dump: the kinds of each model, when they last arrived, and their credit.
+  [[nodiscard]] nlohmann::json Describe(TimePoint aNow) const;
+
 private:
   /// Requests that are alike to the decision.
   struct Kind
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -461,6 +461,7 @@
            { "servers", this->state.directory.Describe() },
            { "placements", std::move(placements) },
            { "groups", this->groupCoordinator.Describe() },
+           { "admission", this->state.admission.Describe(now) },
            { "router", this->state.router.Describe(now) },
            { "quarantine", this->state.quarantine.Describe(now) },
            { "prompt_part_quarantine", this->state.promptPartQuarantine.Describe(now) },
--- a/tests/unit/toucanstand_admission/TestPriorityAdmission.cpp
+++ b/tests/unit/toucanstand_admission/TestPriorityAdmission.cpp
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "priority/PriorityAdmission.h"
 #include "random/Random.h"
@@ -110,6 +111,9 @@
   CHECK(decision.yieldsTo == 1);
   CHECK(ToSeconds(decision.limit) == Approx(0.2975));
   CHECK(ToSeconds(decision.retryAfter) == Approx(0.3425));
+  const auto dump = admission.Describe(kStart);
+  REQUIRE(dump.at(0).at("kinds").size() == 2);
+  CHECK(dump[0]["kinds"][1].at("priority") == 2);
 }
 
 TEST_CASE("Kinds of several priorities yield in their order", "[admission]")
