Evacuate a zone and take it back in the soak

Its servers now lie in two zones; the one of the VMs is evacuated and taken back between the other faults, and one in four orders is written again right after it was withdrawn. The verdict reports each run that began in the zone later than 5 s after the order was written and before it was withdrawn, from what the stand-ins recorded. After the faults, requests must reach the zone again within 20 s.

Excused is only a VM that can't know the order: its process began before the order was written, and since then it had no 5 s at a stretch in which it was not paused and the store answered it. A VM that started after the order, or once had such 5 s, is not excused by a later pause or outage.

Earlier seeds keep their sequences of faults: evacuations draw from a generator of their own. The placement of the servers differs; SOAK_EVACUATIONS=0 plays the soak as it was.

--- a/tests/platform/TestSoak.cpp
+++ b/tests/platform/TestSoak.cpp
@@ -27,6 +27,10 @@
   read("SOAK_VMS", scale.vms);
   read("SOAK_ENGINES", scale.engines);
   read("SOAK_CALLERS", scale.callers);
+  // Earlier builds, which SOAK_SERVER may name, know no evacuations.
+  int evacuations = 1;
+  read("SOAK_EVACUATIONS", evacuations);
+  scale.hasEvacuations = evacuations != 0;
   return scale;
 }
 
@@ -56,7 +60,8 @@
   CHECK(soak.SuccessCount() >= kMinSuccesses);
   std::cout << "seed " << aSeed << ": " << soak.SuccessCount() << " of "
             << soak.RequestCount() << " requests answered, " << verdict.violations.size()
-            << " violations\n";
+            << " violations, " << soak.RunsBesideEvacuations()
+            << " runs beside an evacuation\n";
   PrintCounts(verdict.excused);
   PrintCounts(soak.Refusals());
   const bool isFailed = !hasRecovered || !verdict.violations.empty();
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -327,8 +327,10 @@
     co_await aExchange.Respond(std::move(rejection));
     co_return;
   }
-  this->onRunStarted(
-    { this->id, std::string(request.headers.Find("X-Attempt-Id")), request });
+  this->onRunStarted({ this->id,
+                       std::string(request.headers.Find("X-Attempt-Id")),
+                       request,
+                       std::chrono::steady_clock::now() });
   if (this->domain.empty()) {
     co_await this->RespondToCall(aExchange);
   } else {
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -24,6 +24,7 @@
   std::string server;
   std::string attemptId;
   HttpRequest request;
+  std::chrono::steady_clock::time_point startedAt;
 };
 
 /// What an engine does with a stream that another one began.
--- a/tests/platform/support/SoakRecords.h
+++ b/tests/platform/support/SoakRecords.h
@@ -11,6 +11,8 @@
 namespace toucanstand {
 
 using SoakTime = std::chrono::steady_clock::time_point;
+/// A begin and an end.
+using SoakInterval = std::pair<SoakTime, SoakTime>;
 
 /// What a request of the soak asks for.
 enum class SoakRequestKind
@@ -50,7 +52,7 @@
   std::optional<SoakTime> terminatedAt;
   std::optional<SoakTime> endedAt;
   /// Times for which it was stopped by SIGSTOP, and from a SIGKILL to its end.
-  std::vector<std::pair<SoakTime, SoakTime>> disturbances;
+  std::vector<SoakInterval> disturbances;
   int exitCode = 0;
   std::string log;
   /// What the kernel said of its threads when it had not ended in time.
--- a/tests/platform/support/SoakTest.cpp
+++ b/tests/platform/support/SoakTest.cpp
@@ -28,6 +28,26 @@
 /// Number of requests that finish between the steps of one fault.
 constexpr std::size_t kMaxRequestsBetweenSteps = 10;
 
+/// The other zone has the last engines and one of two instances of the plain service. The
+/// evacuated one is that of the VMs, as few requests leave it otherwise. Both keep a
+/// group when RemoveEngine() has removed what it may.
+constexpr int kEnginesInOtherZone = 2;
+const std::string kEvacuatedZone = "zone-a";
+const std::string kOtherZone = "zone-b";
+const std::string kServiceInOtherZone = "stock-1";
+const std::string kEvacuationKey = "op/evacuate/" + kEvacuatedZone;
+/// Faults between two evacuations: 1 to 4.
+constexpr std::uint64_t kMostFaultsBetweenEvacuations = 4;
+/// Faults during an evacuation: 8 to 19. They take about 0.5 s each, so that most
+/// evacuations outlast the bound.
+constexpr std::uint64_t kFewestFaultsInEvacuation = 8;
+constexpr std::uint64_t kExtraFaultsInEvacuation = 12;
+/// One in so many orders is written again at once after it was withdrawn.
+constexpr std::uint64_t kRenewedOrders = 4;
+const std::string kNoProxyFault = R"("pass":true)";
+/// Distinguishes the generator of evacuations from that of the other faults.
+constexpr std::uint64_t kEvacuationSeed = 0x65766163;
+
 constexpr int kEventCount = 40;
 constexpr milliseconds kShortestEventInterval{ 10 };
 /// Pause of a caller whose request failed, as real callers have it.
@@ -74,8 +94,11 @@
   , platform(aScale.engines)
   , proxyCaller(std::chrono::seconds(2))
   , logDirectory(LogDirectory(aSeed))
+  , evacuationRandom(aSeed ^ kEvacuationSeed)
+  , faultsUntilChange(1 + this->evacuationRandom.Below(kMostFaultsBetweenEvacuations))
   , seed(aSeed)
 {
+  this->PlaceServers();
   this->SetStreamDurations(this->longestStream);
   this->platform.WriteConfiguration(++this->version, ConfigurationChange());
   std::vector<std::string> arguments = { "--control=127.0.0.1:0", "--log-level=warn" };
@@ -210,6 +233,7 @@
     (this->*kFaults.at(this->random.Below(kFaults.size())))();
     this->WaitForRequests(kMinRequestsBetweenFaults +
                           this->random.Below(kExtraRequestsBetweenFaults));
+    this->ChangeEvacuation();
   }
 }
 
@@ -474,6 +498,7 @@
 
 void SoakTest::RejectStoreCalls()
 {
+  std::ranges::for_each(this->vms, &SoakTest::BeginStoreOutage);
   this->platform.RunOnLoop([this] { this->platform.Store().faults.rejectCalls = true; });
 }
 
@@ -506,8 +531,9 @@
 {
   this->platform.RunOnLoop([this] { this->platform.Store().faults = {}; });
   for (const auto& vm : this->vms) {
-    this->SetProxyFault(vm.proxyMapping, R"("pass":true)");
+    this->SetProxyFault(vm.proxyMapping, kNoProxyFault);
   }
+  std::ranges::for_each(this->vms, &SoakTest::EndStoreOutage);
 }
 
 void SoakTest::AbortStreams()
@@ -564,8 +590,95 @@
                                         : "stock-" + std::to_string(number - engines));
 }
 
+void SoakTest::PlaceServers()
+{
+  if (!this->scale.hasEvacuations) {
+    return;
+  }
+  this->platform.RunOnLoop([this] {
+    for (const auto& id : this->platform.ServerIds()) {
+      if (!this->IsInEvacuatedZone(id)) {
+        this->platform.BackendServer(id).Place(kOtherZone);
+      }
+    }
+  });
+}
+
+bool SoakTest::IsInEvacuatedZone(const std::string& aServer) const
+{
+  const auto first = this->scale.engines - kEnginesInOtherZone;
+  return aServer != kServiceInOtherZone &&
+         std::ranges::none_of(std::views::iota(first, this->scale.engines),
+                              [&aServer](int aNumber) {
+                                return aServer == "engine-" + std::to_string(aNumber);
+                              });
+}
+
+void SoakTest::ChangeEvacuation()
+{
+  if (!this->scale.hasEvacuations || --this->faultsUntilChange > 0) {
+    return;
+  }
+  const bool begins = !this->evacuatedSince;
+  this->TakeZoneBack();
+  if (begins || this->evacuationRandom.Below(kRenewedOrders) == 0) {
+    this->EvacuateZone();
+    this->faultsUntilChange =
+      kFewestFaultsInEvacuation + this->evacuationRandom.Below(kExtraFaultsInEvacuation);
+  } else {
+    this->faultsUntilChange =
+      1 + this->evacuationRandom.Below(kMostFaultsBetweenEvacuations);
+  }
+}
+
+void SoakTest::EvacuateZone()
+{
+  this->platform.RunOnLoop([this] { this->platform.Store().Put(kEvacuationKey, "{}"); });
+  this->evacuatedSince = steady_clock::now();
+}
+
+void SoakTest::TakeZoneBack()
+{
+  if (this->evacuatedSince) {
+    this->evacuations.emplace_back(*this->evacuatedSince, steady_clock::now());
+    this->evacuatedSince.reset();
+    this->platform.RunOnLoop([this] { this->platform.Store().Delete(kEvacuationKey); });
+  }
+}
+
+bool SoakTest::AwaitRunInZone(SoakTime aDeadline)
+{
+  const auto from = steady_clock::now();
+  while (steady_clock::now() < aDeadline) {
+    const auto runs = this->platform.Runs();
+    if (std::ranges::any_of(runs, [&](const RecordedRun& aRun) {
+          return aRun.startedAt > from && this->IsInEvacuatedZone(aRun.server);
+        })) {
+      return true;
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  return false;
+}
+
+void SoakTest::BeginStoreOutage(Vm& aVm)
+{
+  aVm.withoutStoreSince = aVm.withoutStoreSince.value_or(steady_clock::now());
+}
+
+void SoakTest::EndStoreOutage(Vm& aVm)
+{
+  if (aVm.withoutStoreSince) {
+    aVm.storeOutages.emplace_back(*aVm.withoutStoreSince, steady_clock::now());
+    aVm.withoutStoreSince.reset();
+  }
+}
+
 void SoakTest::SetProxyFault(std::size_t aIndex, const std::string& aFault)
 {
+  if (aFault != kNoProxyFault) {
+    BeginStoreOutage(this->vms.at(aIndex));
+  }
   this->proxyCaller.Json(this->proxyControlEndpoint,
                          "POST",
                          "/fault",
@@ -577,6 +690,7 @@
   this->ResumeVms();
   this->RestartTerminatingVms();
   this->ClearStoreFaults();
+  this->TakeZoneBack();
   this->SetStreamDurations(milliseconds(0));
   const auto deadline = steady_clock::now() + std::chrono::seconds(20);
   std::vector<Endpoint> endpoints;
@@ -595,12 +709,13 @@
       return false;
     }
   }
-  return true;
+  return this->evacuations.empty() || this->AwaitRunInZone(deadline);
 }
 
 SoakVerdict SoakTest::Judge(std::set<std::string> aEarlierPrograms)
 {
   this->ResumeVms();
+  this->TakeZoneBack();
   std::ranges::for_each(this->vms, &SoakTest::Terminate);
   this->RestartTerminatingVms();
   // Stop the callers before copying the runs: a request that finishes between the copies
@@ -611,6 +726,13 @@
   std::ranges::transform(this->vms, std::back_inserter(facts.lives), &Vm::life);
   for (const auto& run : this->platform.Runs()) {
     ++facts.runs[run.attemptId];
+    if (this->IsInEvacuatedZone(run.server)) {
+      facts.runsInZone.emplace(run.attemptId, run.startedAt);
+    }
+  }
+  facts.evacuations = this->evacuations;
+  for (const auto& vm : this->vms) {
+    facts.storeOutages[vm.proxyMapping] = vm.storeOutages;
   }
   facts.failedRuns = this->platform.FailedRuns();
   facts.stopPeriod = this->stopPeriod;
@@ -634,6 +756,20 @@
     }));
 }
 
+std::size_t SoakTest::RunsBesideEvacuations()
+{
+  const auto runs = this->platform.Runs();
+  return static_cast<std::size_t>(
+    std::ranges::count_if(runs, [this](const RecordedRun& aRun) {
+      const bool isElsewhere = !this->IsInEvacuatedZone(aRun.server);
+      return std::ranges::any_of(this->evacuations, [&](const SoakInterval& aOrder) {
+        return isElsewhere &&
+               aRun.startedAt - aOrder.first > SoakVerdict::kEvacuationBound &&
+               aRun.startedAt < aOrder.second;
+      });
+    }));
+}
+
 std::size_t SoakTest::RequestCount()
 {
   const std::scoped_lock lock(this->mutex);
--- a/tests/platform/support/SoakTest.h
+++ b/tests/platform/support/SoakTest.h
@@ -35,6 +35,9 @@
     int engines = 6;
     int callers = 12;
     SoakCaller::Manners manners = SoakCaller::Manners::Any;
+    /// Places servers in a second zone, which Run() evacuates and takes back beside the
+    /// other faults.
+    bool hasEvacuations = false;
   };
 
   /// @param aServerProgram name of the program that the VMs run
@@ -57,7 +60,8 @@
   bool FormNewGroup();
 
   /// Clears all faults and sends requests to each VM until one succeeds.
-  /// @returns false when a VM does not serve again within 20 s
+  /// @returns false when a VM, or the zone that was evacuated, does not serve again
+  /// within 20 s
   bool Recover();
 
   /// Stops all VMs at once and then the callers, and compares what they saw with the runs
@@ -67,6 +71,9 @@
 
   /// Number of requests that got status 200.
   [[nodiscard]] std::size_t SuccessCount();
+  /// Number of runs that began in the other zone while nothing could begin in the
+  /// evacuated one any more. Without them, a seed says nothing of evacuations.
+  [[nodiscard]] std::size_t RunsBesideEvacuations();
   /// Number of all finished requests, including failed ones.
   [[nodiscard]] std::size_t RequestCount();
   /// Number of whole answers other than 200, by status and reason.
@@ -84,6 +91,9 @@
     std::size_t proxyMapping = 0;
     bool isPaused = false;
     SoakTime pausedAt;
+    /// Since when the store gives it no answers.
+    std::optional<SoakTime> withoutStoreSince;
+    std::vector<SoakInterval> storeOutages;
     std::string logFile;
     /// Bytes of the log that earlier processes wrote.
     std::size_t logBytes = 0;
@@ -134,6 +144,18 @@
   void ChangeConfiguration();
   void RemoveEngine();
 
+  void PlaceServers();
+  [[nodiscard]] bool IsInEvacuatedZone(const std::string& aServer) const;
+  /// Evacuates the zone or takes it back when that is due. Draws from a generator of its
+  /// own, so that the other faults of a seed stay as they are.
+  void ChangeEvacuation();
+  void EvacuateZone();
+  void TakeZoneBack();
+  /// @returns false if nothing runs in the zone before the deadline
+  bool AwaitRunInZone(SoakTime aDeadline);
+  static void BeginStoreOutage(Vm& aVm);
+  static void EndStoreOutage(Vm& aVm);
+
   Vm& RandomVm() { return this->vms.at(this->random.Below(this->vms.size())); }
   BackendServerStandin& RandomServer();
   /// @returns false if there are fewer after 20 s
@@ -159,6 +181,11 @@
   std::string logDirectory;
   std::int64_t version = 1;
   int removedEngines = 0;
+  Random evacuationRandom;
+  /// Faults until the zone is evacuated or taken back.
+  std::uint64_t faultsUntilChange;
+  std::optional<SoakTime> evacuatedSince;
+  std::vector<SoakInterval> evacuations;
 
   std::mutex mutex;
   std::condition_variable requestRecorded;
--- a/tests/platform/support/SoakVerdict.cpp
+++ b/tests/platform/support/SoakVerdict.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <iterator>
 #include <utility>
 
 #include "http/ConnectionStopTable.h"
@@ -98,6 +99,9 @@
                  "a request that must run at most once ran " + std::to_string(runCount) +
                    " times");
   }
+  const auto [begin, end] = this->facts.runsInZone.equal_range(aRequest.attemptId);
+  std::for_each(
+    begin, end, [&](const auto& aRun) { this->JudgeRunInZone(aRequest, aRun.second); });
   if (aRequest.answer.isComplete) {
     this->JudgeAnswer(aRequest);
     return;
@@ -119,6 +123,47 @@
   }
 }
 
+void SoakVerdict::JudgeRunInZone(const SoakRequest& aRequest, SoakTime aBegan)
+{
+  for (const auto& [written, withdrawn] : this->facts.evacuations) {
+    if (aBegan - written <= kEvacuationBound || aBegan >= withdrawn) {
+      continue;
+    }
+    if (!this->MustKnowOrder(aRequest.vm, written, aBegan)) {
+      ++this->excused["runs in an evacuated zone from a VM that was paused or without "
+                      "the store"];
+      continue;
+    }
+    const auto age = duration_cast<milliseconds>(aBegan - written);
+    this->Report(aRequest,
+                 "a run began in an evacuated zone " + std::to_string(age.count()) +
+                   " ms after the order");
+  }
+}
+
+bool SoakVerdict::MustKnowOrder(std::size_t aVm, SoakTime aWritten, SoakTime aAt) const
+{
+  const auto& life = this->LifeAt(aVm, aAt);
+  if (life.startedAt > aWritten) {
+    return true;
+  }
+  auto disturbances = life.disturbances;
+  const auto outages = this->facts.storeOutages.find(aVm);
+  if (outages != this->facts.storeOutages.end()) {
+    std::ranges::copy(outages->second, std::back_inserter(disturbances));
+  }
+  disturbances.emplace_back(aAt, aAt);
+  std::ranges::sort(disturbances);
+  auto calmSince = aWritten;
+  for (const auto& [from, to] : disturbances) {
+    if (std::min(from, aAt) - calmSince > kEvacuationBound) {
+      return true;
+    }
+    calmSince = std::max(calmSince, to);
+  }
+  return false;
+}
+
 void SoakVerdict::JudgeAnswer(const SoakRequest& aRequest)
 {
   const auto& answer = aRequest.answer;
@@ -238,10 +283,15 @@
 }
 
 const SoakLife& SoakVerdict::LifeOf(const SoakRequest& aRequest) const
+{
+  return this->LifeAt(aRequest.vm, aRequest.connectedAt);
+}
+
+const SoakLife& SoakVerdict::LifeAt(std::size_t aVm, SoakTime aTime) const
 {
   const SoakLife* latest = &this->facts.lives.front();
   for (const auto& life : this->facts.lives) {
-    if (life.vm == aRequest.vm && life.startedAt <= aRequest.connectedAt) {
+    if (life.vm == aVm && life.startedAt <= aTime) {
       latest = &life;
     }
   }
