Evacuate zones in the simulation of group formation

The simulation of engines, orders and leaders knew no evacuations, so that no test combined them with lost and late orders, changes of the leader and engines that restart or lose the store. A property test now plays 60 seeds: the two safety rules hold, no order and no probe is meant for an evacuated zone, and the engines return to service. The seeds of the other cases draw the same faults as before.

--- a/tests/unit/toucanstand_groups/FormationSimulation.cpp
+++ b/tests/unit/toucanstand_groups/FormationSimulation.cpp
@@ -37,6 +37,7 @@
         ServerId("e" + std::to_string(domain) + "-" + std::to_string(number));
       engine.entry.pool = PoolId("engines");
       engine.entry.domain = DomainId("d" + std::to_string(domain));
+      engine.entry.zone = ZoneId("z" + std::to_string(domain));
       engine.entry.endpoint = {
         "10.0.0.1", static_cast<std::uint16_t>(8000 + domain * 100 + number)
       };
@@ -65,6 +66,7 @@
     engine.unreachableUntil = this->now;
     engine.storeUnreachableUntil = this->now;
   }
+  this->evacuatedUntil.clear();
 }
 
 void FormationSimulation::Tick()
@@ -110,6 +112,18 @@
   if (OccursThisTick(this->options.leaseHolderChanges)) {
     this->ChangeLeaseHolder();
   }
+  // Draws nothing without the option, so that the other seeds play the same faults.
+  if (this->options.evacuations > 0 && OccursThisTick(this->options.evacuations)) {
+    const auto zone = randomEngine().entry.zone;
+    this->evacuatedUntil[zone] =
+      this->now + std::chrono::seconds(1 + this->random.Below(30));
+  }
+}
+
+bool FormationSimulation::IsEvacuated(const ZoneId& aZone) const
+{
+  const auto found = this->evacuatedUntil.find(aZone);
+  return found != this->evacuatedUntil.end() && this->now < found->second;
 }
 
 void FormationSimulation::ChangeLeaseHolder()
@@ -241,6 +255,9 @@
 void FormationSimulation::Probe(const ServerId& aServer)
 {
   const auto& engine = this->engines.at(aServer);
+  if (this->IsEvacuated(engine.entry.zone)) {
+    return;
+  }
   if (engine.alive && this->now >= engine.unreachableUntil) {
     this->controller.OnResponsive(aServer);
   } else {
@@ -250,10 +267,18 @@
 
 void FormationSimulation::RunController()
 {
-  const FormationInputs inputs{
+  FormationInputs inputs{
     this->directory, this->cost, {}, this->traffic, kHeadStallTimeout
   };
+  inputs.isEvacuatedZone = [this](const ZoneId& aZone) {
+    return this->IsEvacuated(aZone);
+  };
+  const auto noteContact = [this](const ServerId& aServer) {
+    this->contactsToEvacuatedZones +=
+      this->IsEvacuated(this->engines.at(aServer).entry.zone) ? 1 : 0;
+  };
   for (const auto& order : this->controller.Plan(inputs, this->now)) {
+    noteContact(order.server);
     const auto& engine = this->engines.at(order.server);
     const double chance = this->random.Fraction();
     EngineOrderReply reply = EngineOrderReply::Unknown;
@@ -274,6 +299,7 @@
     this->controller.OnReply(order, reply, this->now);
   }
   for (const auto& engine : this->controller.MembersToProbe()) {
+    noteContact(engine.server);
     this->Probe(engine.server);
   }
   const auto unresponsive = this->controller.UnresponsiveEngines();
--- a/tests/unit/toucanstand_groups/FormationSimulation.h
+++ b/tests/unit/toucanstand_groups/FormationSimulation.h
@@ -33,6 +33,8 @@
     /// An engine can't reach the store, but still runs.
     double storeOutages = 0;
     double leaseHolderChanges = 0;
+    /// A domain, which is a zone of its own, is evacuated for 1 to 30 s.
+    double evacuations = 0;
   };
 
   FormationSimulation(Options aOptions, std::uint64_t aSeed);
@@ -44,6 +46,9 @@
   int membersTakenFromServingHead = 0;
   /// Number of ticks in which a head served although a member had never been ready.
   int partialGroups = 0;
+  /// Number of orders and probes that the controller wanted for engines of a zone that
+  /// was evacuated.
+  int contactsToEvacuatedZones = 0;
 
   [[nodiscard]] int OpenGroups(const std::string& aModel) const;
   void Kill(const ServerId& aEngine, bool aUnreachable);
@@ -101,6 +106,7 @@
   void DeliverRegistrations();
   void RunController();
   void Probe(const ServerId& aServer);
+  [[nodiscard]] bool IsEvacuated(const ZoneId& aZone) const;
   EngineOrderReply Execute(const EngineOrder& aOrder);
   EngineOrderReply Join(Engine& aEngine, const EngineOrder& aOrder);
   void Register(const Engine& aEngine);
@@ -120,6 +126,7 @@
   std::map<GroupId, std::set<ServerId>> membersOnceReady;
   std::deque<DelayedOrder> delayedOrders;
   std::deque<Registration> registrations;
+  std::map<ZoneId, TimePoint> evacuatedUntil;
   bool traffic = false;
 };
 
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -166,6 +166,38 @@
   }
 }
 
+TEST_CASE("The rules for groups hold while zones are evacuated and taken back",
+          "[formation]")
+{
+  // Guards against orders and probes to engines of an evacuated zone, and against records
+  // of its groups that are stale when it is taken back: a head that serves without a
+  // member, a member taken from a serving head, engines that stay without a group.
+  FormationSimulation::Options options;
+  options.lostAnswers = 0.15;
+  options.lateOrders = 0.15;
+  options.networkOutages = 0.2;
+  options.storeOutages = 0.2;
+  options.leaseHolderChanges = 0.1;
+  options.evacuations = 0.1;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    options.crashes = seed % 2 == 0 ? 0.05 : 0;
+    FormationSimulation simulation(options, seed);
+    simulation.Run(seconds(10));
+    simulation.StartTraffic();
+    simulation.Run(seconds(50));
+    INFO("seed " << seed);
+    CHECK(simulation.membersTakenFromServingHead == 0);
+    CHECK(simulation.partialGroups == 0);
+    CHECK(simulation.contactsToEvacuatedZones == 0);
+    if (options.crashes == 0) {
+      simulation.EndFaults();
+      simulation.Run(seconds(60));
+      CHECK(simulation.OpenGroups("large") * 4 + simulation.OpenGroups("small") * 2 >=
+            14);
+    }
+  }
+}
+
 TEST_CASE("Surviving engines return to service after the faults end", "[formation]")
 {
   // Guards against groups that never leave their phase, for example because their head
