--- a/tests/platform/TestColdEngines.cpp
+++ b/tests/platform/TestColdEngines.cpp
@@ -104,8 +104,8 @@
     std::map<std::string, std::vector<SteadyTime>> times;
     for (const auto& run : this->platform.Runs()) {
       const bool isInZone = IsInOtherZone(run.server) == (aZone == kOtherZone);
-      if (isInZone && run.at >= aFrom && run.at < aUntil) {
-        times[run.server].push_back(run.at);
+      if (isInZone && run.startedAt >= aFrom && run.startedAt < aUntil) {
+        times[run.server].push_back(run.startedAt);
       }
     }
     std::size_t most = 0;
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -24,7 +24,7 @@
   std::string server;
   std::string attemptId;
   HttpRequest request;
-  std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now();
+  std::chrono::steady_clock::time_point startedAt = std::chrono::steady_clock::now();
 };
 
 /// What an engine does with a stream that another one began.
