--- a/programs/toucanstandctl/RequestTimeline.cpp
+++ b/programs/toucanstandctl/RequestTimeline.cpp
@@ -25,15 +25,17 @@
            : "";
 }
 
-/// The more urgent requests that the request yielded to; logs of earlier builds name
-/// none.
+/// Whether more urgent requests caused the refusal; logs of earlier builds name none.
+bool IsYield(const LogLine& aLine)
+{
+  return aLine.fields.contains("yields_to") && aLine.IntegerOrZero("yields_to") >= 0;
+}
+
 std::string FormatYield(const LogLine& aLine)
 {
-  const bool yields =
-    aLine.fields.contains("yields_to") && aLine.IntegerOrZero("yields_to") >= 0;
-  return yields ? " (of priority " + aLine.Text("priority") + ", yielding to priority " +
-                    aLine.Text("yields_to") + ")"
-                : "";
+  return IsYield(aLine) ? " (of priority " + aLine.Text("priority") +
+                            ", yielding to priority " + aLine.Text("yields_to") + ")"
+                        : "";
 }
 
 std::string FormatPlacementRefusal(const LogLine& aLine)
@@ -335,7 +337,11 @@
   if (!failures.empty()) {
     return failures;
   }
-  if (this->FindRequestLine("placement_refused") != nullptr) {
+  if (const auto* refused = this->FindRequestLine("placement_refused")) {
+    if (IsYield(*refused)) {
+      return "it yielded to requests of priority " + refused->Text("yields_to") +
+             " for its model";
+    }
     return "the groups of its model could not serve it in the time wanted";
   }
   if (const auto* refused = this->FindRequestLine("route_refused")) {
--- a/tests/unit/programs/TestRequestTimeline.cpp
+++ b/tests/unit/programs/TestRequestTimeline.cpp
@@ -116,6 +116,8 @@
   CHECK(timeline.Entries()[0].text.find(
           "the limit was 297 ms (of priority 2, yielding to priority 1)") !=
         std::string::npos);
+  CHECK(timeline.ExplainOutcome() ==
+        "it yielded to requests of priority 1 for its model");
 }
 
 TEST_CASE("The timeline of a request says which servers were not sent it", "[explain]")
