Let the successor of a zone's relay begin within 100 ms

Cause: a VM that sends no aggregates looks once a second whether it is a relay. With one relay for each zone, the VMs of that zone get none meanwhile. Where relays are chosen by zone it looks ten times a second; elsewhere as before.

--- a/programs/toucanstand-server/PeerChannel.cpp
+++ b/programs/toucanstand-server/PeerChannel.cpp
@@ -113,8 +113,10 @@
     // The suspicions have just been sent, or this VM sends no aggregates.
     this->pendingSuspicions.clear();
     this->foreignSuspicions.clear();
-    this->aggregateTimer.expires_after(sendsAggregates ? kAggregateInterval
-                                                       : kIdleInterval);
+    // The successor of a zone's only relay begins soon; its VMs get no other aggregates.
+    const Duration idle =
+      this->directory.AreRelaysByZone() ? kReportInterval : kIdleInterval;
+    this->aggregateTimer.expires_after(sendsAggregates ? kAggregateInterval : idle);
     co_await this->aggregateTimer.async_wait(kAwait);
   }
 }
