Give the settings for cold engines to the processes of their own test only

An earlier build ends at its start when it finds an unknown key, so the shared settings of tests with several builds must not contain them. docs/upgrades.md names the new keys and the field that is read.

--- a/tests/platform/TestColdEngines.cpp
+++ b/tests/platform/TestColdEngines.cpp
@@ -17,8 +17,7 @@
 using nlohmann::json;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-// Callers of three VMs send all they can to two zones with two groups each. In the
-// settings of the VMs a cold engine gets at most 1.5 times its rate and 5 requests more.
+// Callers of three VMs send all they can to two zones with two groups each.
 
 namespace {
 
@@ -28,7 +27,9 @@
 constexpr int kEngines = 8;
 constexpr std::size_t kGroups = 4;
 constexpr double kPerSecond = 12;
-constexpr double kBound = kPerSecond * 1.5 + 5;
+constexpr double kOvershoot = 1.5;
+constexpr double kSlack = 5;
+constexpr double kBound = kPerSecond * kOvershoot + kSlack;
 constexpr auto kColdStart = 2s;
 constexpr auto kRegistrationAge = 2s;
 /// Time in which the VMs have read a change of the store for sure.
@@ -54,7 +55,15 @@
     services[0]["ColdPerS"] = kPerSecond;
     this->platform.WriteConfiguration(2, { { "Services", services } });
     for (const char* vm : { "vm-1", "vm-2", "vm-3" }) {
-      this->vms.push_back(std::make_unique<ServerUnderTest>(this->platform, vm));
+      ServerUnderTest::Program program;
+      program.furtherSettings = { { "cold_overshoot", kOvershoot },
+                                  { "cold_slack", kSlack } };
+      this->vms.push_back(
+        std::make_unique<ServerUnderTest>(this->platform,
+                                          vm,
+                                          this->platform.Store().Address(),
+                                          ServerUnderTest::kStopPeriod,
+                                          std::move(program)));
     }
     for (const auto& vm : this->vms) {
       vm->WaitForGroups(kGroups);
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -300,19 +300,17 @@
   , peerEndpoint(this->ports.Reserve())
   , program(std::move(aProgram))
 {
-  const json document = { { "id", aId },
-                          { "zone", "zone-a" },
-                          { "listen", this->listenEndpoint.Text() },
-                          { "readiness", this->readinessEndpoint.Text() },
-                          { "peers", this->peerEndpoint.Text() },
-                          { "operator", this->operatorEndpoint.Text() },
-                          { "store", aStore.Text() },
-                          { "stop_period_s",
-                            static_cast<double>(aStopPeriod.count()) / 1000 },
-                          { "head_stall_ms", 500 },
-                          { "cold_overshoot", 1.5 },
-                          { "cold_slack", 5 },
-                          { "seed", 7 } };
+  json document = { { "id", aId },
+                    { "zone", "zone-a" },
+                    { "listen", this->listenEndpoint.Text() },
+                    { "readiness", this->readinessEndpoint.Text() },
+                    { "peers", this->peerEndpoint.Text() },
+                    { "operator", this->operatorEndpoint.Text() },
+                    { "store", aStore.Text() },
+                    { "stop_period_s", static_cast<double>(aStopPeriod.count()) / 1000 },
+                    { "head_stall_ms", 500 },
+                    { "seed", 7 } };
+  document.merge_patch(this->program.furtherSettings);
   this->settings = std::make_unique<SettingsFile>(document);
   this->Start();
 }
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -113,6 +113,8 @@
     std::string name = "toucanstand-server";
     /// Receives its output; the test reads it if empty.
     std::string logFile;
+    /// Settings beside those that every build knows.
+    nlohmann::json furtherSettings = nlohmann::json::object();
   };
 
   ServerUnderTest(PlatformStandin& aPlatform, const std::string& aId);
