Discard the input of refused clients in large reads

Clients that are refused and go on sending are read until they have the answer, 4 KiB at a time with a timer each; on a VM with little processor time this competes with ordinary requests. One buffer of 64 KiB for all connections takes its place, which also shortens the frame of each closing connection. TestUncontrolledClients and test_toucanstand_transport pass.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -50,6 +50,15 @@
   aResponse.keep_alive(!aClose);
 }
 
+/// Room for input that nobody looks at; shared by all connections of a loop. Large, since
+/// each read of a client that sends without end costs processor time.
+asio::mutable_buffer DiscardBuffer()
+{
+  constexpr std::size_t kSize = 64U << 10U;
+  thread_local std::array<char, kSize> bytes;
+  return asio::buffer(bytes);
+}
+
 std::size_t CountHostFields(const HttpRequest& aRequest)
 {
   return static_cast<std::size_t>(
@@ -441,12 +450,11 @@
   const auto silence = std::chrono::duration_cast<asio::steady_timer::duration>(aSilence);
   const auto giveUpAt = BootClock::now() + this->context->limits.writeTimeout;
   const auto maxDiscarded = kMinDiscardedBytes + this->context->limits.bodyBytes;
-  std::array<char, kFirstRead> scratch{};
   std::size_t discarded = 0;
   while (discarded < maxDiscarded && BootClock::now() < giveUpAt) {
     // Not the timer of the stream, which closes the socket.
     asio::steady_timer timer(socket.get_executor(), silence);
-    const auto next = co_await (socket.async_read_some(asio::buffer(scratch), kAwait) ||
+    const auto next = co_await (socket.async_read_some(DiscardBuffer(), kAwait) ||
                                 timer.async_wait(kAwait));
     const bool timedOut = next.index() == 1;
     if (timedOut && UnacknowledgedBytes(socket) == 0) {
