Check that a crowd's memory is given back when it has left

Each case of TestUncontrolledClients now waits until the bytes that requests hold are 0 after its clients closed their connections; a leak of the accounting would refuse requests for good.

--- a/tests/platform/TestUncontrolledClients.cpp
+++ b/tests/platform/TestUncontrolledClients.cpp
@@ -143,6 +143,12 @@
     this->WaitUntilTaken();
     this->CheckBounds();
     this->CheckOrdinaryRequest();
+    // Memory that is not given back would be lacking for good.
+    clients.clear();
+    this->server->caller.WaitFor(
+      this->server->operatorEndpoint, "/state", [](const nlohmann::json& aState) {
+        return aState.at("state").at("request_memory") == 0;
+      });
   }
 
   /// Waits until the server has read what was sent, or has closed the connections.
