--- a/tests/platform/support/SoakTest.cpp
+++ b/tests/platform/support/SoakTest.cpp
@@ -499,6 +499,7 @@
 void SoakTest::RejectStoreCalls()
 {
   std::ranges::for_each(this->vms, &SoakTest::BeginStoreOutage);
+  this->storeRejectsCalls = true;
   this->platform.RunOnLoop([this] { this->platform.Store().faults.rejectCalls = true; });
 }
 
@@ -534,6 +535,7 @@
     this->SetProxyFault(vm.proxyMapping, kNoProxyFault);
   }
   std::ranges::for_each(this->vms, &SoakTest::EndStoreOutage);
+  this->storeRejectsCalls = false;
 }
 
 void SoakTest::AbortStreams()
@@ -619,6 +621,11 @@
   if (!this->scale.hasEvacuations || --this->faultsUntilChange > 0) {
     return;
   }
+  if (this->storeRejectsCalls) {
+    // The store would not acknowledge the order.
+    this->faultsUntilChange = 1;
+    return;
+  }
   const bool begins = !this->evacuatedSince;
   this->TakeZoneBack();
   if (begins || this->evacuationRandom.Below(kRenewedOrders) == 0) {
--- a/tests/platform/support/SoakTest.h
+++ b/tests/platform/support/SoakTest.h
@@ -146,8 +146,8 @@
 
   void PlaceServers();
   [[nodiscard]] bool IsInEvacuatedZone(const std::string& aServer) const;
-  /// Evacuates the zone or takes it back when that is due. Draws from a generator of its
-  /// own, so that the other faults of a seed stay as they are.
+  /// Evacuates the zone or takes it back when that is due and the store answers. Draws
+  /// from a generator of its own, so that the other faults of a seed stay as they are.
   void ChangeEvacuation();
   void EvacuateZone();
   void TakeZoneBack();
@@ -185,6 +185,7 @@
   /// Faults until the zone is evacuated or taken back.
   std::uint64_t faultsUntilChange;
   std::optional<SoakTime> evacuatedSince;
+  bool storeRejectsCalls = false;
   std::vector<SoakInterval> evacuations;
 
   std::mutex mutex;
