--- a/tests/platform/TestColdEngines.cpp
+++ b/tests/platform/TestColdEngines.cpp
@@ -56,8 +56,7 @@
     this->platform.WriteConfiguration(2, { { "Services", services } });
     for (const char* vm : { "vm-1", "vm-2", "vm-3" }) {
       ServerUnderTest::Program program;
-      program.settings = { { "cold_overshoot", kOvershoot },
-                                  { "cold_slack", kSlack } };
+      program.settings = { { "cold_overshoot", kOvershoot }, { "cold_slack", kSlack } };
       this->vms.push_back(
         std::make_unique<ServerUnderTest>(this->platform,
                                           vm,
