Move the checks of a whole request out of HttpSession

HttpSession.cpp is large; the checks of the Host field and the target stand beside RequestReader now. Same answers. test_toucanstand_transport and TestUncontrolledClients pass.

--- a/modules/toucanstand_transport/http/HttpSession.cpp
+++ b/modules/toucanstand_transport/http/HttpSession.cpp
@@ -14,7 +14,6 @@
 #include <spdlog/spdlog.h>
 
 #include "http/ByteRelay.h"
-#include "http/RequestTarget.h"
 #include "http/SocketOptions.h"
 
 namespace toucanstand {
@@ -59,14 +58,6 @@
   return asio::buffer(bytes);
 }
 
-std::size_t CountHostFields(const HttpRequest& aRequest)
-{
-  return static_cast<std::size_t>(
-    std::ranges::count_if(aRequest.headers.Fields(), [](const auto& aField) {
-      return beast::iequals(aField.first, "Host");
-    }));
-}
-
 } // namespace
 
 HttpSession::HttpSession(asio::ip::tcp::socket aSocket, std::shared_ptr<Context> aContext)
@@ -306,15 +297,8 @@
   this->keepAlive = this->reader->KeepsAlive();
   this->request = this->reader->Take();
   this->headOnly = this->request.method == "HEAD";
-  // RFC 9112, section 3.2: a request without exactly one Host field is rejected.
-  if (this->httpVersion >= 11 && CountHostFields(this->request) != 1) {
-    co_await this->RejectMalformed(
-      400, "malformed_request", "exactly one Host field is needed");
-    co_return false;
-  }
-  if (!IsOriginForm(this->request.target) || HasDotSegments(this->request.target)) {
-    co_await this->RejectMalformed(
-      400, "malformed_request", "the target must be a path without dot segments");
+  if (const char* fault = FindFault(this->request, this->httpVersion)) {
+    co_await this->RejectMalformed(400, "malformed_request", fault);
     co_return false;
   }
   co_return true;
--- a/modules/toucanstand_transport/http/RequestReader.cpp
+++ b/modules/toucanstand_transport/http/RequestReader.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/string.hpp>
 
+#include "http/RequestTarget.h"
+
 namespace toucanstand {
 
 namespace asio = boost::asio;
@@ -256,4 +258,21 @@
   return request;
 }
 
+const char* FindFault(const HttpRequest& aRequest, unsigned aHttpVersion)
+{
+  constexpr unsigned kHttp11 = 11;
+  const auto hosts =
+    std::ranges::count_if(aRequest.headers.Fields(), [](const auto& aField) {
+      return beast::iequals(aField.first, "Host");
+    });
+  // RFC 9112, section 3.2: a request without exactly one Host field is rejected.
+  if (aHttpVersion >= kHttp11 && hosts != 1) {
+    return "exactly one Host field is needed";
+  }
+  if (!IsOriginForm(aRequest.target) || HasDotSegments(aRequest.target)) {
+    return "the target must be a path without dot segments";
+  }
+  return nullptr;
+}
+
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/RequestReader.h
+++ b/modules/toucanstand_transport/http/RequestReader.h
@@ -89,4 +89,7 @@
   MemoryBudget::Holding holding;
 };
 
+/// Why a request that was read whole is malformed; null if it is not.
+[[nodiscard]] const char* FindFault(const HttpRequest& aRequest, unsigned aHttpVersion);
+
 } // namespace toucanstand
