--- a/tests/unit/toucanstand_routing/TestZonePreference.cpp
+++ b/tests/unit/toucanstand_routing/TestZonePreference.cpp
@@ -71,7 +71,6 @@
   query.model = "m";
   query.promptTokens = 1000;
   query.firstEventTarget = aTarget;
-  // The narrow objective alone would have it refused.
   std::set<std::string> zones;
   for (int number = 0; number < 200; ++number) {
     zones.insert(placement.Choose(query, kStart)->group.zone.Value());
