--- a/review/support-2/platform.hh
+++ b/review/support-2/platform.hh
@@ -15,6 +15,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -707,6 +708,10 @@
   {
     this->silentUntil = Now() + std::chrono::duration<double>(aTime).count();
   }
+  /// Asked for each order; one for which it returns true gets no answer and is kept.
+  std::function<bool(const json& aOrder)> isLate;
+  /// Carries out the kept orders of this kind for the group.
+  void CarryOutLate(const std::string& aKind, const std::string& aGroup);
   void SetBeyond(Beyond aBeyond) { this->listener.beyond = aBeyond; }
 
   std::string id;
@@ -721,6 +726,7 @@
   /// The group that it was ordered to leave last, until it joins another one.
   std::string formerGroup;
   std::vector<std::string> formerMembers;
+  std::vector<json> lateOrders;
   std::set<std::string> staged;
   int rank = 0;
   int running = 0;
@@ -802,6 +808,29 @@
 {
 }
 
+inline void Engine::CarryOutLate(const std::string& aKind, const std::string& aGroup)
+{
+  {
+    const std::scoped_lock lock(this->fleet.mutex);
+    std::vector<json> others;
+    for (auto& order : std::exchange(this->lateOrders, {})) {
+      if (order.value("Op", "") != aKind || order.value("group", "") != aGroup) {
+        others.push_back(std::move(order));
+        continue;
+      }
+      const int status = this->Apply(order);
+      RECORD("engine %s: order %s %s carried out late -> %d",
+             this->id.c_str(),
+             aKind.c_str(),
+             aGroup.c_str(),
+             status);
+    }
+    std::ranges::move(others, std::back_inserter(this->lateOrders));
+  }
+  this->fleet.changed.notify_all();
+  this->Register();
+}
+
 inline void Engine::Start()
 {
   this->listener.isLimited = [this] {
@@ -991,6 +1020,21 @@
   if (target == "/order") {
     const auto order = json::parse(aRequest.body, nullptr, false);
     int status = 400;
+    if (order.is_object() && this->isLate) {
+      const auto kind = order.value("Op", "");
+      const auto name = order.value("group", "");
+      if (this->isLate(order)) {
+        RECORD("engine %s: order %s %s gets no answer", this->id.c_str(), kind.c_str(), name.c_str());
+        {
+          const std::scoped_lock lock(this->fleet.mutex);
+          this->lateOrders.push_back(order);
+        }
+        while (!aConnection.PeerHasClosed()) {
+          Sleep(5);
+        }
+        return false;
+      }
+    }
     if (order.is_object()) {
       const std::scoped_lock lock(this->fleet.mutex);
       status = this->Apply(order);
