--- a/review/support-2/platform.hh
+++ b/review/support-2/platform.hh
@@ -742,6 +742,8 @@
   bool Stream(Connection& aConnection, const Message& aRequest);
   void Register();
   bool MembersHold() const;
+  /// What an engine that leaves says in all its answers.
+  std::string Statement() const { return this->hasLeft ? "Server-Leaving: 1\r\n" : ""; }
   void AwaitEndOfSilence() const
   {
     while (Now() < this->silentUntil) {
@@ -1011,11 +1013,11 @@
   this->AwaitEndOfSilence();
   const auto expected = aRequest.Header("x-expect-instance");
   if (!expected.empty() && expected != this->id) {
-    return aConnection.Send(Answer(421, "X-Instance-Id: " + this->id + "\r\n", ""));
+    return aConnection.Send(Answer(421, this->Statement() + "X-Instance-Id: " + this->id + "\r\n", ""));
   }
   const auto target = aRequest.Target();
   if (target == "/report") {
-    return aConnection.Send(Answer(200, "Content-Type: application/json\r\n", "{}"));
+    return aConnection.Send(Answer(200, this->Statement() + "Content-Type: application/json\r\n", "{}"));
   }
   if (target == "/order") {
     const auto order = json::parse(aRequest.body, nullptr, false);
@@ -1046,7 +1048,7 @@
     }
     this->fleet.changed.notify_all();
     this->Register();
-    return aConnection.Send(Answer(status, "", ""));
+    return aConnection.Send(Answer(status, this->Statement(), ""));
   }
   return this->Stream(aConnection, aRequest);
 }
@@ -1063,7 +1065,7 @@
   if (this->state != "open" || this->rank != 0) {
     lock.unlock();
     return aConnection.Send(
-      Answer(421, "X-Attempt-Id: " + attempt + "\r\nX-Instance-Id: " + this->id + "\r\n", ""));
+      Answer(421, this->Statement() + "X-Attempt-Id: " + attempt + "\r\nX-Instance-Id: " + this->id + "\r\n", ""));
   }
   const auto mine = this->generation;
   ++this->waiting;
@@ -1079,7 +1081,7 @@
     lock.unlock();
     this->fleet.changed.notify_all();
     return aConnection.Send(
-             Answer(503, "X-Attempt-Id: " + attempt + "\r\nX-Not-Run: 1\r\n", "")) &&
+             Answer(503, this->Statement() + "X-Attempt-Id: " + attempt + "\r\nX-Not-Run: 1\r\n", "")) &&
            false;
   }
   ++this->running;
@@ -1089,7 +1091,8 @@
   };
   const auto head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
                     "\r\nX-Engine-Stamp: stamp." + this->id + "\r\nX-Engine-Load: " + load() +
-                    "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+                    "\r\n" + this->Statement() +
+                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
   RECORD("engine %s runs %s from event %s", this->id.c_str(), attempt.c_str(), lastId.c_str());
   lock.unlock();
   bool alive = aConnection.Send(head);
