Read the heads of all responses in one place

HttpClient parsed the heads of responses in Open() and, with other limits, in ConnectThrough(), and only Open() checked the coding. ReadResponseHead() now serves both, and every check of a head has one place.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/ResponseHead.h"
 #include "http/SocketOptions.h"
 
 namespace toucanstand {
@@ -30,10 +31,9 @@
 constexpr Duration kUserTimeout = std::chrono::seconds(10);
 constexpr std::size_t kMostIdlePerEndpoint = 64;
 constexpr Duration kLongestIdle = std::chrono::seconds(30);
-constexpr std::uint32_t kMostHeaderBytes = 16U << 10U;
 /// Bytes that were read and not yet parsed. The parser asks for more until the size line
 /// of a chunk or the trailers end, which its own limits do not cover.
-constexpr std::size_t kMostUnparsed = 2UL * kMostHeaderBytes;
+constexpr std::size_t kMostUnparsed = 2 * kMaxResponseHeadBytes;
 /// Interim responses (1xx) before the final one; a server sends one or two.
 constexpr std::size_t kMaxInterimResponses = 8;
 /// Room for one read of a body; part of the coroutine frame of each open stream.
@@ -253,11 +253,10 @@
 class OpenStream final : public HttpClientStream
 {
 public:
-  using Parser = http::response_parser<http::buffer_body>;
   using GiveBack = std::function<void(ConnectionPointer)>;
 
   OpenStream(ConnectionPointer aConnection,
-             std::unique_ptr<Parser> aParser,
+             std::unique_ptr<ResponseParser> aParser,
              const HttpDeadlines& aDeadlines,
              UnframedBody aUnframed,
              GiveBack aGiveBack)
@@ -331,36 +330,13 @@
 private:
   ConnectionPointer connection;
   WaitLimit limit;
-  std::unique_ptr<Parser> parser;
+  std::unique_ptr<ResponseParser> parser;
   HttpHeaders headers;
   Duration progress;
   UnframedBody unframed;
   GiveBack giveBack;
 };
 
-std::unique_ptr<OpenStream::Parser> MakeParser(bool aIsHeadRequest)
-{
-  auto parser = std::make_unique<OpenStream::Parser>();
-  parser->skip(aIsHeadRequest);
-  parser->header_limit(kMostHeaderBytes);
-  parser->body_limit(boost::none);
-  return parser;
-}
-
-/// True for a response that a final one follows (RFC 9110, 15.2).
-bool IsInterim(const OpenStream::Parser& aParser)
-{
-  return http::to_status_class(aParser.get().result_int()) ==
-         http::status_class::informational;
-}
-
-/// True for a transfer coding that says nothing of where the body ends. Without one, the
-/// end of the connection might; but the parser takes some of these bodies for empty.
-bool HasUnknownCoding(const OpenStream::Parser& aParser)
-{
-  return aParser.get().count(http::field::transfer_encoding) > 0 && !aParser.chunked();
-}
-
 Task<Result<ConnectionPointer, HttpFailure>> Connect(asio::io_context& aLoop,
                                                      const Endpoint& aEndpoint,
                                                      Duration aTimeout,
@@ -393,7 +369,7 @@
   ConnectionPointer connection;
 };
 
-ProxyResult ToProxyResult(const http::response<http::empty_body>& aResponse)
+ProxyResult ToProxyResult(const http::response_header<>& aResponse)
 {
   if (aResponse.result() == http::status::switching_protocols) {
     return ProxyResult::Connected;
@@ -423,18 +399,17 @@
   request.set(http::field::host, aProxy.Text());
   request.set(http::field::connection, "Upgrade");
   request.set(http::field::upgrade, "tunnel");
-  http::response_parser<http::empty_body> parser;
-  parser.skip(true);
+  const auto parser = MakeResponseParser(false);
   const CancelScope scope(aCancel, stream);
   stream.expires_after(kProxyAnswerTimeout);
   auto [sendError, sent] = co_await http::async_write(stream, request, kAwait);
   if (sendError) {
     co_return ProxiedConnection{};
   }
-  auto [readError, received] =
-    co_await http::async_read_header(stream, proxied.connection->buffer, parser, kAwait);
+  const auto readError =
+    co_await ReadResponseHead(stream, proxied.connection->buffer, *parser);
   if (!readError && !aCancel.IsTripped()) {
-    proxied.result = ToProxyResult(parser.get());
+    proxied.result = ToProxyResult(parser->get());
   }
   co_return proxied;
 }
@@ -546,8 +521,8 @@
     connection = std::move(*connected);
   }
   const auto message = ToMessage(aEndpoint, std::move(aRequest));
-  const bool isHeadRequest = message.method() == http::verb::head;
-  std::unique_ptr<OpenStream::Parser> parser;
+  const bool hasBody = message.method() != http::verb::head;
+  std::unique_ptr<ResponseParser> parser;
   bool reusable = aUse != ConnectionUse::Single;
   {
     const CancelScope scope(aCancel, connection->stream);
@@ -568,9 +543,9 @@
       if (parser && ++interimResponses > kMaxInterimResponses) {
         co_return HttpFailure::Malformed;
       }
-      parser = MakeParser(isHeadRequest);
-      auto [headError, received] = co_await http::async_read_header(
-        connection->stream, connection->buffer, *parser, kAwait);
+      parser = MakeResponseParser(hasBody);
+      const auto headError =
+        co_await ReadResponseHead(connection->stream, connection->buffer, *parser);
       if (headError || aCancel.IsTripped()) {
         co_return ReadFailure(
           headError,
@@ -581,9 +556,6 @@
       }
     }
   }
-  if (HasUnknownCoding(*parser)) {
-    co_return HttpFailure::Malformed;
-  }
   std::weak_ptr<Implementation> weak = shared;
   auto giveBack = [weak, aEndpoint, reusable](ConnectionPointer aConnection) {
     if (const auto strong = reusable ? weak.lock() : nullptr) {
--- a/tests/unit/toucanstand_transport/TestHttp.cpp
+++ b/tests/unit/toucanstand_transport/TestHttp.cpp
@@ -14,6 +14,7 @@
 
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
+#include "support/RawServer.h"
 
 using namespace toucanstand;
 using namespace std::chrono_literals;
@@ -21,18 +22,6 @@
 
 namespace {
 
-/// Runs a coroutine and the loop until it ends.
-void RunUntilDone(asio::io_context& aLoop, Task<> aTask)
-{
-  asio::co_spawn(aLoop, std::move(aTask), [&aLoop](std::exception_ptr aError) {
-    aLoop.stop();
-    if (aError) {
-      std::rethrow_exception(aError);
-    }
-  });
-  aLoop.run_for(20s);
-}
-
 Task<> Echo(HttpExchange& aExchange)
 {
   const std::string target = aExchange.Request().target;
@@ -332,57 +321,19 @@
   CHECK(BootClock::now() - startedAt < 10s);
 }
 
-namespace {
-
-/// Serves one connection with raw bytes and closes it in order.
-Result<HttpResponse, HttpFailure> FetchRaw(const std::string& aReply,
-                                           UnframedBody aUnframed)
-{
-  asio::io_context loop;
-  MetricsRegistry metrics;
-  const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
-  asio::ip::tcp::acceptor acceptor(loop, any);
-  const Endpoint endpoint{ "127.0.0.1", acceptor.local_endpoint().port() };
-  asio::co_spawn(
-    loop,
-    [&]() -> Task<> {
-      auto socket = co_await acceptor.async_accept(asio::use_awaitable);
-      std::string request(16, '\0');
-      co_await socket.async_read_some(asio::buffer(request), asio::use_awaitable);
-      co_await asio::async_write(socket, asio::buffer(aReply), asio::use_awaitable);
-      socket.shutdown(asio::ip::tcp::socket::shutdown_send);
-      boost::system::error_code ended;
-      std::string rest;
-      co_await asio::async_read(socket,
-                                asio::dynamic_buffer(rest),
-                                asio::redirect_error(asio::use_awaitable, ended));
-    },
-    asio::detached);
-  HttpClient client(loop, metrics, aUnframed);
-  Result<HttpResponse, HttpFailure> result(HttpFailure::Cancelled);
-  RunUntilDone(loop, [&]() -> Task<> {
-    const HttpDeadlines deadlines;
-    result = co_await client.Fetch(
-      endpoint, HttpRequest(), deadlines, 1024, ConnectionUse::Single);
-  }());
-  return result;
-}
-
-} // namespace
-
 TEST_CASE("A body without a length ends with its connection only where that is allowed",
           "[http]")
 {
   // Guards against a part of an answer that is taken for the whole, and against whole
   // answers of a service that states no length.
   const std::string reply = "HTTP/1.1 200 OK\r\n\r\nwhole";
-  const auto accepted = FetchRaw(reply, UnframedBody::EndsWithConnection);
+  const auto accepted = FetchRaw({ { reply } }, UnframedBody::EndsWithConnection);
   REQUIRE(accepted.HasValue());
   CHECK(accepted->body == "whole");
-  const auto refused = FetchRaw(reply, UnframedBody::Refuse);
+  const auto refused = FetchRaw({ { reply } }, UnframedBody::Refuse);
   REQUIRE(!refused.HasValue());
   CHECK(refused.LastReason() == HttpFailure::BrokenInBody);
-  CHECK(!FetchRaw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole",
+  CHECK(!FetchRaw({ { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole" } },
                   UnframedBody::EndsWithConnection)
            .HasValue());
 }
@@ -396,7 +347,7 @@
   std::string reply = final;
   for (int count = 0; count < 20; ++count) {
     INFO(count);
-    const auto response = FetchRaw(reply, UnframedBody::Refuse);
+    const auto response = FetchRaw({ { reply } }, UnframedBody::Refuse);
     if (count <= 8) {
       REQUIRE(response.HasValue());
       CHECK(response->status == 200);
@@ -408,7 +359,7 @@
     }
     reply.insert(0, interim);
   }
-  const auto unfinished = FetchRaw(interim, UnframedBody::EndsWithConnection);
+  const auto unfinished = FetchRaw({ { interim } }, UnframedBody::EndsWithConnection);
   REQUIRE(!unfinished.HasValue());
   CHECK(unfinished.LastReason() == HttpFailure::BrokenBeforeHead);
 }
