--- /dev/null
+++ b/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
@@ -0,0 +1,116 @@
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "support/RawServer.h"
+
+using namespace toucanstand;
+
+// Servers that send something else than an answer of HTTP/1.1, or a part of one.
+
+namespace {
+
+const std::string kLength = "Content-Length: 5\r\n";
+/// The body of kLength.
+const std::string kBody = "whole";
+/// The same body as a single chunk.
+const std::string kChunkedBody = "5\r\nwhole\r\n0\r\n\r\n";
+
+std::string AnswerText(const std::string& aFields,
+                       const std::string& aBody,
+                       const std::string& aStatus = "200 OK")
+{
+  return "HTTP/1.1 " + aStatus + "\r\n" + aFields + "\r\n" + aBody;
+}
+
+/// Sends a request and checks that its answer is taken for none.
+void CheckMalformed(RawAnswer aAnswer)
+{
+  const auto response = FetchRaw(std::move(aAnswer));
+  CHECK(!response.HasValue());
+  if (!response.HasValue()) {
+    CHECK(response.LastReason() == HttpFailure::Malformed);
+  }
+}
+
+/// One piece for each byte up to the end of the head, and one for the rest.
+std::vector<std::string> SplitHead(const std::string& aAnswer)
+{
+  const auto headEnd = aAnswer.find("\r\n\r\n") + 4;
+  std::vector<std::string> pieces;
+  for (std::size_t at = 0; at < headEnd; ++at) {
+    pieces.emplace_back(1, aAnswer[at]);
+  }
+  pieces.push_back(aAnswer.substr(headEnd));
+  return pieces;
+}
+
+/// A request whose body does not fit into the buffers of both sockets.
+HttpRequest LongUpload()
+{
+  HttpRequest request;
+  request.method = "POST";
+  request.body = std::string(16U << 20U, 'q');
+  return request;
+}
+
+} // namespace
+
+TEST_CASE("A head that arrives in pieces and a body that looks folded are sound",
+          "[broken]")
+{
+  // Guards against sound answers that are rejected for what follows their head, or for
+  // where their bytes were parted.
+  const std::string body = "\r\n a\r\n\tb\r\n\r\n c";
+  const auto fields =
+    "X-First: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  const auto answer = AnswerText(fields, body);
+  for (const auto& pieces : { std::vector<std::string>{ answer }, SplitHead(answer) }) {
+    const auto response = FetchRaw({ pieces });
+    REQUIRE(response.HasValue());
+    CHECK(response->body == body);
+  }
+  const auto withoutFields = FetchRaw({ { AnswerText("", body) } });
+  REQUIRE(withoutFields.HasValue());
+  CHECK(withoutFields->body == body);
+}
+
+TEST_CASE("A name with a byte that no name may have makes no answer", "[broken]")
+{
+  // Guards against a line that is passed on, or ignored where it was to name the length.
+  for (const std::string byte :
+       { " ", "\t", "\x01", "\x1f", "\x7f", "\x80", "\xff", "(", ",", "/", "@", "\"" }) {
+    for (const std::string& fields : { "X" + byte + "First: a\r\n" + kLength,
+                                       kLength + "X" + byte + "First: a\r\n",
+                                       kLength + "X-First" + byte + ": a\r\n",
+                                       "Content" + byte + "-Length: 5\r\n",
+                                       "Content-Length" + byte + ": 5\r\n",
+                                       "Transfer-Encoding" + byte + ": chunked\r\n" }) {
+      INFO(fields);
+      CheckMalformed({ { AnswerText(fields, kBody) } });
+    }
+  }
+  CheckMalformed({ { AnswerText(kLength + ": a\r\n", kBody) } });
+  CheckMalformed({ { AnswerText(kLength + "X-First\r\n", kBody) } });
+}
+
+TEST_CASE("An answer that states its end is whole although the upload breaks", "[broken]")
+{
+  // Guards against the loss of an answer that came before the server read the request.
+  for (const auto& answer :
+       { AnswerText(kLength, kBody),
+         AnswerText("Transfer-Encoding: chunked\r\n", kChunkedBody) }) {
+    INFO(answer);
+    const auto response = FetchRaw({ { answer }, RawAnswer::End::Reset },
+                                   UnframedBody::EndsWithConnection,
+                                   LongUpload());
+    REQUIRE(response.HasValue());
+    CHECK(response->body == kBody);
+  }
+  CHECK(
+    !FetchRaw({ { AnswerText("Content-Length: 9\r\n", kBody) }, RawAnswer::End::Reset },
+              UnframedBody::EndsWithConnection,
+              LongUpload())
+       .HasValue());
+}
