Reject responses whose number is no status of HTTP

Callers saw: an engine in trouble answered "HTTP/1.1 000 Trouble", and its client got a head with 000 and "<unknown-status>" and the body, as the answer. 001, 099, 600, 700 and 999 went the same way.

Cause: Beast's parser takes any three digits for a status. Everything that reads the status compares with ranges that these numbers seem to fit: below 500 is an answer, from 500 on an error of the server whose text is passed on.

Fix: ReadResponseHead() reports bad_status for what is not 100 to 599 (RFC 9110, 15), and every client gets Malformed, as for other heads that can't be read: the attempt may have run, so an unsafe request ends with 502 and "unknown", and a safe one or a stream that may be resumed goes to a second engine within its budget. The head says nothing else that is learned of the engine. The store, the peers and the operator's tools read through the same function.

--- a/modules/toucanstand_transport/http/ResponseHead.cpp
+++ b/modules/toucanstand_transport/http/ResponseHead.cpp
@@ -14,6 +14,10 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/// RFC 9110, 15: other numbers are invalid, and say nothing of what the server did.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+
 /// True for a transfer coding that says nothing of where the body ends. Without one, the
 /// end of the connection might; but the parser takes some of these bodies for empty.
 bool HasUnknownCoding(const ResponseParser& aParser)
@@ -24,6 +28,10 @@
 /// Why a client must not act on a head that the parser accepts; no error if it may.
 beast::error_code CheckHead(const ResponseParser& aParser)
 {
+  const auto status = aParser.get().result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    return http::error::bad_status;
+  }
   if (HasUnknownCoding(aParser)) {
     return http::error::bad_transfer_encoding;
   }
--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -174,6 +174,17 @@
 
 } // namespace
 
+TEST_CASE("A client gets no answer with a number that is no status", "[broken]")
+{
+  // Guards against status 000 of a server in trouble that is passed on as its answer.
+  std::vector<InjectedAnswer> answers;
+  for (const std::string status : { "000 Trouble", "099 Trouble", "600 Trouble" }) {
+    answers.push_back(AnswerOf(status, kLength));
+  }
+  answers.push_back(AnswerOf("000 Trouble", ""));
+  CheckBroken(answers);
+}
+
 TEST_CASE("A client gets no answer whose head has a name with a byte of no name",
           "[broken]")
 {
--- a/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
+++ b/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
@@ -57,6 +57,24 @@
 
 } // namespace
 
+TEST_CASE("A number that is no status of HTTP makes no answer", "[broken]")
+{
+  // Guards against a head of a server in trouble that is passed on as an answer
+  // (RFC 9110, 15).
+  for (const std::string status : { "000", "001", "099", "600", "700", "999" }) {
+    INFO(status);
+    CheckMalformed({ { AnswerText(kLength, kBody, status + " Status") } });
+  }
+  for (const int status : { 200, 299, 404, 599 }) {
+    INFO(status);
+    const auto response =
+      FetchRaw({ { AnswerText(kLength, kBody, std::to_string(status) + " Status") } });
+    REQUIRE(response.HasValue());
+    CHECK(response->status == status);
+    CHECK(response->body == kBody);
+  }
+}
+
 TEST_CASE("A head that arrives in pieces and a body that looks folded are sound",
           "[broken]")
 {
