Reject a server's switch to another protocol that no request asked for

Callers saw, by a stand-in: "101 Switching Protocols" and then the bytes of a 200; the client got that 200 as the answer to its request.

Cause: 101 was skipped like an interim response. It is none: what follows it on the connection is not HTTP (RFC 9110, 15.2.2), and no request to a backend server asks for an upgrade.

Fix: 101 ends the wait for a final response, and only the opening of a tunnel through a peer, which asks for it, takes it for one.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -371,7 +371,7 @@
 
 ProxyResult ToProxyResult(const http::response_header<>& aResponse)
 {
-  if (aResponse.result() == http::status::switching_protocols) {
+  if (SwitchesProtocol(aResponse)) {
     return ProxyResult::Connected;
   }
   const auto failure = aResponse[kTunnelFailureField];
@@ -556,6 +556,10 @@
       }
     }
   }
+  if (SwitchesProtocol(parser->get())) {
+    // The request did not ask for it.
+    co_return HttpFailure::Malformed;
+  }
   std::weak_ptr<Implementation> weak = shared;
   auto giveBack = [weak, aEndpoint, reusable](ConnectionPointer aConnection) {
     if (const auto strong = reusable ? weak.lock() : nullptr) {
--- a/modules/toucanstand_transport/http/ResponseHead.cpp
+++ b/modules/toucanstand_transport/http/ResponseHead.cpp
@@ -60,8 +60,14 @@
 
 bool IsInterim(const ResponseParser& aParser)
 {
-  return http::to_status_class(aParser.get().result_int()) ==
-         http::status_class::informational;
+  const auto& head = aParser.get();
+  return http::to_status_class(head.result_int()) == http::status_class::informational &&
+         !SwitchesProtocol(head);
+}
+
+bool SwitchesProtocol(const http::response_header<>& aHead)
+{
+  return aHead.result() == http::status::switching_protocols;
 }
 
 } // namespace toucanstand
--- a/modules/toucanstand_transport/http/ResponseHead.h
+++ b/modules/toucanstand_transport/http/ResponseHead.h
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "http/Task.h"
@@ -34,4 +35,7 @@
 /// True for a response that a final one follows (RFC 9110, 15.2).
 [[nodiscard]] bool IsInterim(const ResponseParser& aParser);
 
+/// True if no further bytes of the connection are HTTP (RFC 9110, 15.2.2).
+[[nodiscard]] bool SwitchesProtocol(const boost::beast::http::response_header<>& aHead);
+
 } // namespace toucanstand
--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -185,6 +185,13 @@
   CheckBroken(answers);
 }
 
+TEST_CASE("A client gets no answer in another protocol", "[broken]")
+{
+  // Guards against bytes after an unasked switch of protocols that are passed on.
+  const auto answer = AnswerOf("200 OK", kLength).pieces.front();
+  CheckBroken({ AnswerOf("101 Switching Protocols", "", answer) });
+}
+
 TEST_CASE("A client gets no answer whose head has a name with a byte of no name",
           "[broken]")
 {
--- a/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
+++ b/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
@@ -75,6 +75,13 @@
   }
 }
 
+TEST_CASE("A server that switches to a protocol unasked has not answered", "[broken]")
+{
+  // Guards against bytes of another protocol that are taken for the final answer.
+  CheckMalformed(
+    { { AnswerText("", "", "101 Switching Protocols") + AnswerText(kLength, kBody) } });
+}
+
 TEST_CASE("A head that arrives in pieces and a body that looks folded are sound",
           "[broken]")
 {
