Do not take a part of a body for the whole after a broken upload

Callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The client got that part as the whole answer, also an empty one; on streams the events so far with an orderly end.

Cause: the kernel reports the error of a connection once. The write of the request that fails takes it, and the reads that follow find the received bytes and then an orderly end, which is the end of a body without a length.

Fix: after a write that failed, Open() lets no body end with its connection. The engine has read the head of the request, so an unsafe request ends with 502 and "unknown"; a safe one or a stream that may be resumed goes to a second engine within its budget.

The injector of the stand-ins learns to answer before it has read the body, and stand-in servers take bodies of 16 MB, so that the second engine can answer the upload.

--- a/modules/toucanstand_transport/http/HttpClient.cpp
+++ b/modules/toucanstand_transport/http/HttpClient.cpp
@@ -524,6 +524,7 @@
   const bool hasBody = message.method() != http::verb::head;
   std::unique_ptr<ResponseParser> parser;
   bool reusable = aUse != ConnectionUse::Single;
+  auto unframed = shared->unframed;
   {
     const CancelScope scope(aCancel, connection->stream);
     WaitLimit limit(connection->stream, aDeadlines.extend);
@@ -537,6 +538,9 @@
       // A server may answer before it has read the whole body and close then.
       limit.BeginFinal(kEarlyResponse);
       reusable = false;
+      // The write has taken the error of the connection, so a reset looks orderly to the
+      // reads that follow.
+      unframed = UnframedBody::Refuse;
     }
     std::size_t interimResponses = 0;
     while (!parser || IsInterim(*parser)) {
@@ -566,12 +570,8 @@
       strong->GiveBack(aEndpoint, std::move(aConnection));
     }
   };
-  co_return std::unique_ptr<HttpClientStream>(
-    std::make_unique<OpenStream>(std::move(connection),
-                                 std::move(parser),
-                                 aDeadlines,
-                                 shared->unframed,
-                                 std::move(giveBack)));
+  co_return std::unique_ptr<HttpClientStream>(std::make_unique<OpenStream>(
+    std::move(connection), std::move(parser), aDeadlines, unframed, std::move(giveBack)));
 }
 
 Task<Result<HttpResponse, HttpFailure>> HttpClient::Fetch(Endpoint aEndpoint,
--- a/modules/toucanstand_transport/http/HttpClient.h
+++ b/modules/toucanstand_transport/http/HttpClient.h
@@ -103,7 +103,8 @@
 {
   /// It can't be told from a part: BrokenInBody.
   Refuse,
-  /// Complete when the server ends the connection in order; a reset breaks it.
+  /// Complete when the server ends the connection in order; a reset breaks it, and so
+  /// does a request that could not be written whole.
   EndsWithConnection,
 };
 
--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -192,6 +192,23 @@
   CheckBroken({ AnswerOf("101 Switching Protocols", "", answer) });
 }
 
+TEST_CASE("A client gets no part of an answer that came before the whole upload",
+          "[broken]")
+{
+  // Guards against a body without a length whose server resets the connection while the
+  // request is still being written.
+  Fixture fixture;
+  for (const auto& request : kRequests) {
+    for (const std::string version : { "HTTP/1.0", "HTTP/1.1" }) {
+      for (const std::string& body : { std::string(), kEvent, kEvent + "id: 2\nda" }) {
+        const auto head = version + " 200 OK\r\n" + kFields + "\r\n";
+        fixture.CheckBroken(request, { { head + body }, End::Reset, true }, kUploadBytes);
+      }
+    }
+  }
+  CHECK(fixture.answeredByAnother > 0);
+}
+
 TEST_CASE("A client gets no answer whose head has a name with a byte of no name",
           "[broken]")
 {
--- a/tests/platform/support/AnswerInjector.cpp
+++ b/tests/platform/support/AnswerInjector.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr int kSmallBufferBytes = 4096;
 
 /// Value of a field in the text of a request head; empty if there is none.
 std::string FieldOf(const std::string& aHead, const std::string& aName)
@@ -88,7 +89,11 @@
   if (answer) {
     const auto length = FieldOf(head, "Content-Length");
     const auto bodyEnd = headBytes + (length.empty() ? 0 : std::stoul(length));
-    if (received.size() < bodyEnd) {
+    if (answer->isEarly) {
+      // The kernel enlarges the buffer of a socket that does not set it, until it holds a
+      // whole upload.
+      aCaller.set_option(asio::socket_base::receive_buffer_size(kSmallBufferBytes));
+    } else if (received.size() < bodyEnd) {
       std::string rest(bodyEnd - received.size(), '\0');
       co_await asio::async_read(aCaller, asio::buffer(rest), kAwait);
     }
--- a/tests/platform/support/AnswerInjector.h
+++ b/tests/platform/support/AnswerInjector.h
@@ -32,6 +32,8 @@
     Repeat,
   };
   End end = End::Close;
+  /// The answer ends before more than the head of the request has been read.
+  bool isEarly = false;
 };
 
 /// Answers that the injectors of a platform share.
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -20,6 +20,9 @@
          std::string(aPadding, '.') + "\n\n";
 }
 
+/// Uploads are as large as a test lets the configuration allow.
+constexpr std::size_t kMaxBodyBytes = 16U << 20U;
+
 /// Decrements the count. Returns false when it is already zero.
 bool ConsumeFault(int& aCount)
 {
@@ -47,9 +50,11 @@
 
 void BackendServerStandin::Listen()
 {
+  HttpServerLimits limits;
+  limits.bodyBytes = kMaxBodyBytes;
   this->server = std::make_unique<HttpServer>(
     this->loop,
-    HttpServerLimits{},
+    limits,
     [this](HttpExchange& aExchange) { return this->HandleRequest(aExchange); },
     this->metrics);
   this->endpoint = *this->server->Listen({ "127.0.0.1", this->endpoint.port });
--- a/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
+++ b/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
@@ -120,6 +120,22 @@
   CheckMalformed({ { AnswerText(kLength + "X-First\r\n", kBody) } });
 }
 
+TEST_CASE("A part of a body is not whole when the upload breaks", "[broken]")
+{
+  // Guards against a reset that the failing write of the request reports, so that the
+  // body without a length seems to end in order.
+  const std::string version = GENERATE("HTTP/1.0", "HTTP/1.1");
+  const std::string field = GENERATE("", "Connection: close\r\n");
+  const std::size_t bytes = GENERATE(0U, 10U, 1000U);
+  INFO(version << " " << field << bytes);
+  const auto answer = version + " 200 OK\r\n" + field + "\r\n" + std::string(bytes, 'a');
+  const auto response = FetchRaw({ { answer }, RawAnswer::End::Reset },
+                                 UnframedBody::EndsWithConnection,
+                                 LongUpload());
+  REQUIRE(!response.HasValue());
+  CHECK(response.LastReason() == HttpFailure::BrokenInBody);
+}
+
 TEST_CASE("An answer that states its end is whole although the upload breaks", "[broken]")
 {
   // Guards against the loss of an answer that came before the server read the request.
--- a/tests/unit/toucanstand_transport/TestTunnel.cpp
+++ b/tests/unit/toucanstand_transport/TestTunnel.cpp
@@ -9,6 +9,7 @@
 
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
+#include "support/RawServer.h"
 
 using namespace toucanstand;
 using namespace std::chrono_literals;
@@ -164,6 +165,33 @@
   CHECK(response.LastReason() == HttpFailure::BrokenInBody);
 }
 
+TEST_CASE("A part of a body is not whole when the upload through a tunnel breaks",
+          "[tunnel]")
+{
+  // Guards against a reset behind a peer that looks like the end of a body without a
+  // length.
+  const std::string part = GENERATE("", "part of a body");
+  TunnelFixture fixture;
+  const RawServer server(fixture.loop,
+                         { { "HTTP/1.1 200 OK\r\n\r\n" + part }, RawAnswer::End::Reset });
+  fixture.serverEndpoint = server.Address();
+  HttpClient client(fixture.loop, fixture.metrics, UnframedBody::EndsWithConnection);
+  client.SetPaths(&fixture.paths);
+  std::optional<Result<HttpResponse, HttpFailure>> result;
+  const auto fetch = [&]() -> Task<> {
+    HttpRequest request;
+    request.method = "POST";
+    request.body = std::string(16U << 20U, 'q');
+    const HttpDeadlines deadlines;
+    result = co_await client.Fetch(
+      fixture.unreachable, std::move(request), deadlines, 1024, ConnectionUse::Single);
+  };
+  asio::co_spawn(fixture.loop, fetch(), asio::detached);
+  fixture.RunUntil([&result] { return result.has_value(); });
+  CHECK(fixture.paths.lastResult == ProxyResult::Connected);
+  CHECK(!result->HasValue());
+}
+
 TEST_CASE("A server behind a tunnel stops when its caller leaves", "[tunnel]")
 {
   TunnelFixture fixture;
