Keep the reset of a server a reset behind a peer's tunnel

What a caller could see: a part of an answer without a length as the whole one, when the VM reached the engine through a peer and the engine reset the connection while the peer still copied the request.

Cause: RelayBytes() copies both ways at once. When the caller's bytes and the reset come between two turns of the loop, the write to the server takes the error, the read then sees an orderly end, and its handler runs before that of the write: the caller's connection was ended in order.

Fix: after the end of the server's bytes the relay waits one turn of the loop. The handler of a write that took the error is queued by then and closes both connections, the caller's with a reset.

--- a/modules/toucanstand_transport/http/ByteRelay.cpp
+++ b/modules/toucanstand_transport/http/ByteRelay.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
@@ -46,6 +47,9 @@
 Task<> CopyToCaller(tcp::socket& aServer, tcp::socket& aCaller)
 {
   const auto end = co_await Copy(aServer, aCaller);
+  // A write to the server that has taken the error of a reset leaves an orderly end to
+  // the read. Its handler, which closes both connections, is queued by now.
+  co_await asio::post(kAwait);
   boost::system::error_code ignored;
   if (end == asio::error::eof) {
     aCaller.shutdown(tcp::socket::shutdown_send, ignored);
