Reject heads of responses in which a line begins with a blank

Callers saw: an engine in trouble sent an answer in whose head a line began with a blank or a tab. Its client got an answer with that line as a part of the field before it; where the line named the length or the coding, the body was another one than the engine's.

Cause: Beast's parser joins such a line with the field before it (obs-fold). Names with a blank or another byte of no name are rejected already; a blank in front of a name made it no name at all.

Evidence, before: TestBrokenAnswers against toucanstand-server, 13 of 365 checks failed, on requests of all four kinds: the folded length left the surplus bytes in the body, and a folded field was passed on with a 200 and with a 500. Of the unit cases, 21 checks failed, with one or two blanks, a folded length, coding, other field or empty line, and in a head that came byte by byte.

Fix: ReadResponseHead() feeds the parser itself and looks at the bytes before, as the parser does not tell a joined line afterwards. It reports bad_field; RFC 9112, 5.2 lets a gateway reject such a response. Clients get Malformed, as for other heads that can't be read. The first line after the status was rejected before. After: all 365 pass, and sound heads in pieces and bodies with lines that begin with a blank arrive as before.

--- a/modules/toucanstand_transport/http/ResponseHead.cpp
+++ b/modules/toucanstand_transport/http/ResponseHead.cpp
@@ -1,8 +1,11 @@
 #include "http/ResponseHead.h"
 
+#include <string_view>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 
 namespace toucanstand {
 
@@ -18,6 +21,37 @@
 constexpr unsigned kMinStatus = 100;
 constexpr unsigned kMaxStatus = 599;
 
+/// True if a line of a head begins with a blank. The parser would take it for a part of
+/// the field before it; a gateway may reject it (RFC 9112, 5.2).
+/// @param aUnparsed from the beginning of a line of a head
+bool HasFoldedLine(std::string_view aUnparsed)
+{
+  // An empty line ends the head.
+  if (aUnparsed.starts_with("\r\n")) {
+    return false;
+  }
+  const auto head = aUnparsed.substr(0, aUnparsed.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
+/// Parses the bytes of a head. @returns need_more if they don't end it
+beast::error_code ParseHead(beast::flat_buffer& aBuffer, ResponseParser& aParser)
+{
+  const auto bytes = aBuffer.data();
+  const std::string_view text(static_cast<const char*>(bytes.data()), bytes.size());
+  if (text.empty()) {
+    return http::error::need_more;
+  }
+  // The parser takes a field only together with the first byte after its line.
+  if (HasFoldedLine(text)) {
+    return http::error::bad_field;
+  }
+  beast::error_code error;
+  aBuffer.consume(aParser.put(bytes, error));
+  return error;
+}
+
 /// True for a transfer coding that says nothing of where the body ends. Without one, the
 /// end of the connection might; but the parser takes some of these bodies for empty.
 bool HasUnknownCoding(const ResponseParser& aParser)
@@ -53,8 +87,19 @@
                                          beast::flat_buffer& aBuffer,
                                          ResponseParser& aParser)
 {
-  auto [error, received] =
-    co_await http::async_read_header(aStream, aBuffer, aParser, kAwait);
+  beast::error_code error = ParseHead(aBuffer, aParser);
+  while (error == http::error::need_more) {
+    const auto room = aBuffer.prepare(beast::read_size(aBuffer, aBuffer.max_size()));
+    if (room.size() == 0) {
+      co_return http::error::buffer_overflow;
+    }
+    auto [readError, received] = co_await aStream.async_read_some(room, kAwait);
+    if (readError) {
+      co_return readError;
+    }
+    aBuffer.commit(received);
+    error = ParseHead(aBuffer, aParser);
+  }
   co_return error ? error : CheckHead(aParser);
 }
 
--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -209,6 +209,16 @@
   CHECK(fixture.answeredByAnother > 0);
 }
 
+TEST_CASE("A client gets no answer whose head has a line that begins with a blank",
+          "[broken]")
+{
+  // Guards against a line that is passed on as a part of the field before it, and against
+  // another body than the server's where the line names its length.
+  CheckBroken({ AnswerOf("200 OK", " " + kLength, kEvent + "surplus"),
+                AnswerOf("200 OK", kLength + "\tX-Second: b\r\n"),
+                AnswerOf("500 Internal Server Error", kLength + " X-Second: b\r\n") });
+}
+
 TEST_CASE("A client gets no answer whose head has a name with a byte of no name",
           "[broken]")
 {
--- a/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
+++ b/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
@@ -82,6 +82,27 @@
     { { AnswerText("", "", "101 Switching Protocols") + AnswerText(kLength, kBody) } });
 }
 
+TEST_CASE("A line of a head that begins with a blank makes no answer", "[broken]")
+{
+  // Guards against a line that becomes a part of the field before it. Where it was to
+  // name the length or the coding, the body would not be the server's.
+  for (const std::string blank : { " ", "\t", "  ", " \t" }) {
+    for (const std::string& answer :
+         { AnswerText("X-First: a\r\n" + blank + kLength, kBody),
+           AnswerText("X-First: a\r\n" + blank + "Transfer-Encoding: chunked\r\n",
+                      kChunkedBody),
+           AnswerText(kLength + "X-First: a\r\n" + blank + "X-Second: b\r\n", kBody),
+           AnswerText(kLength + "X-First: a\r\n" + blank + "\r\n", kBody),
+           AnswerText(kLength + "X-First:\r\n" + blank + "a\r\n", kBody),
+           AnswerText(blank + kLength, kBody) }) {
+      INFO(answer);
+      CheckMalformed({ { answer } });
+    }
+  }
+  const auto folded = AnswerText(kLength + "X-First: a\r\n b\r\n", kBody);
+  CheckMalformed({ SplitHead(folded) });
+}
+
 TEST_CASE("A head that arrives in pieces and a body that looks folded are sound",
           "[broken]")
 {
