Reject bodies in other transfer codings than chunks alone

Callers saw, by a stand-in: "Transfer-Encoding: gzip, chunked" and "chunked;q=1" with a 200; the client got the bytes within the chunks as the answer, for gzip without the name of that coding.

Cause: Beast's parser takes a body for chunked if the list of codings, read up to its first error, ends with that word. Whatever stands before it or behind the error is ignored, and so is an earlier field of that name. The check after the parser saw only codings that it had not taken for chunks.

Fix: every field Transfer-Encoding must be a list that names nothing but chunked (RFC 9112, 6.1 and 7.1); the parser rejects that word twice.

--- a/modules/toucanstand_transport/http/ResponseHead.cpp
+++ b/modules/toucanstand_transport/http/ResponseHead.cpp
@@ -1,11 +1,15 @@
 #include "http/ResponseHead.h"
 
+#include <algorithm>
 #include <string_view>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include "text/AsciiCase.h"
 
 namespace toucanstand {
 
@@ -52,11 +56,23 @@
   return error;
 }
 
-/// True for a transfer coding that says nothing of where the body ends. Without one, the
-/// end of the connection might; but the parser takes some of these bodies for empty.
+/// True if a body is coded in another way than in chunks alone, which no request allows.
+/// The caller would get the coded bytes without the name of their coding, or none: the
+/// parser takes some of these bodies for chunks, and others for empty.
 bool HasUnknownCoding(const ResponseParser& aParser)
 {
-  return aParser.get().count(http::field::transfer_encoding) > 0 && !aParser.chunked();
+  const auto [first, last] = aParser.get().equal_range(http::field::transfer_encoding);
+  if (first == last) {
+    return false;
+  }
+  const bool namesChunksOnly = std::all_of(first, last, [](const auto& aField) {
+    const http::opt_token_list codings(aField.value());
+    return http::validate_list(codings) &&
+           std::all_of(codings.begin(), codings.end(), [](std::string_view aCoding) {
+             return EqualIgnoringCase(aCoding, "chunked");
+           });
+  });
+  return !namesChunksOnly || !aParser.chunked();
 }
 
 /// Why a client must not act on a head that the parser accepts; no error if it may.
--- a/tests/platform/TestBrokenAnswers.cpp
+++ b/tests/platform/TestBrokenAnswers.cpp
@@ -228,3 +228,11 @@
                 AnswerOf("200 OK", "Content-Length : 5\r\n"),
                 AnswerOf("200 OK", "Content\t-Length: 5\r\n") });
 }
+
+TEST_CASE("A client gets no answer in a coding that it is not told", "[broken]")
+{
+  // Guards against a coded body that is passed on without the name of its coding.
+  const auto chunks = ChunkText(kEvent) + ChunkText("");
+  CheckBroken({ AnswerOf("200 OK", "Transfer-Encoding: gzip, chunked\r\n", chunks),
+                AnswerOf("200 OK", "Transfer-Encoding: chunked;q=1\r\n", chunks) });
+}
--- a/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
+++ b/tests/unit/toucanstand_transport/TestBrokenAnswers.cpp
@@ -141,6 +141,38 @@
   CheckMalformed({ { AnswerText(kLength + "X-First\r\n", kBody) } });
 }
 
+TEST_CASE("A body in another coding than chunks alone makes no answer", "[broken]")
+{
+  // Guards against a coded body that is passed on without the name of its coding
+  // (RFC 9112, 6.1 and 7.1).
+  for (const std::string coding : { "chunked;q=1",
+                                    "chunked; a",
+                                    "chunked a",
+                                    "chunked =",
+                                    "gzip, chunked",
+                                    "gzip;q=1, chunked",
+                                    "identity, chunked",
+                                    "chunked, chunked",
+                                    "gzip",
+                                    "\"chunked\"",
+                                    "" }) {
+    INFO(coding);
+    CheckMalformed(
+      { { AnswerText("Transfer-Encoding: " + coding + "\r\n", kChunkedBody) } });
+  }
+  CheckMalformed({ { AnswerText("Transfer-Encoding: gzip\r\n"
+                                "Transfer-Encoding: chunked\r\n",
+                                kChunkedBody) } });
+  for (const std::string coding :
+       { "chunked", "Chunked", " chunked\t", "chunked,", ", chunked" }) {
+    INFO(coding);
+    const auto response =
+      FetchRaw({ { AnswerText("Transfer-Encoding: " + coding + "\r\n", kChunkedBody) } });
+    REQUIRE(response.HasValue());
+    CHECK(response->body == kBody);
+  }
+}
+
 TEST_CASE("A part of a body is not whole when the upload breaks", "[broken]")
 {
   // Guards against a reset that the failing write of the request reports, so that the
