Test broken answers on streams that another engine continues

TestResumedStreams: a number that is no status, a switch of protocols, a folded line and a coding before the chunks, from the engine that is to continue a stream or that begins one.

--- a/tests/platform/TestResumedStreams.cpp
+++ b/tests/platform/TestResumedStreams.cpp
@@ -161,6 +161,13 @@
   add("206", Stream(kRest, "206 Partial Content"));
   add("302", WithLength("302 Found", kSignedFields + "Location: /other\r\n", kErrorText));
   add("304", Head("304 Not Modified", kEventFields));
+  add("a number that is no status", Stream(kRest, "000 Trouble"));
+  add("a switch of protocols", Head("101 Switching Protocols", "") + Stream(kRest));
+  add("a head with a line that begins with a blank",
+      WithLength("200 OK", kEventFields + "X-First: a\r\n b: c\r\n", kErrorText));
+  add("a coding before the chunks",
+      Head("200 OK", kEventFields + "Transfer-Encoding: gzip, chunked\r\n") +
+        ChunkText(kErrorText + "\n\n") + ChunkText(""));
   add("nothing", "");
   add("bytes that are no HTTP", kErrorText + "\r\n\r\n");
   for (auto& answer : errors) {
