--- a/tests/platform/TestTruncatedHeads.cpp
+++ b/tests/platform/TestTruncatedHeads.cpp
@@ -57,12 +57,7 @@
     : platform(kEngines)
   {
     this->platform.AddInjectors();
-    this->platform.RunOnLoop([this] {
-      for (int number = 0; number < kEngines; ++number) {
-        auto& engine = this->platform.BackendServer("engine-" + std::to_string(number));
-        engine.eventInterval = std::chrono::milliseconds(1);
-      }
-    });
+    this->platform.SetEventInterval(std::chrono::milliseconds(1));
     this->server = std::make_unique<ServerUnderTest>(this->platform, "vm-1");
     this->server->WaitForGroups(2);
   }
--- a/tests/platform/support/PlatformStandin.cpp
+++ b/tests/platform/support/PlatformStandin.cpp
@@ -223,6 +223,15 @@
   return count;
 }
 
+void PlatformStandin::SetEventInterval(std::chrono::milliseconds aInterval)
+{
+  this->RunOnLoop([&] {
+    for (const auto& [id, server] : this->servers) {
+      server->eventInterval = aInterval;
+    }
+  });
+}
+
 void PlatformStandin::AddInjectors()
 {
   this->RunOnLoop([this] {
--- a/tests/platform/support/PlatformStandin.h
+++ b/tests/platform/support/PlatformStandin.h
@@ -57,6 +57,8 @@
     return *this->servers.at(aId);
   }
   [[nodiscard]] std::vector<std::string> ServerIds() const;
+  /// Sets the time between two events of the streams of all engines.
+  void SetEventInterval(std::chrono::milliseconds aInterval);
   /// Places an AnswerInjector in front of each backend server.
   void AddInjectors();
   /// Sets the answers that the injectors give to the next requests.
