End a process although messages arrive as it closes its sockets

For operators: a toucanstand-entry, -node or -ledger that has finished its drain stays until it is killed. No answer is lost, as the event loop has ended by then.

Cause: nng_close() of the pull socket, while senders are connected and messages arrive, can leave nng's reaper thread (1.5.2) waiting for an operation that never completes. The next nng_close(), of a push socket, then waits for that thread without a limit.

Change: the pull socket is left to the end of the process. Closing push sockets, as Reconnect() does, was never seen to block.

--- a/modules/toucanstand_transport/messages/MessagePort.cpp
+++ b/modules/toucanstand_transport/messages/MessagePort.cpp
@@ -74,13 +74,13 @@
 
   ~Implementation()
   {
-    // The descriptor belongs to nng, which closes it with the socket.
+    // The descriptor belongs to nng.
     if (this->readable.is_open()) {
       this->readable.release();
     }
-    if (this->listening) {
-      nng_close(this->receiver);
-    }
+    // The receiver is left to the end of the process: closing it while connections of
+    // senders are open can block nng's reaper thread for good, and nng_close() of any
+    // other socket then never returns (nng 1.5.2).
     for (const auto& [endpoint, sender] : this->senders) {
       nng_close(sender);
     }
@@ -91,12 +91,12 @@
     if (nng_pull0_open(&this->receiver) != 0) {
       return ListenFailure::NotPermitted;
     }
-    this->listening = true;
     nng_socket_set_size(this->receiver, NNG_OPT_RECVMAXSZ, kMostBytes);
     nng_listener listener{};
     const int error =
       nng_listen(this->receiver, toucanstand::Address(aEndpoint).c_str(), &listener, 0);
     if (error != 0) {
+      nng_close(this->receiver);
       return error == NNG_EADDRINUSE ? ListenFailure::AddressInUse
                                      : ListenFailure::BadAddress;
     }
@@ -219,7 +219,6 @@
   MetricsRegistry& metrics;
   boost::asio::posix::stream_descriptor readable;
   nng_socket receiver{};
-  bool listening = false;
   std::map<Endpoint, nng_socket> senders;
   Listener handler;
 };
--- a/modules/toucanstand_transport/messages/MessagePort.h
+++ b/modules/toucanstand_transport/messages/MessagePort.h
@@ -32,6 +32,9 @@
 ///
 /// Sending never waits: what can't be queued is dropped and counted. Messages that are
 /// oversized, malformed or of another version are counted and ignored.
+///
+/// A destroyed port sends and delivers nothing more, but its endpoint stays in use until
+/// the process ends.
 class MessagePort
 {
 public:
--- a/tests/unit/toucanstand_transport/TestMessagePort.cpp
+++ b/tests/unit/toucanstand_transport/TestMessagePort.cpp
@@ -1,3 +1,8 @@
+#include <future>
+#include <memory>
+#include <thread>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include <boost/asio/steady_timer.hpp>
@@ -9,6 +14,46 @@
 using namespace toucanstand;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// Destroys ports while messages arrive. @returns false if the ports can't be set up
+bool DestroyReceivingPorts()
+{
+  constexpr std::size_t kPorts = 20;
+  constexpr int kMessages = 16;
+  boost::asio::io_context loop;
+  MetricsRegistry metrics;
+  MessagePort sender(loop, metrics);
+  if (!sender.Listen({ "127.0.0.1", 0 }, [](const Message&) {})) {
+    return false;
+  }
+  std::vector<std::unique_ptr<MessagePort>> ports;
+  std::size_t received = 0;
+  for (std::size_t number = 0; number < kPorts; ++number) {
+    auto& port = ports.emplace_back(std::make_unique<MessagePort>(loop, metrics));
+    const auto address =
+      port->Listen({ "127.0.0.1", 0 }, [&received](const Message&) { ++received; });
+    if (!address) {
+      return false;
+    }
+    sender.Send(*address, "probe", nlohmann::json::object());
+  }
+  while (received < kPorts) {
+    if (loop.run_one_for(5s) == 0) {
+      return false;
+    }
+  }
+  for (auto& port : ports) {
+    for (int number = 0; number < kMessages; ++number) {
+      sender.Send(port->Address(), "probe", nlohmann::json::object());
+    }
+    port.reset();
+  }
+  return true;
+}
+
+} // namespace
+
 TEST_CASE("A message arrives with its sender, and malformed ones are counted",
           "[messages]")
 {
@@ -50,3 +95,22 @@
   CHECK(received[0].correlation == 17);
   CHECK(received[0].body.at("incarnation") == 3);
 }
+
+TEST_CASE("A port that is destroyed while messages arrive does not block its process",
+          "[messages]")
+{
+  constexpr int kRounds = 10;
+  constexpr auto kPatience = 60s;
+  std::packaged_task<bool()> task([] {
+    bool areSetUp = true;
+    for (int round = 0; round < kRounds && areSetUp; ++round) {
+      areSetUp = DestroyReceivingPorts();
+    }
+    return areSetUp;
+  });
+  auto done = task.get_future();
+  // Not joined, as a blocked thread would keep the case from failing.
+  std::thread(std::move(task)).detach();
+  REQUIRE(done.wait_for(kPatience) == std::future_status::ready);
+  CHECK(done.get());
+}
