Fence orders by the revision that they are based on

The engine serves its former group again, and takes the repeated order to join the next group while it is the open head.

Cause: all orders of a leader had its term as their fencing token. Engines reject an order with a lower token than one that they have seen, so that they could not tell a delayed order from a later one of the same leader. The generation protects against an earlier join only once a later one was accepted, and an order to leave has no generation of its own. The leader can't prevent this by what it remembers (unansweredJoins, the registration): the late order is with the engine already, and the next leader remembers nothing.

Ruled out as the cause: the repeated join (StepForming), which only shows the fault. Left out, the first join of the next group, which is late too, would do the same.

Change: the token of an order is the revision that the leader's copy of the store had reached when it decided. It stays below the term of the next leader, which is elected by a later write, also if that one is of an earlier build. An order to open follows on the registrations of members that are ready, and an order to leave on what followed; each was a write. So an engine that has carried out either rejects all earlier orders to join that group, whoever sent them, and without a join it can't be opened. An order that is rejected because a later one of the same leader overtook it is no evidence of another leader. Generations and the size of the numbers stay as they were.

--- a/modules/toucanstand_groups/formation/EngineOrder.h
+++ b/modules/toucanstand_groups/formation/EngineOrder.h
@@ -39,7 +39,8 @@
   std::string model;
   /// Members in order of rank; only for Join.
   std::vector<ServerId> members;
-  /// Fencing token: engines reject an order whose token is lower than one they have seen.
+  /// Fencing token: engines reject an order whose token is lower than one they have seen,
+  /// so that an order that is delayed has no effect after a later one.
   std::int64_t fence = 0;
 };
 
--- a/modules/toucanstand_groups/formation/FormationController.cpp
+++ b/modules/toucanstand_groups/formation/FormationController.cpp
@@ -16,9 +16,11 @@
 void FormationController::StartTerm(std::int64_t aTerm)
 {
   this->term = aTerm;
+  this->fence = aTerm;
   this->shortSince.reset();
+  this->lastFences.clear();
   this->lifecycle.StartTerm(aTerm);
-  this->staging.StartTerm(aTerm);
+  this->staging.StartTerm();
 }
 
 std::vector<EngineOrder> FormationController::Plan(const FormationInputs& aInputs,
@@ -49,8 +51,22 @@
     this->StageForRepair(context, free, taken);
     this->StageForReassignment(context);
   }
+  return this->TakeOrders(aInputs);
+}
+
+std::vector<EngineOrder> FormationController::TakeOrders(const FormationInputs& aInputs)
+{
   auto orders = this->lifecycle.TakeOrders();
   std::ranges::move(this->staging.TakeOrders(), std::back_inserter(orders));
+  std::erase_if(this->lastFences, [&aInputs](const auto& aLast) {
+    return aInputs.directory.Find(aLast.first) == nullptr;
+  });
+  // A read that is served from an older copy of the store sets its revision back.
+  this->fence = std::max(this->fence, aInputs.fence);
+  for (auto& order : orders) {
+    order.fence = this->fence;
+    this->lastFences[order.server] = this->fence;
+  }
   return orders;
 }
 
@@ -58,6 +74,14 @@
                                   EngineOrderReply aReply,
                                   TimePoint aNow)
 {
+  const auto last = this->lastFences.find(aOrder.server);
+  const bool isOvertaken = aReply == EngineOrderReply::Outdated &&
+                           last != this->lastFences.end() && aOrder.fence < last->second;
+  if (isOvertaken) {
+    // A later order of this term arrived first. The engine has not seen another lease
+    // holder, and an order without effect is repeated.
+    return;
+  }
   this->lifecycle.OnReply(aOrder, aReply, aNow);
   this->staging.OnReply(aOrder, aReply);
 }
--- a/modules/toucanstand_groups/formation/FormationController.h
+++ b/modules/toucanstand_groups/formation/FormationController.h
@@ -163,8 +163,15 @@
   void StageForReassignment(const PlanContext& aContext);
   void UpdateSummary(const PlanContext& aContext, const Engines& aFree);
 
+  /// Returns the orders of this plan with their fencing tokens.
+  [[nodiscard]] std::vector<EngineOrder> TakeOrders(const FormationInputs& aInputs);
+
   PoolId pool;
   std::int64_t term = 0;
+  /// Fencing token of the next orders; at least the term.
+  std::int64_t fence = 0;
+  /// Fencing token of the last order to each engine in this term.
+  std::map<ServerId, std::int64_t> lastFences;
   GroupLifecycle lifecycle;
   WeightStaging staging;
   std::string summary;
--- a/modules/toucanstand_groups/formation/FormationInputs.h
+++ b/modules/toucanstand_groups/formation/FormationInputs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -40,6 +41,10 @@
   std::function<bool(const ZoneId&)> isEvacuatedZone = nullptr;
   /// Without entries, all requests count as equally urgent.
   ModelMix mix = {};
+  /// Fencing token of the orders that are based on these inputs: increases with each
+  /// write to the store that they include, and stays below the term of the next lease
+  /// holder.
+  std::int64_t fence = 0;
 
   [[nodiscard]] bool IsEvacuated(const ZoneId& aZone) const
   {
--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -458,7 +458,6 @@
   order.group = aId;
   order.generation = aRecord.generation;
   order.model = aRecord.model;
-  order.fence = this->term;
   if (aKind == OrderKind::Join) {
     order.members = aRecord.members;
     auto& highest = this->orderedJoins[aServer];
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -24,8 +24,8 @@
 ///    an engine that is partitioned from the store still serves. If this process has not
 ///    seen the member's registration, the head decides: it was opened when all members
 ///    were ready, and it breaks after `headStallTimeout` when one is lost;
-///  - generations and fencing tokens increase with the lease term, so that an engine
-///    rejects orders of an earlier lease holder once it has one of the present holder.
+///  - generations and fencing tokens increase with the lease term and within it, so that
+///    an engine rejects a delayed order once it has received a later one.
 class GroupLifecycle
 {
 public:
@@ -75,6 +75,7 @@
   /// Reports that an engine answered a probe.
   void OnResponsive(const ServerId& aServer) { this->unresponsive.erase(aServer); }
 
+  /// Returns the orders to send, without fencing tokens.
   [[nodiscard]] std::vector<EngineOrder> TakeOrders();
 
   [[nodiscard]] const std::map<GroupId, GroupRecord>& Groups() const
--- a/modules/toucanstand_groups/formation/WeightStaging.cpp
+++ b/modules/toucanstand_groups/formation/WeightStaging.cpp
@@ -27,9 +27,8 @@
 
 } // namespace
 
-void WeightStaging::StartTerm(std::int64_t aTerm)
+void WeightStaging::StartTerm()
 {
-  this->term = aTerm;
   this->inProgress.clear();
   this->orders.clear();
 }
@@ -107,7 +106,6 @@
   order.endpoint = aEntry.endpoint;
   order.kind = OrderKind::Stage;
   order.model = aModel;
-  order.fence = this->term;
   this->orders.push_back(std::move(order));
 }
 
--- a/modules/toucanstand_groups/formation/WeightStaging.h
+++ b/modules/toucanstand_groups/formation/WeightStaging.h
@@ -29,7 +29,7 @@
 public:
   /// Starts a lease term, dropping the record of loads in progress. What engines have
   /// loaded is kept.
-  void StartTerm(std::int64_t aTerm);
+  void StartTerm();
 
   /// Updates the loaded models and the loads in progress from the engines' registrations.
   void Update(const PoolId& aPool, const FormationInputs& aInputs, TimePoint aNow);
@@ -57,6 +57,7 @@
 
   void OnReply(const EngineOrder& aOrder, EngineOrderReply aReply);
 
+  /// Returns the orders to send, without fencing tokens.
   [[nodiscard]] std::vector<EngineOrder> TakeOrders();
 
 private:
@@ -77,7 +78,6 @@
     bool confirmed = false;
   };
 
-  std::int64_t term = 0;
   std::map<ServerId, LastModel> lastModels;
   std::map<ServerId, StagingOrder> inProgress;
   LoadRateLimiter loadLimiter;
--- a/modules/toucanstand_transport/store/StoreRevision.h
+++ b/modules/toucanstand_transport/store/StoreRevision.h
@@ -33,9 +33,10 @@
 /// any history.
 [[nodiscard]] bool IsFromLaterHistory(StoreRevision aRevision, StoreRevision aEarlier);
 
-/// Returns the lease term, which is also the fencing token, of a leader elected by the
-/// write with this revision. Increases like the revision, but fits, multiplied by the
-/// generations of a term, into the 53 bits that every JSON reader keeps.
+/// Returns the lease term of a leader elected by the write with this revision, which is
+/// also the fencing token of orders that are based on the store as of this revision.
+/// Increases like the revision, but fits, multiplied by the generations of a term, into
+/// the 53 bits that every JSON reader keeps.
 [[nodiscard]] std::int64_t LeaderTermOf(StoreRevision aRevision);
 
 /// `HISTORY:NUMBER`, for logs.
--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -27,9 +27,11 @@
 
 GroupCoordinator::GroupCoordinator(ServingState& aState,
                                    StoreSession& aSession,
+                                   const StoreSynchronizer& aStoreCopy,
                                    PeerChannel& aPeers)
   : state(aState)
   , session(aSession)
+  , storeCopy(aStoreCopy)
   , peers(aPeers)
 {
 }
@@ -100,7 +102,8 @@
                           [this](const ZoneId& aZone) {
                             return this->state.evacuations.IsEvacuated(aZone);
                           },
-                          this->state.workMeter.RatesByPriority(aNow) };
+                          this->state.workMeter.RatesByPriority(aNow),
+                          LeaderTermOf(this->storeCopy.Revision()) };
   auto& controller = this->ControllerOf(aPool);
   for (auto& order : controller.Plan(inputs, aNow)) {
     asio::co_spawn(
--- a/programs/toucanstand-server/GroupCoordinator.h
+++ b/programs/toucanstand-server/GroupCoordinator.h
@@ -7,6 +7,7 @@
 #include "PeerChannel.h"
 #include "ServingState.h"
 #include "StoreSession.h"
+#include "StoreSynchronizer.h"
 #include "formation/FormationController.h"
 
 namespace toucanstand {
@@ -27,7 +28,11 @@
   /// Minimum time between two probes of the same group or member.
   static constexpr Duration kMinProbeInterval = std::chrono::milliseconds(1000);
 
-  GroupCoordinator(ServingState& aState, StoreSession& aSession, PeerChannel& aPeers);
+  /// The references must outlive the coordinator.
+  GroupCoordinator(ServingState& aState,
+                   StoreSession& aSession,
+                   const StoreSynchronizer& aStoreCopy,
+                   PeerChannel& aPeers);
 
   /// Runs until the process ends.
   Task<> Run();
@@ -58,6 +63,7 @@
 
   ServingState& state;
   StoreSession& session;
+  const StoreSynchronizer& storeCopy;
   PeerChannel& peers;
   std::map<PoolId, FormationController> controllers;
   std::map<GroupId, TimePoint> groupProbedAt;
--- a/programs/toucanstand-server/ServerProcess.cpp
+++ b/programs/toucanstand-server/ServerProcess.cpp
@@ -102,7 +102,10 @@
   , storeSynchronizer(this->state, this->changeFeed)
   , storeSession(this->state, this->store, this->peers.Directory(), this->runId)
   , promptPartRecords(this->state, this->store, this->peers.Directory())
-  , groupCoordinator(this->state, this->storeSession, this->peers)
+  , groupCoordinator(this->state,
+                     this->storeSession,
+                     this->storeSynchronizer,
+                     this->peers)
   , handler(this->state)
   , tunnels(this->state)
   , callerServer(
--- a/tests/platform/support/BackendServerStandin.cpp
+++ b/tests/platform/support/BackendServerStandin.cpp
@@ -246,12 +246,34 @@
 Task<> BackendServerStandin::HandleOrder(HttpExchange& aExchange)
 {
   const auto order = json::parse(aExchange.Request().body, nullptr, false);
+  if (order.is_object() && this->leavesUnanswered && this->leavesUnanswered(order)) {
+    co_await this->LeaveUnanswered(aExchange, order);
+    co_return;
+  }
   HttpResponse response;
   response.status = order.is_object() ? this->ApplyOrder(order) : 400;
   this->AddStatements(response.headers);
   co_await aExchange.Respond(std::move(response));
 }
 
+Task<> BackendServerStandin::LeaveUnanswered(HttpExchange& aExchange, json aOrder)
+{
+  this->unansweredOrders.push_back(std::move(aOrder));
+  while (!aExchange.CallerGone()) {
+    co_await this->Sleep(kStateChangeDelay);
+  }
+  aExchange.BreakOff();
+}
+
+int BackendServerStandin::CarryOutLate(const std::string& aKind)
+{
+  const auto order =
+    std::ranges::find_if(this->unansweredOrders, [&aKind](const json& aOrder) {
+      return aOrder.value("Op", "") == aKind;
+    });
+  return order == this->unansweredOrders.end() ? 0 : this->ApplyOrder(*order);
+}
+
 HttpHeaders BackendServerStandin::ResponseHeaders(const HttpRequest& aRequest)
 {
   const bool isMismatched = ConsumeFault(this->faults.mismatchedResponses);
--- a/tests/platform/support/BackendServerStandin.h
+++ b/tests/platform/support/BackendServerStandin.h
@@ -181,10 +181,18 @@
   std::vector<std::chrono::steady_clock::time_point> arrivals;
   /// Orders to join another group that arrived while this server was an open head.
   int joinsWhileOpen = 0;
+  /// Whether an order gets no answer and is kept in `unansweredOrders` instead of being
+  /// carried out; none if empty.
+  std::function<bool(const nlohmann::json& aOrder)> leavesUnanswered;
+  std::vector<nlohmann::json> unansweredOrders;
+  /// Carries out the first unanswered order of a kind, as late as it is by now.
+  /// @returns the HTTP status of the reply, which nobody gets; 0 without such an order
+  int CarryOutLate(const std::string& aKind);
 
 private:
   Task<> HandleRequest(HttpExchange& aExchange);
   Task<> HandleOrder(HttpExchange& aExchange);
+  Task<> LeaveUnanswered(HttpExchange& aExchange, nlohmann::json aOrder);
   Task<> StreamEvents(HttpExchange& aExchange);
   Task<> RejectWithRetryAfter(HttpExchange& aExchange);
   Task<> RespondToCall(HttpExchange& aExchange);
--- a/tests/unit/toucanstand_groups/FormationSimulation.cpp
+++ b/tests/unit/toucanstand_groups/FormationSimulation.cpp
@@ -46,7 +46,7 @@
       this->engines.emplace(engine.entry.id, engine);
     }
   }
-  this->controller.StartTerm(this->term);
+  this->controller.StartTerm(this->storeRevision);
 }
 
 void FormationSimulation::Run(Duration aDuration)
@@ -128,9 +128,9 @@
 
 void FormationSimulation::ChangeLeaseHolder()
 {
-  this->term += 1 + static_cast<std::int64_t>(this->random.Below(50));
+  this->storeRevision += 1 + static_cast<std::int64_t>(this->random.Below(50));
   this->controller = FormationController(PoolId("engines"));
-  this->controller.StartTerm(this->term);
+  this->controller.StartTerm(this->storeRevision);
 }
 
 void FormationSimulation::StartNewLeaseHolder()
@@ -166,7 +166,14 @@
   const auto at = this->registrations.empty()
                     ? this->now + lag
                     : std::max(this->now + lag, this->registrations.back().at);
-  this->registrations.push_back({ at, aEngine.entry.id, false, aEngine.entry });
+  this->registrations.push_back(
+    { at, aEngine.entry.id, false, aEngine.entry, ++this->storeRevision });
+}
+
+void FormationSimulation::Unregister(const Engine& aEngine)
+{
+  this->registrations.push_back(
+    { this->now, aEngine.entry.id, true, {}, ++this->storeRevision });
 }
 
 FormationSimulation::Engine* FormationSimulation::HeadOf(const GroupId& aGroup)
@@ -197,7 +204,7 @@
     if (!reachesStore && engine.registered &&
         this->now - engine.disconnectedAt >= kRegistrationTimeout) {
       engine.registered = false;
-      this->registrations.push_back({ this->now, engine.entry.id, true, {} });
+      this->Unregister(engine);
     }
     if (reachesStore && !engine.registered) {
       engine.registered = true;
@@ -244,6 +251,7 @@
   while (!this->registrations.empty() && this->registrations.front().at <= this->now) {
     const auto registration = this->registrations.front();
     this->registrations.pop_front();
+    this->knownRevision = registration.revision;
     if (registration.removed) {
       this->directory.Remove(registration.server, this->now);
     } else {
@@ -271,6 +279,7 @@
     this->directory, this->cost, this->work, this->traffic, kHeadStallTimeout
   };
   inputs.mix = this->mix;
+  inputs.fence = this->knownRevision;
   inputs.isEvacuatedZone = [this](const ZoneId& aZone) {
     return this->IsEvacuated(aZone);
   };
--- a/tests/unit/toucanstand_groups/FormationSimulation.h
+++ b/tests/unit/toucanstand_groups/FormationSimulation.h
@@ -105,6 +105,8 @@
     ServerId server;
     bool removed = false;
     ServerEntry entry;
+    /// Revision of the store with this write.
+    std::int64_t revision = 0;
   };
 
   void Tick();
@@ -117,6 +119,7 @@
   EngineOrderReply Execute(const EngineOrder& aOrder);
   EngineOrderReply Join(Engine& aEngine, const EngineOrder& aOrder);
   void Register(const Engine& aEngine);
+  void Unregister(const Engine& aEngine);
   [[nodiscard]] bool OccursThisTick(double aPerSecond);
   [[nodiscard]] Engine* HeadOf(const GroupId& aGroup);
   [[nodiscard]] bool HasMissingMember(const GroupId& aGroup) const;
@@ -126,7 +129,9 @@
   EngineCostModel cost;
   ServerDirectory directory;
   FormationController controller;
-  std::int64_t term = 100;
+  /// Last write to the store, and the last that the controller has read.
+  std::int64_t storeRevision = 100;
+  std::int64_t knownRevision = 100;
   TimePoint now{ std::chrono::hours(1) };
   std::map<ServerId, Engine> engines;
   std::map<GroupId, std::vector<ServerId>> memberLists;
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -1,4 +1,7 @@
+#include <cstdint>
 #include <set>
+#include <utility>
+#include <vector>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -9,6 +12,37 @@
 using namespace toucanstand;
 using std::chrono::seconds;
 
+namespace {
+
+FormationSimulation::Options AllFaults()
+{
+  FormationSimulation::Options options;
+  options.lostAnswers = 0.15;
+  options.lateOrders = 0.15;
+  options.crashes = 0.05;
+  options.unreachableCrashes = 0.05;
+  options.networkOutages = 0.2;
+  options.storeOutages = 0.2;
+  options.leaseHolderChanges = 0.1;
+  return options;
+}
+
+/// Engines crash with even seeds only.
+FormationSimulation::Options EvacuationFaults(std::uint64_t aSeed)
+{
+  FormationSimulation::Options options;
+  options.lostAnswers = 0.15;
+  options.lateOrders = 0.15;
+  options.networkOutages = 0.2;
+  options.storeOutages = 0.2;
+  options.leaseHolderChanges = 0.1;
+  options.evacuations = 0.1;
+  options.crashes = aSeed % 2 == 0 ? 0.05 : 0;
+  return options;
+}
+
+} // namespace
+
 TEST_CASE("All engines and both models are in service soon after the start",
           "[formation]")
 {
@@ -147,16 +181,8 @@
   // Guards against a sequence of lost replies, late orders, engine failures, network
   // partitions and changes of the lease holder in which a head serves without a member or
   // a member is taken from a serving head.
-  FormationSimulation::Options options;
-  options.lostAnswers = 0.15;
-  options.lateOrders = 0.15;
-  options.crashes = 0.05;
-  options.unreachableCrashes = 0.05;
-  options.networkOutages = 0.2;
-  options.storeOutages = 0.2;
-  options.leaseHolderChanges = 0.1;
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-    FormationSimulation simulation(options, seed);
+    FormationSimulation simulation(AllFaults(), seed);
     simulation.Run(seconds(10));
     simulation.StartTraffic();
     simulation.Run(seconds(50));
@@ -166,21 +192,51 @@
   }
 }
 
+TEST_CASE("The rules for groups hold in plays that once broke them", "[formation]")
+{
+  struct Play
+  {
+    std::uint64_t seed;
+    bool hasEvacuations;
+  };
+  const auto play = GENERATE(
+    // Guards against a late order to join that takes a head back to the group that it has
+    // left, from which the next group takes its member away.
+    Play{ 1409, true });
+  FormationSimulation simulation(
+    play.hasEvacuations ? EvacuationFaults(play.seed) : AllFaults(), play.seed);
+  simulation.Run(seconds(10));
+  simulation.StartTraffic();
+  simulation.Run(seconds(50));
+  CHECK(simulation.membersTakenFromServingHead == 0);
+  CHECK(simulation.partialGroups == 0);
+}
+
+TEST_CASE("The rules for groups hold in a long search", "[.search]")
+{
+  // The other cases play the first seeds of the same faults.
+  for (std::uint64_t seed = 1; seed <= 3000; ++seed) {
+    for (const auto& options : { AllFaults(), EvacuationFaults(seed) }) {
+      FormationSimulation simulation(options, seed);
+      simulation.Run(seconds(10));
+      simulation.StartTraffic();
+      simulation.Run(seconds(50));
+      INFO("seed " << seed << ", evacuations " << options.evacuations);
+      CHECK(simulation.membersTakenFromServingHead == 0);
+      CHECK(simulation.partialGroups == 0);
+      CHECK(simulation.contactsToEvacuatedZones == 0);
+    }
+  }
+}
+
 TEST_CASE("The rules for groups hold while zones are evacuated and taken back",
           "[formation]")
 {
   // Guards against orders and probes to engines of an evacuated zone, and against records
   // of its groups that are stale when it is taken back: a head that serves without a
   // member, a member taken from a serving head, engines that stay without a group.
-  FormationSimulation::Options options;
-  options.lostAnswers = 0.15;
-  options.lateOrders = 0.15;
-  options.networkOutages = 0.2;
-  options.storeOutages = 0.2;
-  options.leaseHolderChanges = 0.1;
-  options.evacuations = 0.1;
   for (std::uint64_t seed = 1; seed <= 60; ++seed) {
-    options.crashes = seed % 2 == 0 ? 0.05 : 0;
+    const auto options = EvacuationFaults(seed);
     FormationSimulation simulation(options, seed);
     simulation.Run(seconds(10));
     simulation.StartTraffic();
@@ -498,6 +554,58 @@
   CHECK(controller.Describe().dump().find("dissolved") != std::string::npos);
 }
 
+TEST_CASE("A lease holder does not give up because a later order overtook an earlier one",
+          "[formation]")
+{
+  // Guards against a change of the lease holder for each order that arrives after a later
+  // one with a higher fencing token, and against one that goes on although an engine has
+  // orders of another lease holder.
+  ServerDirectory directory;
+  directory.Put(FreeEngine("a1", "a", { "small" }));
+  directory.Put(FreeEngine("a2", "a", { "small" }));
+  const auto cost = TwoModels(6);
+  FormationInputs inputs{ directory, cost, {}, false };
+  FormationController controller(PoolId("engines"));
+  controller.StartTerm(5);
+  TimePoint now{ seconds(100) };
+  inputs.fence = 7;
+  const auto first = controller.Plan(inputs, now);
+  inputs.fence = 9;
+  now += GroupLifecycle::kOrderRetryInterval;
+  const auto repeated = controller.Plan(inputs, now);
+  REQUIRE(first.size() == 2);
+  REQUIRE(repeated.size() == 2);
+  CHECK(first.front().fence == 7);
+  CHECK(repeated.front().fence == 9);
+  controller.OnReply(first.front(), EngineOrderReply::Outdated, now);
+  CHECK_FALSE(controller.IsOutdated());
+  controller.OnReply(repeated.front(), EngineOrderReply::Outdated, now);
+  CHECK(controller.IsOutdated());
+}
+
+TEST_CASE("The fencing token of orders never falls within a term", "[formation]")
+{
+  // Guards against engines that reject the orders of the lease holder as outdated after
+  // it has read an older copy of the store.
+  ServerDirectory directory;
+  directory.Put(FreeEngine("a1", "a", { "small" }));
+  directory.Put(FreeEngine("a2", "a", { "small" }));
+  const auto cost = TwoModels(6);
+  FormationInputs inputs{ directory, cost, {}, false };
+  FormationController controller(PoolId("engines"));
+  controller.StartTerm(5);
+  TimePoint now{ seconds(100) };
+  // The revision that the copy has reached, and the token that the orders must have.
+  for (const auto& [revision, token] : std::vector<std::pair<std::int64_t, std::int64_t>>{
+         { 3, 5 }, { 9, 9 }, { 8, 9 } }) {
+    inputs.fence = revision;
+    const auto orders = controller.Plan(inputs, now);
+    REQUIRE(orders.size() == 2);
+    CHECK(orders.front().fence == token);
+    now += GroupLifecycle::kOrderRetryInterval;
+  }
+}
+
 TEST_CASE("Loads from the weight store stay within the configured rate", "[formation]")
 {
   // Guards against starting more loads in any five seconds than the configured rate
