Hold the members of a dissolved group until its head has left

What goes wrong: a leader that reaches neither the head nor some members of a group takes the group for dissolved after headStallTimeout. The engines are registered in it all the while, and the head may serve.

Cause: IsFree() passed over every dissolved group before it looked at the engine's registration, so that "dissolved" counted as "has left". It is true of a group whose head has said so. It is not of one that was dissolved because nobody answered: members that don't answer count as gone there (MembersHaveLeft), and a head whose member has not left does not break.

Change: the record knows whether the head has left: it answered an order to leave, is registered outside the group, or its process has ended. Until then, an engine that is registered in the group is not free, and a dissolved group with members is retired again, so that they are ordered to leave when they answer. Members that have left are free at once, as before.

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -292,6 +292,7 @@
     RememberHead(aRecord, *head);
   } else if (aContext.inputs.directory.Find(aRecord.head) != nullptr) {
     // The head is registered but no longer a member, so it has left.
+    aRecord.headHasLeft = true;
     EnterPhase(aRecord, GroupPhase::Dissolved, aContext.now);
     return;
   }
@@ -311,12 +312,16 @@
 
 void GroupLifecycle::StepDissolved(GroupRecord& aRecord, const StepContext& aContext)
 {
+  if (aContext.now - aRecord.phaseEnteredAt <= kRegistrationLag) {
+    return;
+  }
   const auto* head = aContext.observed.Head();
-  const bool headRejoined = head != nullptr &&
-                            head->membership->generation == aRecord.generation &&
-                            aContext.now - aRecord.phaseEnteredAt > kRegistrationLag;
-  if (headRejoined) {
-    // The head executed a delayed order to join after it had left.
+  const bool isHeadMember =
+    head != nullptr && head->membership->generation == aRecord.generation;
+  // A head that is a member has not left, or has executed a delayed order to join. The
+  // members of a head that may serve have to leave, too.
+  if (isHeadMember || (!aRecord.headHasLeft && !aContext.observed.members.empty())) {
+    aRecord.headHasLeft = false;
     EnterPhase(aRecord, GroupPhase::Retiring, aContext.now);
   }
 }
@@ -346,10 +351,12 @@
   }
   return std::ranges::none_of(this->groups, [&aEntry](const auto& aGroup) {
     const auto& [id, record] = aGroup;
+    const bool isMember = aEntry.membership && aEntry.membership->group == id;
     if (record.phase == GroupPhase::Dissolved) {
-      return false;
+      // A head that the lease holder does not reach may serve with the members that it
+      // does not reach either.
+      return isMember && !record.headHasLeft;
     }
-    const bool isMember = aEntry.membership && aEntry.membership->group == id;
     const bool isJoining =
       record.phase == GroupPhase::Forming &&
       std::ranges::find(record.members, aEntry.id) != record.members.end();
@@ -489,6 +496,7 @@
   if (aOrder.kind == OrderKind::Leave && aOrder.server == record.head &&
       record.phase == GroupPhase::Retiring && aReply != EngineOrderReply::Unknown &&
       aReply != EngineOrderReply::Rejected) {
+    record.headHasLeft = true;
     EnterPhase(record, GroupPhase::Dissolved, aNow);
     return;
   }
--- a/modules/toucanstand_groups/formation/GroupRecord.h
+++ b/modules/toucanstand_groups/formation/GroupRecord.h
@@ -22,7 +22,7 @@
   Closing,
   /// The head must leave before the members may join other groups.
   Retiring,
-  /// The members may join other groups.
+  /// The members that have left may join other groups; once the head has left, all may.
   Dissolved,
 };
 
@@ -56,6 +56,9 @@
   /// dissolved, the free engines of its domain are reserved for that model.
   std::string reassignedTo;
   DomainId domain;
+  /// The head has answered that it has left, is registered outside the group, or its
+  /// process has ended.
+  bool headHasLeft = false;
   /// When the last reachable member left while the head did not answer. Start of the wait
   /// until the head has abandoned its requests.
   std::optional<TimePoint> membersLeftAt;
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -202,7 +202,12 @@
   const auto play = GENERATE(
     // Guards against a late order to join that takes a head back to the group that it has
     // left, from which the next group takes its member away.
-    Play{ 1409, true });
+    Play{ 1409, true },
+    // Guards against heads and members that the lease holder does not reach and that are
+    // given to another group once it reaches them again.
+    Play{ 5396, false },
+    Play{ 6390, true },
+    Play{ 10069, true });
   FormationSimulation simulation(
     play.hasEvacuations ? EvacuationFaults(play.seed) : AllFaults(), play.seed);
   simulation.Run(seconds(10));
--- a/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <optional>
 #include <string>
 #include <vector>
@@ -121,6 +122,41 @@
     }
   }
 
+  static ServerId MemberId(std::size_t aRank)
+  {
+    return ServerId("engine-" + std::to_string(aRank));
+  }
+
+  /// Whether the lease holder reaches the members of the group.
+  void Reach(bool aIsReached)
+  {
+    for (const std::size_t rank : { 0, 1 }) {
+      aIsReached ? this->lifecycle.OnResponsive(MemberId(rank))
+                 : this->lifecycle.OnUnresponsive(MemberId(rank));
+    }
+  }
+
+  /// The head answers that it has left.
+  void ReplyToLeave()
+  {
+    EngineOrder order;
+    order.server = MemberId(0);
+    order.kind = OrderKind::Leave;
+    order.group = this->group;
+    order.generation = 1;
+    this->lifecycle.OnReply(order, EngineOrderReply::Done, this->now);
+  }
+
+  /// Members of the group that may join another one.
+  [[nodiscard]] std::size_t CountFreeMembers() const
+  {
+    const std::array ranks = { 0, 1 };
+    return static_cast<std::size_t>(
+      std::ranges::count_if(ranks, [this](std::size_t aRank) {
+        return this->lifecycle.IsFree(*this->directory.Find(MemberId(aRank)));
+      }));
+  }
+
   /// Orders to close and to open that were given.
   std::size_t closes = 0;
   std::size_t opens = 0;
@@ -145,11 +181,6 @@
     return entry;
   }
 
-  static ServerId MemberId(std::size_t aRank)
-  {
-    return ServerId("engine-" + std::to_string(aRank));
-  }
-
   static std::size_t Count(const std::vector<EngineOrder>& aOrders, OrderKind aKind)
   {
     return static_cast<std::size_t>(
@@ -276,3 +307,25 @@
   CHECK(rig.Advance(1s) == 0);
   CHECK(rig.opens > 0);
 }
+
+TEST_CASE("The members of a group whose head has not left are not given to another group",
+          "[groups]")
+{
+  // Guards against a group that the lease holder alone does not reach: its head serves
+  // all the while, and its members join other groups as soon as they answer again.
+  ServingGroupRig rig;
+  rig.Reach(false);
+  rig.Advance(8s);
+  std::size_t freeMembers = 0;
+  for (const auto end = rig.now + 10s; rig.now < end;) {
+    rig.Advance(kTick);
+    rig.Reach(true);
+    freeMembers += rig.CountFreeMembers();
+    rig.Reach(false);
+  }
+  CHECK(freeMembers == 0);
+  rig.Reach(true);
+  CHECK(rig.Advance(GroupLifecycle::kRegistrationLag + 2 * kTick) > 0);
+  rig.ReplyToLeave();
+  CHECK(rig.CountFreeMembers() == 2);
+}
