Open an adopted group only once its members reject former orders

What goes wrong: a leader orders an engine into a group, and the order stays unanswered. The leader changes. The next one finds another group of that engine complete and ready, and opens it. Then the order of the former leader is carried out: the engine joins a group that nobody forms any more, while the head of its group serves (TWO), and the group stalls.

Cause: a fencing token protects only an engine that has seen a later one. An order to open goes to the head alone; the other members have seen none of the present leader. IsSuperseded() prevents the same within a term, by joins that the next leader does not know of (orderedJoins).

Change: a leader that opens a group of a former term repeats the order to join that group to each member but the head, until the member has answered an order of this term. The order changes nothing for a member that is in the group and brings it the present token. Groups that serve already, and groups of this term, get no further orders.

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -97,6 +97,9 @@
                                                    &GroupLifecycle::StepRetiring,
                                                    &GroupLifecycle::StepDissolved };
   this->membersToProbe.clear();
+  std::erase_if(this->answered, [&aInputs](const ServerId& aServer) {
+    return aInputs.directory.Find(aServer) == nullptr;
+  });
   this->Adopt(aInputs, aObserved, aNow);
   const ObservedGroup notObserved;
   for (auto& [id, record] : this->groups) {
@@ -253,7 +256,9 @@
     this->Retire(aRecord, aContext);
     return;
   }
-  this->OrderIfDue(aRecord, aContext, OrderKind::Open, head->id, head->endpoint);
+  if (this->AreMembersFenced(aRecord, aContext)) {
+    this->OrderIfDue(aRecord, aContext, OrderKind::Open, head->id, head->endpoint);
+  }
 }
 
 void GroupLifecycle::StepClosing(GroupRecord& aRecord, const StepContext& aContext)
@@ -412,6 +417,25 @@
   return aRecord.membersLeftAt.has_value();
 }
 
+bool GroupLifecycle::AreMembersFenced(GroupRecord& aRecord, const StepContext& aContext)
+{
+  const bool isFormedInThisTerm =
+    aRecord.generation > static_cast<Generation>(this->term) * kGenerationsPerTerm;
+  if (isFormedInThisTerm) {
+    return true;
+  }
+  // A delayed order of a former lease holder to join another group would take the member
+  // away while the head serves. The order to open fences the head.
+  bool areFenced = true;
+  for (const auto* member : aContext.observed.members) {
+    if (member->id != aRecord.head && !this->answered.contains(member->id)) {
+      areFenced = false;
+      this->OrderIfDue(aRecord, aContext, OrderKind::Join, member->id, member->endpoint);
+    }
+  }
+  return areFenced;
+}
+
 bool GroupLifecycle::IsSuperseded(const GroupRecord& aRecord) const
 {
   // Registrations lag behind: this lease holder may have ordered an engine into a later
@@ -486,6 +510,12 @@
     this->outdated = true;
     return;
   }
+  const bool isAnswered = aReply == EngineOrderReply::Begun ||
+                          aReply == EngineOrderReply::Done ||
+                          aReply == EngineOrderReply::WrongState;
+  if (isAnswered) {
+    this->answered.insert(aOrder.server);
+  }
   const auto found = this->groups.find(aOrder.group);
   if (found == this->groups.end()) {
     return;
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -16,7 +16,8 @@
 /// The head of a group is its member with rank 0; it accepts the requests. Four rules
 /// ensure that no member joins another group while its head may serve, and that no head
 /// serves with a member missing:
-///  - a head is opened only when every member reports that it is ready in the group;
+///  - a head is opened only when every member reports that it is ready in the group, and
+///    the others reject orders of former lease holders, which may be carried out late;
 ///  - members are reused only after the head has left or its process has ended; if the
 ///    head does not answer, its members leave and are reused after `headStallTimeout`,
 ///    when the head has abandoned its requests;
@@ -146,6 +147,10 @@
   [[nodiscard]] bool AreMembersAlive(const GroupRecord& aRecord,
                                      const StepContext& aContext);
   [[nodiscard]] bool MembersHaveLeft(GroupRecord& aRecord, const StepContext& aContext);
+  /// Whether every member but the head has carried out or answered an order of this lease
+  /// term, so that it rejects those of former lease holders. Repeats the order to join to
+  /// those that have not.
+  [[nodiscard]] bool AreMembersFenced(GroupRecord& aRecord, const StepContext& aContext);
   /// Whether a member was ordered to join a later group and may still do so.
   [[nodiscard]] bool IsSuperseded(const GroupRecord& aRecord) const;
 
@@ -166,6 +171,8 @@
   bool outdated = false;
   std::map<GroupId, GroupRecord> groups;
   std::set<ServerId> unresponsive;
+  /// Engines that have answered an order of this lease term.
+  std::set<ServerId> answered;
   /// Highest generation that each engine was ordered to join in this lease term.
   std::map<ServerId, Generation> orderedJoins;
   std::vector<EngineOrder> orders;
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -207,7 +207,10 @@
     // given to another group once it reaches them again.
     Play{ 5396, false },
     Play{ 6390, true },
-    Play{ 10069, true });
+    Play{ 10069, true },
+    // Guards against a delayed order of the former lease holder that takes a member from
+    // a group which the present one has opened.
+    Play{ 18727, true });
   FormationSimulation simulation(
     play.hasEvacuations ? EvacuationFaults(play.seed) : AllFaults(), play.seed);
   simulation.Run(seconds(10));
--- a/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
@@ -91,6 +91,7 @@
       leaves += Count(orders, OrderKind::Leave);
       this->closes += Count(orders, OrderKind::Close);
       this->opens += Count(orders, OrderKind::Open);
+      this->joins += Count(orders, OrderKind::Join);
     }
     return leaves;
   }
@@ -136,12 +137,12 @@
     }
   }
 
-  /// The head answers that it has left.
-  void ReplyToLeave()
+  /// A member answers that it has carried out an order.
+  void ReplyTo(OrderKind aKind, std::size_t aRank)
   {
     EngineOrder order;
-    order.server = MemberId(0);
-    order.kind = OrderKind::Leave;
+    order.server = MemberId(aRank);
+    order.kind = aKind;
     order.group = this->group;
     order.generation = 1;
     this->lifecycle.OnReply(order, EngineOrderReply::Done, this->now);
@@ -157,9 +158,10 @@
       }));
   }
 
-  /// Orders to close and to open that were given.
+  /// Orders that were given.
   std::size_t closes = 0;
   std::size_t opens = 0;
+  std::size_t joins = 0;
   EngineCostModel cost;
   ServerDirectory directory;
   FormationInputs inputs{ this->directory, this->cost, {}, true, 5s, 8s, false };
@@ -326,6 +328,22 @@
   CHECK(freeMembers == 0);
   rig.Reach(true);
   CHECK(rig.Advance(GroupLifecycle::kRegistrationLag + 2 * kTick) > 0);
-  rig.ReplyToLeave();
+  rig.ReplyTo(OrderKind::Leave, 0);
   CHECK(rig.CountFreeMembers() == 2);
 }
+
+TEST_CASE("A new leader opens a group once its members reject orders of the former one",
+          "[groups]")
+{
+  // Guards against an order of the former leader to join another group that a member
+  // carries out late, when the head serves, and against a group that is never opened.
+  ServingGroupRig rig;
+  rig.Register(MembershipState::Ready);
+  rig.lifecycle.StartTerm(2);
+  rig.Advance(2s);
+  CHECK(rig.opens == 0);
+  CHECK(rig.joins > 0);
+  rig.ReplyTo(OrderKind::Join, 1);
+  rig.Advance(kTick);
+  CHECK(rig.opens == 1);
+}
