Do not repeat a join to an engine whose group serves

What goes wrong: a leader orders a free engine to join a group, and the order stays unanswered. Before it is repeated, the engine's registration shows it in another group whose head is open or closing.

Cause: StepForming() repeated the order to each member that had not joined, whatever its registration said by then.

Change: the order is repeated once the head of the engine's group no longer serves. A registration that is older than the head's leave delays a repeated order by its lag, and no first one. The formation still times out as before.

--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -70,6 +70,16 @@
                              head->membership->state == MembershipState::Closing);
 }
 
+bool IsInServingGroup(const ServerEntry& aEntry,
+                      const std::map<GroupId, ObservedGroup>& aObserved)
+{
+  if (!aEntry.membership) {
+    return false;
+  }
+  const auto found = aObserved.find(aEntry.membership->group);
+  return found != aObserved.end() && HeadServes(found->second);
+}
+
 /// Whether the registered members have been ready.
 bool AreReady(const ObservedGroup& aObservedGroup)
 {
@@ -115,9 +125,12 @@
       EnterPhase(record, record.phase, aNow);
     }
     const auto observed = aObserved.find(id);
-    const StepContext context{
-      id, observed == aObserved.end() ? notObserved : observed->second, aInputs, aNow
-    };
+    const StepContext context{ id,
+                               observed == aObserved.end() ? notObserved
+                                                           : observed->second,
+                               aObserved,
+                               aInputs,
+                               aNow };
     (this->*kSteps.at(static_cast<std::size_t>(record.phase)))(record, context);
   }
   std::erase_if(this->groups, [&aObserved](const auto& aGroup) {
@@ -207,7 +220,8 @@
     const auto* entry = directory.Find(member);
     const bool joined = entry->membership && entry->membership->group == aContext.id &&
                         entry->membership->generation == aRecord.generation;
-    if (!joined) {
+    // Its former group may serve since the first order to join was sent.
+    if (!joined && !IsInServingGroup(*entry, aContext.allObserved)) {
       this->OrderIfDue(aRecord, aContext, OrderKind::Join, member, entry->endpoint);
     }
   }
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -121,6 +121,7 @@
   {
     const GroupId& id;
     const ObservedGroup& observed;
+    const std::map<GroupId, ObservedGroup>& allObserved;
     const FormationInputs& inputs;
     TimePoint now;
   };
--- a/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
+++ b/tests/unit/toucanstand_groups/TestGroupLifecycle.cpp
@@ -108,6 +108,20 @@
       this->now);
   }
 
+  /// Registers the free engines in a group that is not the one which they are to form.
+  void RegisterFormerGroup(MembershipState aHeadState)
+  {
+    for (const std::size_t rank : { 2, 3 }) {
+      auto entry = this->MakeEntry(rank);
+      entry.membership =
+        GroupMembership{ GroupIdFor(kModel, 9),
+                         9,
+                         rank - 2,
+                         rank == 2 ? aHeadState : MembershipState::Ready };
+      this->directory.Put(entry);
+    }
+  }
+
   /// Registers the members of that group as ready.
   void RegisterSecondGroup()
   {
@@ -347,3 +361,21 @@
   rig.Advance(kTick);
   CHECK(rig.opens == 1);
 }
+
+TEST_CASE("An order to join is not repeated while the former group of the engine serves",
+          "[groups]")
+{
+  // Guards against a repeated order that takes engines from a head which has begun to
+  // serve since the first one, and against engines that never join after it.
+  const auto state = GENERATE(MembershipState::Open, MembershipState::Closing);
+  ServingGroupRig rig;
+  rig.FormSecondGroup();
+  rig.Advance(kTick);
+  rig.RegisterFormerGroup(state);
+  rig.joins = 0;
+  rig.Advance(2s);
+  CHECK(rig.joins == 0);
+  rig.RegisterFormerGroup(MembershipState::Broken);
+  rig.Advance(2s);
+  CHECK(rig.joins > 0);
+}
