Log an engine's registration and the time that an order took

An order without a reply may be carried out late. The log line of an order was written at its end, without the time at which it was sent, and did not tell for which group the engine was registered then: an order to join an engine that was seen in another group could not be told from one to a free engine.

engine_order now has took_ms, and registered with the group and state as of the time of sending.

--- a/programs/toucanstand-server/GroupCoordinator.cpp
+++ b/programs/toucanstand-server/GroupCoordinator.cpp
@@ -23,6 +23,15 @@
   co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
+/// Group of an engine and its state there, as registered; empty without a group.
+std::string MembershipText(const ServerEntry* aEntry)
+{
+  if (aEntry == nullptr || !aEntry->membership) {
+    return {};
+  }
+  return aEntry->membership->group.Value() + " " + Name(aEntry->membership->state);
+}
+
 } // namespace
 
 GroupCoordinator::GroupCoordinator(ServingState& aState,
@@ -171,15 +180,20 @@
     co_return;
   }
   const auto sentInTerm = this->term;
+  const auto sentAt = BootClock::now();
+  const auto registered = MembershipText(this->state.directory.Find(aOrder.server));
   const auto reply = co_await this->SendVerified(aOrder);
-  this->state.log.Write(LogWeight::Notable,
-                        "engine_order",
-                        { { "kind", Name(aOrder.kind) },
-                          { "server", aOrder.server.Value() },
-                          { "group", aOrder.group.Value() },
-                          { "generation", static_cast<std::int64_t>(aOrder.generation) },
-                          { "fence", aOrder.fence },
-                          { "reply", Name(reply) } });
+  this->state.log.Write(
+    LogWeight::Notable,
+    "engine_order",
+    { { "kind", Name(aOrder.kind) },
+      { "server", aOrder.server.Value() },
+      { "group", aOrder.group.Value() },
+      { "generation", static_cast<std::int64_t>(aOrder.generation) },
+      { "fence", aOrder.fence },
+      { "registered", registered },
+      { "took_ms", ToMilliseconds(BootClock::now() - sentAt).count() },
+      { "reply", Name(reply) } });
   if (sentInTerm == this->term) {
     this->ControllerOf(aPool).OnReply(aOrder, reply, BootClock::now());
   }
