--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -19,8 +19,8 @@
 ///  - a head is opened only when every member reports that it is ready in the group, and
 ///    the others reject orders of former lease holders, which may be carried out late;
 ///  - members are reused only after the head has left or its process has ended; if the
-///    head does not answer, its members leave and are reused after `headStallTimeout`,
-///    when the head has abandoned its requests;
+///    head does not answer, its members are ordered to leave, and those that have left
+///    are reused;
 ///  - a group with an unregistered member stays active while that member answers probes:
 ///    an engine that is partitioned from the store still serves. If this process has not
 ///    seen the member's registration, the head decides: it was opened when all members
