--- a/modules/toucanstand_groups/formation/GroupLifecycle.cpp
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.cpp
@@ -70,6 +70,7 @@
                              head->membership->state == MembershipState::Closing);
 }
 
+/// Whether the engine is registered in a group whose head serves.
 bool IsInServingGroup(const ServerEntry& aEntry,
                       const std::map<GroupId, ObservedGroup>& aObserved)
 {
@@ -220,7 +221,7 @@
     const auto* entry = directory.Find(member);
     const bool joined = entry->membership && entry->membership->group == aContext.id &&
                         entry->membership->generation == aRecord.generation;
-    // Its former group may serve since the first order to join was sent.
+    // A group that the engine is in may have begun to serve since the first order.
     if (!joined && !IsInServingGroup(*entry, aContext.allObserved)) {
       this->OrderIfDue(aRecord, aContext, OrderKind::Join, member, entry->endpoint);
     }
--- a/modules/toucanstand_groups/formation/GroupLifecycle.h
+++ b/modules/toucanstand_groups/formation/GroupLifecycle.h
@@ -172,7 +172,7 @@
   bool outdated = false;
   std::map<GroupId, GroupRecord> groups;
   std::set<ServerId> unresponsive;
-  /// Engines that have answered an order of this lease term.
+  /// Engines that have answered an order of this lease term and are registered.
   std::set<ServerId> answered;
   /// Highest generation that each engine was ordered to join in this lease term.
   std::map<ServerId, Generation> orderedJoins;
--- a/tests/unit/toucanstand_groups/TestFormationController.cpp
+++ b/tests/unit/toucanstand_groups/TestFormationController.cpp
@@ -30,14 +30,10 @@
 /// Engines crash with even seeds only.
 FormationSimulation::Options EvacuationFaults(std::uint64_t aSeed)
 {
-  FormationSimulation::Options options;
-  options.lostAnswers = 0.15;
-  options.lateOrders = 0.15;
-  options.networkOutages = 0.2;
-  options.storeOutages = 0.2;
-  options.leaseHolderChanges = 0.1;
+  auto options = AllFaults();
   options.evacuations = 0.1;
-  options.crashes = aSeed % 2 == 0 ? 0.05 : 0;
+  options.crashes = aSeed % 2 == 0 ? options.crashes : 0;
+  options.unreachableCrashes = 0;
   return options;
 }
 
