--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -6,6 +6,6 @@
 for source in review/1[1-5]/case.cc; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -pthread -I review/support-3 "$source" \
+  g++ -std=c++20 -O1 -Wall -pthread "$source" \
     -o "target/review-3/case-$number"
 done
--- a/review/support-3/standin.hh
+++ b/review/support-3/standin.hh
@@ -20,6 +20,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -258,6 +259,9 @@
     return message;
   }
 
+  /// Takes the bytes that were read beyond the last message.
+  std::string Rest() { return std::exchange(this->buffer, {}); }
+
 private:
   bool More(Clock::time_point aDue)
   {
